--- /dev/null
+++ b/deckdrum/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and the demonstration, on stand-ins."""
--- /dev/null
+++ b/deckdrum/bench/deployment.py
@@ -0,0 +1,242 @@
+"""Whole deployments of stand-ins and proxies in one process."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+import curio
+import yaml
+
+from deckdrum.bench.client import Client
+from deckdrum.callers.login import make_verifier
+from deckdrum.databases import Credentials
+from deckdrum.platform.records import (
+    CONFIGURATION_PATH,
+    ConfigurationRecord,
+)
+from deckdrum.platform.store import HttpObjectStore
+from deckdrum.proxy import Proxy
+from deckdrum.settings import ProxySettings
+from deckdrum.standins.database import DatabaseProfile, StandinDatabase
+from deckdrum.standins.platform import StandinPlatform
+from deckdrum.utils import Address, Journal
+from deckdrum.utils.journal import silent_journal
+
+_HOST: Final = '127.0.0.1'
+_SALT: Final = b'0123456789abcdef'
+_PASSWORD: Final = 'standin'  # noqa: S105
+_KEY: Final = 'a key of the stand-in fleet'
+_POLL: Final = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Sizes of a deployment; times in seconds.
+
+    The defaults are the stall bookings of Bratislava.
+    """
+
+    data_centres: tuple[str, ...] = ('ba-hall', 'tt-hall', 'nr-hall')
+    services: tuple[str, ...] = ('stalls', 'payouts', 'gates')
+    groups: tuple[str, ...] = ('growers', 'stewards', 'shoppers')
+    weights: tuple[float, ...] = (2, 2, 1)
+    proxies: int = 3
+    databases: int = 3
+    max_connections: int = 25
+    connect_time: float = 0.01
+    hop_latency: float = 0.0015
+    apply_lag: float = 0.02
+    #: First of the fixed ports; 0 takes free ones.
+    first_port: int = 0
+    not_repeatable_tables: tuple[str, ...] = ('fees',)
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Stand-ins and proxies that run in the present kernel.
+
+    Parameters
+    ----------
+    layout : Layout
+        What to build.
+    """
+
+    layout: Layout
+    journal: Journal = field(default_factory=lambda: silent_journal('bench'))
+    platform: StandinPlatform = field(init=False)
+    databases: dict[str, StandinDatabase] = field(default_factory=dict)
+    proxies: dict[str, Proxy] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.platform = StandinPlatform(self._pick(0))
+
+    async def start(self) -> None:
+        """Start everything and wait until the configuration is in force."""
+        await self.platform.start()
+        for number, service in enumerate(self.layout.services):
+            await self._start_service(number, service)
+        await self.apply(self.describe(), number=1)
+        for number in range(1, self.layout.proxies + 1):
+            await self.start_proxy(number)
+        await self.wait_ready()
+
+    async def close(self) -> None:
+        """End everything."""
+        for proxy in self.proxies.values():
+            await proxy.close()
+        for database in self.databases.values():
+            await database.close()
+        await self.platform.close()
+
+    def describe(self) -> str:
+        """Return the configuration document of the deployment."""
+        layout = self.layout
+        verifier = make_verifier(_PASSWORD, _SALT)
+        return yaml.safe_dump({
+            'groups': [
+                {'name': name, 'weight': weight}
+                for name, weight in zip(
+                    layout.groups,
+                    layout.weights,
+                    strict=True,
+                )
+            ],
+            'users': [
+                {'name': f'{name}-app', 'group': name, 'verifier': verifier}
+                for name in layout.groups
+            ],
+            'services': [self._describe_service(n) for n in layout.services],
+            'read_kinds': [{'name': 'browse', 'max_age': 5}],
+        })
+
+    async def apply(self, text: str, number: int) -> None:
+        """Store a configuration document without any check."""
+        store = HttpObjectStore(self.platform.address)
+        record = ConfigurationRecord(
+            number=number,
+            operation=f'operation-{number}',
+            author='bench',
+            text=text,
+        )
+        found = await store.fetch(CONFIGURATION_PATH)
+        version = 0 if found is None else found.version
+        await store.put(CONFIGURATION_PATH, record.encode(), version)
+        await store.close()
+
+    async def start_proxy(
+        self,
+        number: int,
+        peers: tuple[str, ...] = (),
+    ) -> Proxy:
+        """Start a proxy and list it as live."""
+        layout = self.layout
+        place = layout.data_centres[(number - 1) % len(layout.data_centres)]
+        settings = ProxySettings(
+            name=f'p{number}',
+            data_centre=place,
+            listen=str(self._pick(10 * number)),
+            peer_listen=str(self._pick(10 * number + 1)),
+            admin_listen=str(self._pick(10 * number + 2)),
+            platform=str(self.platform.address),
+            peers=list(peers),
+            database_password=_PASSWORD,
+            session_keys=[_KEY],
+            seed=layout.seed * 1000 + number,
+        )
+        store = HttpObjectStore(self.platform.address)
+        proxy = Proxy(settings, store, self.journal)
+        await proxy.start()
+        self.proxies[proxy.name] = proxy
+        await self.platform.list_instance(proxy.membership.own, at_once=True)
+        return proxy
+
+    async def wait_ready(self) -> None:
+        """Return once every proxy serves and every service has a primary."""
+        while not self._is_ready():
+            await curio.sleep(_POLL)
+
+    async def connect(
+        self,
+        proxy: str,
+        group: str = 'growers',
+        service: str = 'stalls',
+        **options: str,
+    ) -> Client:
+        """Log a caller in; underscored options are session settings."""
+        settings = {
+            f'deckdrum.{name}': text for name, text in options.items()
+        }
+        return await Client.connect(
+            self.proxies[proxy].address,
+            Credentials(f'{group}-app', _PASSWORD, 'bench', service),
+            settings,
+        )
+
+    def find_primary(self, service: str) -> StandinDatabase:
+        """Return the primary that the platform's record names."""
+        record = self.platform.read_object(f'deckdrum/services/{service}')
+        return self.databases[record['primary']]
+
+    def list_databases(self, service: str) -> list[StandinDatabase]:
+        """Return the databases of a service."""
+        return [
+            database
+            for name, database in self.databases.items()
+            if name.startswith(f'{service}-')
+        ]
+
+    async def _start_service(self, number: int, service: str) -> None:
+        layout = self.layout
+        started = []
+        for slot in range(layout.databases):
+            places = layout.data_centres
+            profile = DatabaseProfile(
+                name=f'{service}-{slot + 1}',
+                data_centre=places[(slot + number) % len(places)],
+                address=self._pick(100 + 10 * number + slot),
+                max_connections=layout.max_connections,
+                connect_time=layout.connect_time,
+                hop_latency=layout.hop_latency,
+                apply_lag=layout.apply_lag,
+            )
+            database = StandinDatabase(profile)
+            await database.start()
+            started.append(database)
+            self.databases[database.name] = database
+        peers = {each.name: each for each in started}
+        for database in started:
+            database.peers = peers
+        started[0].lead(1)
+        for database in started[1:]:
+            database.follow(started[0].name, 1)
+
+    def _describe_service(self, service: str) -> dict[str, object]:
+        return {
+            'name': service,
+            'not_repeatable_tables': list(self.layout.not_repeatable_tables),
+            'databases': [
+                {
+                    'name': database.name,
+                    'data_centre': database.profile.data_centre,
+                    'address': str(database.address),
+                    'max_connections': database.profile.max_connections,
+                }
+                for database in self.list_databases(service)
+            ],
+        }
+
+    def _is_ready(self) -> bool:
+        if not all(proxy.is_ready for proxy in self.proxies.values()):
+            return False
+        known = [
+            len(proxy.view.records) == len(self.layout.services)
+            and len(proxy.view.instances) >= len(self.proxies)
+            for proxy in self.proxies.values()
+        ]
+        return all(known)
+
+    def _pick(self, offset: int) -> Address:
+        first = self.layout.first_port
+        return Address(_HOST, first + offset if first else 0)
+
+
--- /dev/null
+++ b/deckdrum/callers/__init__.py
@@ -0,0 +1,6 @@
+"""Callers: their connections, sessions and statements."""
+
+from deckdrum.callers.connection import CallerConnection
+from deckdrum.callers.host import CallerHost
+
+__all__ = ['CallerConnection', 'CallerHost']
--- /dev/null
+++ b/deckdrum/databases/__init__.py
@@ -0,0 +1,20 @@
+"""Backend databases: the interface and its PostgreSQL implementation."""
+
+from deckdrum.databases.base import (
+    Database,
+    DatabaseLink,
+    DatabaseState,
+    QueryAnswer,
+    Role,
+)
+from deckdrum.databases.postgres import Credentials, PostgresDatabase
+
+__all__ = [
+    'Credentials',
+    'Database',
+    'DatabaseLink',
+    'DatabaseState',
+    'PostgresDatabase',
+    'QueryAnswer',
+    'Role',
+]
--- /dev/null
+++ b/deckdrum/databases/base.py
@@ -0,0 +1,168 @@
+"""The interface to a backend database, and what it promises.
+
+The contract on which failover rests:
+
+* A database that was fenced at a term refuses the log and the writes of
+  every lower term, for ever, also after a restart.
+* ``promote`` succeeds only on a database fenced at exactly that term.
+* A replica that follows a term has a log that is the beginning of that
+  term's primary's log.
+* ``received`` counts only what is durable.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from deckdrum.configuration.models import DatabaseEntry
+from deckdrum.wire import Frame
+
+
+class Role(StrEnum):
+    """What a database does in its group."""
+
+    PRIMARY = 'primary'
+    REPLICA = 'replica'
+    FENCED = 'fenced'
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseState:
+    """What a database says of itself.
+
+    Attributes
+    ----------
+    role : Role
+        Its role.
+    term : int
+        Term that it leads or follows.
+    received : int
+        Offset up to which its log is durable.
+    applied : int
+        Offset up to which readers see changes.
+    fenced : int
+        Lowest term that it still accepts.
+    leaving : bool
+        Whether its server is about to be taken away.
+    """
+
+    role: Role
+    term: int
+    received: int
+    applied: int
+    fenced: int
+    leaving: bool
+
+    def takes_part(self, term: int) -> bool:
+        """Tell whether it leads or follows `term` and no later one."""
+        return self.term == term and self.fenced == term
+
+
+@dataclass(frozen=True, slots=True)
+class QueryAnswer:
+    """Answer to a query of the product's own.
+
+    `sqlstate` is empty if the query succeeded.
+    """
+
+    rows: Sequence[Sequence[str | None]] = ()
+    sqlstate: str = ''
+    text: str = ''
+    detail: str = ''
+
+
+class DatabaseLink(ABC):
+    """One authenticated connection to a database.
+
+    Every method raises `ConnectionError` once the connection is broken.
+    """
+
+    #: Server names of the statements prepared on this connection.
+    prepared: set[bytes]
+    #: Settings that were replayed on this connection.
+    settings: tuple[tuple[str, str], ...]
+
+    @property
+    @abstractmethod
+    def is_usable(self) -> bool:
+        """Whether the connection is open and nothing unread has arrived."""
+
+    @abstractmethod
+    async def send(self, payload: bytes) -> None:
+        """Send messages."""
+
+    @abstractmethod
+    async def read_frame(self) -> Frame:
+        """Return the next message."""
+
+    @abstractmethod
+    def take_frame(self) -> Frame | None:
+        """Return a message that has already arrived, or None."""
+
+    @abstractmethod
+    async def query(self, text: str) -> QueryAnswer:
+        """Run a simple query and return its whole answer."""
+
+    @abstractmethod
+    async def cancel(self) -> None:
+        """Ask the database to cancel what runs on this connection."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the connection; a second call does nothing."""
+
+
+class Database(ABC):
+    """One backend database.
+
+    Parameters
+    ----------
+    entry : DatabaseEntry
+        How the configuration declares it.
+    """
+
+    def __init__(self, entry: DatabaseEntry) -> None:
+        self.entry = entry
+
+    @property
+    def name(self) -> str:
+        """Name of the database."""
+        return self.entry.name
+
+    @abstractmethod
+    async def connect(self, limit: float) -> DatabaseLink:
+        """Open a connection within `limit` seconds.
+
+        Raises
+        ------
+        ConnectionError
+            If it cannot be had.
+        """
+
+    @abstractmethod
+    async def read_state(self, link: DatabaseLink) -> DatabaseState:
+        """Ask the database for its state."""
+
+    @abstractmethod
+    async def fence(
+        self, link: DatabaseLink, term: int
+    ) -> DatabaseState | None:
+        """Fence at `term`; return the state, or None if refused."""
+
+    @abstractmethod
+    async def promote(
+        self,
+        link: DatabaseLink,
+        term: int,
+    ) -> DatabaseState | None:
+        """Make it the primary of `term`; None if refused."""
+
+    @abstractmethod
+    async def follow(
+        self,
+        link: DatabaseLink,
+        primary: str,
+        term: int,
+    ) -> DatabaseState | None:
+        """Make it replicate from `primary` in `term`; None if refused."""
--- /dev/null
+++ b/deckdrum/databases/history.py
@@ -0,0 +1,68 @@
+"""Bounds for the age of replicas, from one clock."""
+
+from bisect import bisect_right
+from collections import deque
+from typing import Final
+
+#: Primary positions kept.
+_HISTORY_ENTRIES: Final = 4096
+#: Least time between kept positions, in seconds.
+_HISTORY_STEP: Final = 0.01
+
+
+class History:
+    """Positions of the primary over time, to bound the age of replicas.
+
+    Examples
+    --------
+    >>> history = History()
+    >>> history.note(term=1, offset=10, started_at=5.0)
+    >>> history.note(term=1, offset=30, started_at=6.0)
+    >>> history.bound_age(offset=20, now=6.5)
+    1.5
+    >>> history.bound_age(offset=30, now=6.5)
+    0.5
+    """
+
+    def __init__(self) -> None:
+        self._term = 0
+        self._offsets: deque[int] = deque(maxlen=_HISTORY_ENTRIES)
+        self._times: deque[float] = deque(maxlen=_HISTORY_ENTRIES)
+
+    def note(self, term: int, offset: int, started_at: float) -> None:
+        """Remember a position that the primary of `term` had at a time.
+
+        Parameters
+        ----------
+        term, offset : int
+            Term and log offset of the primary.
+        started_at : float
+            When the probe was sent, in kernel seconds.  A majority must have
+            reported later that it still takes part in `term`; otherwise a
+            replaced primary would make its replicas look young.
+        """
+        if term != self._term:
+            self._term = term
+            self._offsets.clear()
+            self._times.clear()
+        if self._offsets and self._offsets[-1] == offset:
+            # Still the same position: a replica there is younger now.
+            self._times[-1] = started_at
+            return
+        if self._times and started_at - self._times[-1] < _HISTORY_STEP:
+            return
+        self._offsets.append(offset)
+        self._times.append(started_at)
+
+    def bound_age(self, offset: int, now: float) -> float:
+        """Return an upper bound of the age of data at `offset`, in seconds.
+
+        Notes
+        -----
+        The bound uses one clock: the start of the last probe at which the
+        primary was at or below `offset`.
+        """
+        place = bisect_right(self._offsets, offset)
+        if place == 0:
+            return float('inf')
+        return now - self._times[place - 1]
--- /dev/null
+++ b/deckdrum/databases/postgres.py
@@ -0,0 +1,307 @@
+"""Backend databases over the PostgreSQL protocol."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+import curio
+import scramp
+from pygwire import ConnectionPhase
+
+from deckdrum.configuration.models import DatabaseEntry
+from deckdrum.databases.base import (
+    Database,
+    DatabaseLink,
+    DatabaseState,
+    QueryAnswer,
+    Role,
+)
+from deckdrum.utils import Stream, dial
+from deckdrum.wire import Frame, FrameReader, WireError, tags
+from deckdrum.wire.messages import codec, decode_backend
+
+_MAX_MESSAGE_BYTES: Final = 1_000_000_000
+_MECHANISMS: Final = ('SCRAM-SHA-256',)
+_CANCEL_LIMIT: Final = 1.0
+_TRUE_WORDS: Final = frozenset(('1', 't', 'true'))
+_STATE_QUERY: Final = 'SELECT * FROM deckdrum_state'
+
+
+@dataclass(frozen=True, slots=True)
+class Credentials:
+    """How the product logs in to databases.
+
+    `application` tells a database which proxy connects, and from where.
+    """
+
+    user: str
+    password: str
+    application: str
+    database: str = 'main'
+
+    def __repr__(self) -> str:
+        return ''.join(('Credentials(', self.user, ', password hidden)'))
+
+
+class PostgresLink(DatabaseLink):
+    """One connection to a PostgreSQL database.
+
+    Parameters
+    ----------
+    entry : DatabaseEntry
+        The database.
+    stream : Stream
+        The open connection.
+    """
+
+    def __init__(self, entry: DatabaseEntry, stream: Stream) -> None:
+        self._entry = entry
+        self._stream = stream
+        self._reader = FrameReader(stream, _MAX_MESSAGE_BYTES)
+        self._cancel_request = b''
+        self.prepared: set[bytes] = set()
+        #: Last reported value of each server parameter.
+        self.parameters: dict[str, str] = {}
+        #: Transaction status after the last answer.
+        self.status = ''
+        self.settings: tuple[tuple[str, str], ...] = ()
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is open and nothing unread has arrived."""
+        return not self._reader.buffered and self._stream.is_quiet()
+
+    async def start(
+        self,
+        credentials: Credentials,
+        options: Mapping[str, str],
+    ) -> None:
+        """Log in.
+
+        Raises
+        ------
+        ConnectionError
+            If the database refuses.
+        """
+        startup = codec.StartupMessage(
+            params={
+                'user': credentials.user,
+                'database': credentials.database,
+                'application_name': credentials.application,
+                **options,
+            },
+        )
+        await self._stream.send(startup.to_wire())
+        login = _Login(self, credentials)
+        while True:
+            frame = await self.read_frame()
+            if frame.tag == tags.READY:
+                return
+            if frame.tag == tags.ERROR:
+                raise ConnectionRefusedError(_describe_error(frame))
+            if frame.tag == tags.AUTHENTICATION:
+                await login.answer(frame)
+            elif frame.tag == tags.BACKEND_KEY:
+                self._note_key(frame)
+            elif frame.tag == tags.PARAMETER:
+                self._note_parameter(frame)
+
+    async def send(self, payload: bytes) -> None:
+        """Send messages."""
+        await self._stream.send(payload)
+
+    async def read_frame(self) -> Frame:
+        """Return the next message."""
+        frame = await self._reader.read_frame()
+        if frame is None:
+            raise ConnectionResetError('the database closed')
+        return frame
+
+    def take_frame(self) -> Frame | None:
+        """Return a message that has already arrived, or None."""
+        return self._reader.take_frame()
+
+    async def query(self, text: str) -> QueryAnswer:
+        """Run a simple query and return its whole answer."""
+        await self.send(codec.Query(query_string=text).to_wire())
+        rows: list[tuple[str | None, ...]] = []
+        failure = QueryAnswer()
+        while True:
+            frame = await self.read_frame()
+            if frame.tag == tags.READY:
+                self.status = frame.body.decode()
+                break
+            if frame.tag == tags.DATA_ROW:
+                rows.append(_decode_row(frame))
+            elif frame.tag == tags.PARAMETER:
+                self._note_parameter(frame)
+            elif frame.tag == tags.ERROR:
+                fields = decode_backend(frame).fields
+                failure = QueryAnswer(
+                    (),
+                    fields['C'],
+                    fields['M'],
+                    fields.get('D', ''),
+                )
+        return failure if failure.sqlstate else QueryAnswer(rows)
+
+    async def cancel(self) -> None:
+        """Ask the database to cancel what runs on this connection."""
+        try:
+            stream = await dial(self._entry.endpoint, _CANCEL_LIMIT)
+        except ConnectionError:
+            return
+        try:
+            await stream.send(self._cancel_request)
+        finally:
+            await stream.close()
+
+    async def close(self) -> None:
+        """Close the connection; a second call does nothing."""
+        await self._stream.close()
+
+    def _note_parameter(self, frame: Frame) -> None:
+        message = decode_backend(frame)
+        self.parameters[message.name] = message.value
+
+    def _note_key(self, frame: Frame) -> None:
+        key = decode_backend(frame, ConnectionPhase.INITIALIZATION)
+        self._cancel_request = codec.CancelRequest(
+            process_id=key.process_id,
+            secret_key=bytes(key.secret_key),
+        ).to_wire()
+
+
+class _Login:
+    """The SCRAM exchange of one connection."""
+
+    def __init__(self, link: PostgresLink, credentials: Credentials) -> None:
+        self._link = link
+        self._client = scramp.ScramClient(
+            _MECHANISMS,
+            credentials.user,
+            credentials.password,
+        )
+
+    async def answer(self, frame: Frame) -> None:
+        """Answer one authentication message."""
+        message = decode_backend(frame, ConnectionPhase.AUTHENTICATING)
+        try:
+            await self._step(message)
+        except scramp.ScramException as error:
+            raise ConnectionRefusedError('SCRAM exchange failed') from error
+
+    async def _step(self, message: Any) -> None:
+        if isinstance(message, codec.AuthenticationSASL):
+            first = codec.SASLInitialResponse(
+                mechanism=_MECHANISMS[0],
+                data=self._client.get_client_first().encode(),
+            )
+            await self._link.send(first.to_wire())
+        elif isinstance(message, codec.AuthenticationSASLContinue):
+            self._client.set_server_first(bytes(message.data).decode())
+            final = codec.SASLResponse(
+                data=self._client.get_client_final().encode(),
+            )
+            await self._link.send(final.to_wire())
+        elif isinstance(message, codec.AuthenticationSASLFinal):
+            self._client.set_server_final(bytes(message.data).decode())
+        elif not isinstance(message, codec.AuthenticationOk):
+            raise ConnectionRefusedError('the database asks for no SCRAM')
+
+
+class PostgresDatabase(Database):
+    """A database that speaks the PostgreSQL protocol.
+
+    The state is read from the view ``deckdrum_state`` and changed by the
+    functions ``deckdrum_fence``, ``deckdrum_promote`` and
+    ``deckdrum_follow``, which the operators' extension provides
+    (docs/databases.rst).
+
+    Parameters
+    ----------
+    entry : DatabaseEntry
+        How the configuration declares it.
+    credentials : Credentials
+        How to log in.
+    """
+
+    def __init__(self, entry: DatabaseEntry, credentials: Credentials) -> None:
+        super().__init__(entry)
+        self._credentials = credentials
+
+    async def connect(self, limit: float) -> DatabaseLink:
+        """Open a connection within `limit` seconds."""
+        stream = await dial(self.entry.endpoint, limit)
+        link = PostgresLink(self.entry, stream)
+        try:
+            async with curio.timeout_after(limit):
+                await link.start(self._credentials, {})
+        except curio.TaskTimeout as error:
+            await link.close()
+            raise ConnectionRefusedError(f'{self.name} is silent') from error
+        except (ConnectionError, curio.CancelledError):
+            await link.close()
+            raise
+        return link
+
+    async def read_state(self, link: DatabaseLink) -> DatabaseState:
+        """Ask the database for its state."""
+        state = await self._ask(link, _STATE_QUERY)
+        if state is None:
+            raise WireError(f'{self.name} does not tell its state')
+        return state
+
+    async def fence(
+        self, link: DatabaseLink, term: int
+    ) -> DatabaseState | None:
+        """Fence at `term`; return the state, or None if refused."""
+        return await self._ask(link, f'SELECT * FROM deckdrum_fence({term})')
+
+    async def promote(
+        self,
+        link: DatabaseLink,
+        term: int,
+    ) -> DatabaseState | None:
+        """Make it the primary of `term`; None if refused."""
+        return await self._ask(link, f'SELECT * FROM deckdrum_promote({term})')
+
+    async def follow(
+        self,
+        link: DatabaseLink,
+        primary: str,
+        term: int,
+    ) -> DatabaseState | None:
+        """Make it replicate from `primary` in `term`; None if refused."""
+        # The name matches the configuration's pattern: no quotes in it.
+        call = f"SELECT * FROM deckdrum_follow('{primary}', {term})"
+        return await self._ask(link, call)
+
+    async def _ask(self, link: DatabaseLink, text: str) -> DatabaseState | None:
+        answer = await link.query(text)
+        if answer.sqlstate or not answer.rows:
+            return None
+        role, *numbers, leaving = answer.rows[0]
+        term, received, applied, fenced = (
+            int(number or 0) for number in numbers
+        )
+        return DatabaseState(
+            Role(role or ''),
+            term,
+            received,
+            applied,
+            fenced,
+            leaving in _TRUE_WORDS,
+        )
+
+
+def _decode_row(frame: Frame) -> tuple[str | None, ...]:
+    return tuple(
+        None if column is None else bytes(column).decode()
+        for column in decode_backend(frame).columns
+    )
+
+
+def _describe_error(frame: Frame) -> str:
+    fields = decode_backend(frame).fields
+    return ' '.join((fields['C'], fields['M']))
--- /dev/null
+++ b/deckdrum/databases/watch.py
@@ -0,0 +1,307 @@
+"""Watching the databases of one service by probes.
+
+Each database has one task with one connection of its own.  A probe serves
+every request that waits for a fresh state: many waiters, one query.
+"""
+
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, Final, TypeVar
+
+import curio
+
+from deckdrum.databases.base import (
+    Database,
+    DatabaseLink,
+    DatabaseState,
+    Role,
+)
+from deckdrum.databases.history import History
+from deckdrum.sessions import Position
+
+#: Time between probes while nobody waits, in seconds.
+IDLE_INTERVAL: Final = 0.1
+#: Longest wait for the answer to a probe, in seconds.
+PROBE_LIMIT: Final = 0.4
+#: Time between probes of a database that does not answer, in seconds.
+FAILURE_INTERVAL: Final = 0.1
+_Found = TypeVar('_Found')
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """A state and when its probe was sent, in kernel seconds."""
+
+    state: DatabaseState
+    started_at: float
+
+
+class Watcher:
+    """Probes one database.
+
+    Parameters
+    ----------
+    database : Database
+        What to probe.
+    """
+
+    def __init__(self, database: Database) -> None:
+        self.database = database
+        self.sample: Sample | None = None
+        self.failures = 0
+        self.probes = 0
+        self._link: DatabaseLink | None = None
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the last probe was answered."""
+        return self.sample is not None and self.failures == 0
+
+    async def probe(self) -> bool:
+        """Ask once; return whether an answer came."""
+        started_at = await curio.clock()
+        self.probes += 1
+        try:
+            async with curio.timeout_after(PROBE_LIMIT):
+                state = await self._ask()
+        except (ConnectionError, curio.TaskTimeout):
+            self.failures += 1
+            await self.close()
+            return False
+        self.failures = 0
+        self.sample = Sample(state, started_at)
+        return True
+
+    async def close(self) -> None:
+        """Close the probe's connection."""
+        if self._link is not None:
+            await self._link.close()
+            self._link = None
+
+    async def _ask(self) -> DatabaseState:
+        if self._link is None:
+            self._link = await self.database.connect(PROBE_LIMIT)
+        return await self.database.read_state(self._link)
+
+
+class ServiceWatch:
+    """Watches every database of one service.
+
+    Parameters
+    ----------
+    databases : iterable of Database
+        The databases.
+    """
+
+    def __init__(self, databases: Iterable[Database]) -> None:
+        self.watchers = {each.name: Watcher(each) for each in databases}
+        self.history = History()
+        self.term = 0
+        self.primary = ''
+        self._changed = curio.Condition()
+        self._interest = 0
+        self._candidate: Sample | None = None
+        self._wake = curio.Event()
+        self._tasks: list[Any] = []
+
+    @property
+    def last_probe(self) -> float:
+        """Start of the latest answered probe, in kernel seconds."""
+        samples = [each.sample for each in self.watchers.values()]
+        return max(
+            (sample.started_at for sample in samples if sample is not None),
+            default=0,
+        )
+
+    @property
+    def majority(self) -> int:
+        """How many databases make a majority."""
+        return len(self.watchers) // 2 + 1
+
+    def adopt(self, term: int, primary: str) -> None:
+        """Take over the agreed term and primary."""
+        if term != self.term:
+            self._candidate = None
+        self.term = term
+        self.primary = primary
+
+    async def start(self) -> None:
+        """Begin to probe."""
+        for watcher in self.watchers.values():
+            task = await curio.spawn(self._run, watcher, daemon=True)
+            self._tasks.append(task)
+
+    async def close(self) -> None:
+        """Stop to probe."""
+        for task in self._tasks:
+            await task.cancel()
+        for watcher in self.watchers.values():
+            await watcher.close()
+
+    def read_state(self, name: str) -> DatabaseState | None:
+        """Return the last state of a database that answers, or None."""
+        watcher = self.watchers.get(name)
+        if watcher is None or not watcher.is_answering:
+            return None
+        return watcher.sample.state if watcher.sample else None
+
+    async def wait_for(
+        self,
+        check: Callable[[], _Found | None],
+        limit: float,
+    ) -> _Found | None:
+        """Probe without pause until `check` gives something.
+
+        Parameters
+        ----------
+        check : callable
+            Looks at the samples; called after each probe.
+        limit : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        object or None
+            What `check` gave, or None after `limit`.
+        """
+        async with self._interested():
+            async with curio.ignore_after(limit):
+                return await self._wait_changed(check)
+        return None
+
+    async def confirm(self, limit: float) -> Position | None:
+        """Return a position that a majority holds, fetched from now on.
+
+        The primary's position is read after the call, so it covers every
+        change that the primary has answered before; then a majority must
+        report, also after the call, that it holds this position in the
+        agreed term.  A cut-off or replaced primary gets no majority.
+
+        Returns
+        -------
+        Position or None
+            None if no majority reported within `limit` seconds.
+        """
+        began = await curio.clock()
+        round_ = _Confirmation(self, began)
+        return await self.wait_for(round_.check, limit)
+
+    async def fetch_applied(self, name: str, limit: float) -> Position | None:
+        """Return how far a database has applied, fetched from now on."""
+        began = await curio.clock()
+        check = partial(_read_applied, self.watchers[name], began)
+        return await self.wait_for(check, limit)
+
+    async def _wait_changed(
+        self,
+        check: Callable[[], _Found | None],
+    ) -> _Found:
+        async with self._changed:
+            while True:
+                found = check()
+                if found is not None:
+                    return found
+                await self._changed.wait()
+
+    @asynccontextmanager
+    async def _interested(self) -> AsyncIterator[None]:
+        self._interest += 1
+        await self._wake.set()
+        try:
+            yield
+        finally:
+            self._interest -= 1
+
+    async def _run(self, watcher: Watcher) -> None:
+        while True:
+            is_answered = await watcher.probe()
+            self._note(watcher)
+            async with self._changed:
+                await self._changed.notify_all()
+            if not is_answered:
+                await curio.sleep(FAILURE_INTERVAL)
+            elif self._interest == 0:
+                await self._rest()
+
+    async def _rest(self) -> None:
+        self._wake.clear()
+        async with curio.ignore_after(IDLE_INTERVAL):
+            await self._wake.wait()
+
+    def _note(self, watcher: Watcher) -> None:
+        """Extend the history once a majority backs a probe of the primary."""
+        if self._candidate is None and watcher.database.name == self.primary:
+            self._candidate = _read_leading(watcher.sample, self.term)
+        candidate = self._candidate
+        if candidate is None:
+            return
+        backing = [
+            each
+            for each in self.watchers.values()
+            if has_vote(each.sample, self.term, candidate.started_at)
+        ]
+        if len(backing) >= self.majority:
+            self._candidate = None
+            offset = candidate.state.received
+            self.history.note(self.term, offset, candidate.started_at)
+
+
+def has_vote(sample: Sample | None, term: int, since: float) -> bool:
+    """Tell whether a database took part in `term` at `since` or later."""
+    if sample is None or sample.started_at < since:
+        return False
+    return sample.state.takes_part(term)
+
+
+class _Confirmation:
+    """One wait for a majority."""
+
+    def __init__(self, watch: ServiceWatch, began: float) -> None:
+        self._watch = watch
+        self._began = began
+        self._term = watch.term
+        self._target: int | None = None
+
+    def check(self) -> Position | None:
+        """Return the position once a majority holds it."""
+        if self._target is None:
+            self._target = self._read_target()
+        if self._target is None:
+            return None
+        votes = [
+            watcher
+            for watcher in self._watch.watchers.values()
+            if self._has_vote(watcher.sample, self._target)
+        ]
+        if len(votes) < self._watch.majority:
+            return None
+        return Position(self._term, self._target)
+
+    def _read_target(self) -> int | None:
+        watcher = self._watch.watchers.get(self._watch.primary)
+        if watcher is None or self._watch.term != self._term:
+            return None
+        leading = _read_leading(watcher.sample, self._term)
+        if leading is None or leading.started_at < self._began:
+            return None
+        return leading.state.received
+
+    def _has_vote(self, sample: Sample | None, target: int) -> bool:
+        if sample is None or not has_vote(sample, self._term, self._began):
+            return False
+        return sample.state.received >= target
+
+
+def _read_leading(sample: Sample | None, term: int) -> Sample | None:
+    if sample is None or sample.state.role is not Role.PRIMARY:
+        return None
+    return sample if sample.state.takes_part(term) else None
+
+
+def _read_applied(watcher: Watcher, since: float) -> Position | None:
+    sample = watcher.sample
+    if sample is None or sample.started_at < since:
+        return None
+    return Position(sample.state.term, sample.state.applied)
--- /dev/null
+++ b/deckdrum/failover/__init__.py
@@ -0,0 +1,5 @@
+"""Replacing a lost primary."""
+
+from deckdrum.failover.driver import FailoverDriver, FailoverReport
+
+__all__ = ['FailoverDriver', 'FailoverReport']
--- /dev/null
+++ b/deckdrum/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The proxies of the fleet: messages, channels and membership."""
--- /dev/null
+++ b/deckdrum/fleet/channels.py
@@ -0,0 +1,157 @@
+"""Channels between a caller's proxy and the keeper of a service.
+
+Each active request has a channel of its own: one TCP stream, or a pair of
+queues when the keeper is the same process.  TCP's flow control is the
+channel's flow control; no second one is needed.
+"""
+
+from abc import ABC, abstractmethod
+from collections import deque
+from typing import Any, Final
+
+import curio
+import msgpack
+
+from deckdrum.fleet.messages import (
+    MAX_MESSAGE_BYTES,
+    Message,
+    MessageError,
+    decode_message,
+    encode_message,
+)
+from deckdrum.utils import Stream
+
+#: Messages that a local channel holds before its sender waits.
+_LOCAL_DEPTH: Final = 8
+
+
+class Channel(ABC):
+    """A two-way sequence of messages.
+
+    Both methods that move messages raise `ConnectionError` once the other
+    end is gone.
+    """
+
+    @abstractmethod
+    async def send(self, message: Message) -> None:
+        """Send a message; waits while the other end is slow."""
+
+    @abstractmethod
+    async def receive(self) -> Message:
+        """Return the next message."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the channel; a second call does nothing."""
+
+
+class StreamChannel(Channel):
+    """A channel over a TCP stream.
+
+    Parameters
+    ----------
+    stream : Stream
+        The open connection.
+    """
+
+    def __init__(self, stream: Stream) -> None:
+        self._stream = stream
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the stream is open and nothing unread has arrived."""
+        return self._stream.is_quiet()
+
+    async def send(self, message: Message) -> None:
+        """Send a message."""
+        await self._stream.send(encode_message(message))
+
+    async def receive(self) -> Message:
+        """Return the next message."""
+        while True:
+            parts = self._unpack()
+            if parts is not None:
+                return decode_message(parts)
+            chunk = await self._stream.receive()
+            if not chunk:
+                raise ConnectionResetError('the peer closed the channel')
+            self._feed(chunk)
+
+    async def close(self) -> None:
+        """Close the stream."""
+        await self._stream.close()
+
+    def _feed(self, chunk: bytes) -> None:
+        try:
+            self._unpacker.feed(chunk)
+        except msgpack.BufferFull as error:
+            raise MessageError('a message is too large') from error
+
+    def _unpack(self) -> Any:
+        try:
+            return self._unpacker.unpack()
+        except msgpack.OutOfData:
+            return None
+        except (ValueError, msgpack.UnpackException) as error:
+            raise MessageError('the peer sent no MessagePack') from error
+
+
+class _Inbox:
+    """Messages on their way to one end of a local channel."""
+
+    def __init__(self) -> None:
+        self.messages: deque[Message] = deque()
+        self.changed = curio.Condition()
+        self.closed = False
+
+    async def put(self, message: Message) -> None:
+        async with self.changed:
+            while len(self.messages) >= _LOCAL_DEPTH and not self.closed:
+                await self.changed.wait()
+            if self.closed:
+                raise ConnectionResetError('the channel is closed')
+            self.messages.append(message)
+            await self.changed.notify_all()
+
+    async def take(self) -> Message:
+        async with self.changed:
+            while not self.messages and not self.closed:
+                await self.changed.wait()
+            if not self.messages:
+                raise ConnectionResetError('the channel is closed')
+            message = self.messages.popleft()
+            await self.changed.notify_all()
+        return message
+
+    async def close(self) -> None:
+        async with self.changed:
+            self.closed = True
+            await self.changed.notify_all()
+
+
+class LocalChannel(Channel):
+    """One end of a channel inside a process; see `open_pair`."""
+
+    def __init__(self, inbox: _Inbox, outbox: _Inbox) -> None:
+        self._inbox = inbox
+        self._outbox = outbox
+
+    @classmethod
+    def open_pair(cls) -> tuple['LocalChannel', 'LocalChannel']:
+        """Return the two ends of a new channel."""
+        first, second = _Inbox(), _Inbox()
+        return cls(first, second), cls(second, first)
+
+    async def send(self, message: Message) -> None:
+        """Send a message."""
+        await self._outbox.put(message)
+
+    async def receive(self) -> Message:
+        """Return the next message."""
+        return await self._inbox.take()
+
+    async def close(self) -> None:
+        """Close both directions."""
+        await self._inbox.close()
+        await self._outbox.close()
--- /dev/null
+++ b/deckdrum/keepers/core.py
@@ -0,0 +1,265 @@
+"""The keeper of one service: connections, watching and failover.
+
+Any proxy may be the keeper of any service.  Two keepers at a time are safe:
+each answer is confirmed by a majority of the databases, and the databases
+bound their connections.  Having one makes the shares hold for the fleet.
+"""
+
+from collections import deque
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Final
+
+import curio
+
+from deckdrum.configuration import Document, Service
+from deckdrum.databases import Database
+from deckdrum.databases.pool import Pool
+from deckdrum.databases.watch import ServiceWatch
+from deckdrum.fleet.channels import Channel
+from deckdrum.fleet.messages import Message, OpenChannel
+from deckdrum.keepers.routing import Route, Router
+from deckdrum.keepers.sessions import KeeperSession
+from deckdrum.keepers.supervision import Supervisor
+from deckdrum.members import GroupShare
+from deckdrum.outcomes import Refusal
+from deckdrum.platform.records import Phase
+from deckdrum.platform.view import StoreView
+from deckdrum.sessions import Position
+from deckdrum.utils import Journal
+from deckdrum.utils.metrics import Metrics
+
+#: Decisions kept for ``deckdrumctl explain``.
+_DECISIONS: Final = 500
+#: Databases up to which a replica and its primary make a majority.
+_PAIR_IS_MAJORITY: Final = 3
+_DEFAULT_IDLE_LIMIT: Final = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Why a request went where it went, or was refused."""
+
+    at: float
+    group: str
+    outcome: str
+    database: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a keeper needs of its proxy.
+
+    `ask_peers` asks proxies of other data centres whether they reach a
+    database; it returns None if no peer answered.
+    """
+
+    proxy: str
+    data_centre: str
+    view: StoreView
+    journal: Journal
+    metrics: Metrics
+    randomness: Random
+    make_database: Callable[[Any], Database]
+    ask_peers: Callable[[str, str], Awaitable[bool | None]]
+
+
+class Keeper:
+    """Keeps one service.
+
+    Parameters
+    ----------
+    service : Service
+        The declared service.
+    document : Document
+        The configuration, for the groups' shares.
+    around : Surroundings
+        What the proxy provides.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        document: Document,
+        around: Surroundings,
+    ) -> None:
+        self.service = service
+        self.around = around
+        self.databases = {
+            entry.name: around.make_database(entry)
+            for entry in service.databases
+        }
+        self.watch = ServiceWatch(self.databases.values())
+        self._shares = _read_shares(document)
+        self._document = document
+        self.pools = {
+            name: Pool(database, self._count_slots(database), self._shares)
+            for name, database in self.databases.items()
+        }
+        self.router = Router(
+            service,
+            self.watch,
+            self.pools,
+            around.data_centre,
+        )
+        self.decisions: deque[Decision] = deque(maxlen=_DECISIONS)
+        self.is_draining = False
+        self.supervisor = Supervisor(self)
+        self._sessions: dict[str, KeeperSession] = {}
+        self._tasks: list[Any] = []
+
+    @property
+    def sessions(self) -> int:
+        """Number of open channels."""
+        return len(self._sessions)
+
+    @property
+    def pinned(self) -> int:
+        """Number of channels that hold a connection."""
+        return sum(each.is_pinned for each in self._sessions.values())
+
+    async def start(self) -> None:
+        """Begin to watch the databases."""
+        self.adopt_record()
+        await self.watch.start()
+        self._tasks = [await curio.spawn(self.supervisor.run, daemon=True)]
+
+    async def close(self) -> None:
+        """Stop, and close every connection."""
+        for task in self._tasks:
+            await task.cancel()
+        await self.watch.close()
+        for pool in self.pools.values():
+            await pool.close_idle()
+
+    async def reconfigure(self, service: Service, document: Document) -> bool:
+        """Take over a new configuration.
+
+        Returns
+        -------
+        bool
+            False if the databases changed: a new keeper is needed.
+        """
+        if service.databases != self.service.databases:
+            return False
+        self.service = service
+        self._document = document
+        self._shares = _read_shares(document)
+        self.router.reconfigure(service)
+        for pool in self.pools.values():
+            slots = self._count_slots(pool.database)
+            await pool.queue.resize(slots, self._shares)
+        return True
+
+    async def serve(
+        self,
+        channel: Channel,
+        opened: OpenChannel,
+    ) -> Message | None:
+        """Run the batches of a channel; see `KeeperSession.run`."""
+        session = KeeperSession(self, channel, opened)
+        self._sessions[opened.channel] = session
+        try:
+            return await session.run()
+        finally:
+            self._sessions.pop(opened.channel, None)
+
+    async def cancel(self, channel: str) -> bool:
+        """Cancel what runs on a channel; tell whether it is known."""
+        session = self._sessions.get(channel)
+        if session is None:
+            return False
+        await session.cancel()
+        return True
+
+    def adopt_record(self) -> None:
+        """Take over the agreed term and primary."""
+        held = self.around.view.records.get(self.service.name)
+        if held is None:
+            return
+        record = held.record
+        is_settled = record.phase is Phase.SETTLED
+        self.watch.adopt(record.term, record.primary if is_settled else '')
+
+    def has_moved(self, term: int) -> bool:
+        """Tell whether the group has left `term`."""
+        self.adopt_record()
+        return self.watch.term != term
+
+    def read_idle_limit(self, group: str) -> float:
+        """Return how long a transaction of `group` may pause, in seconds."""
+        declared = self._document.find_group(group)
+        if declared is None:
+            return _DEFAULT_IDLE_LIMIT
+        return declared.idle_transaction_limit
+
+    async def settle_read(self, route: Route) -> Position | None:
+        """Return a position that covers what a replica has just shown.
+
+        With up to three databases a replica and its primary are a majority;
+        in larger groups a majority must confirm what the replica showed.
+        """
+        limit = self.service.confirm_limit
+        name = route.pool.database.name
+        seen = await self.watch.fetch_applied(name, limit)
+        if seen is None or len(self.databases) <= _PAIR_IS_MAJORITY:
+            return seen
+        confirmed = await self.watch.confirm(limit)
+        return None if confirmed is None else max(seen, confirmed)
+
+    def note_done(self, group: str, route: Route) -> None:
+        """Count and remember an answered batch."""
+        target = 'primary' if route.is_primary else 'replica'
+        access = 'change' if route.reason.is_change else 'read'
+        self.around.metrics.count_batch(
+            self.service.name,
+            group,
+            access,
+            target,
+            'done',
+        )
+        self.decisions.append(
+            Decision(
+                self.watch.last_probe,
+                group,
+                'done',
+                route.pool.database.name,
+                route.reason.value,
+            ),
+        )
+
+    def note_refused(self, group: str, refusal: Refusal) -> None:
+        """Count and remember a refused batch."""
+        self.around.metrics.count_batch(
+            self.service.name,
+            group,
+            'any',
+            'none',
+            refusal.fate.value,
+        )
+        self.decisions.append(
+            Decision(
+                self.watch.last_probe,
+                group,
+                refusal.fate.value,
+                '',
+                f'{refusal.code}: {refusal.text}',
+            ),
+        )
+
+    def count(self, event: str) -> None:
+        """Count an event."""
+        self.around.metrics.count(event)
+
+    def _count_slots(self, database: Database) -> int:
+        reserved = self.service.reserved_connections
+        return database.entry.max_connections - reserved
+
+
+def _read_shares(document: Document) -> Mapping[str, GroupShare]:
+    return {
+        group.name: GroupShare(group.weight, group.max_waiting)
+        for group in document.groups
+    }
--- /dev/null
+++ b/deckdrum/keepers/relay.py
@@ -0,0 +1,232 @@
+"""Running one batch on one connection and relaying its answer.
+
+The answer is relayed as bytes while it arrives.  From the first message that
+ends a command on, it is held back, so that nothing is acknowledged before
+the keeper has confirmed it.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Final
+
+from deckdrum.databases import DatabaseLink
+from deckdrum.fleet.messages import RunBatch
+from deckdrum.keepers.access import Access
+from deckdrum.keepers.rewriting import Expected, Rewriter
+from deckdrum.wire import Frame, WireError, tags
+from deckdrum.wire.messages import decode_backend
+
+#: Answer bytes gathered before they are passed on.
+_CHUNK_BYTES: Final = 32768
+#: Answer bytes of a change that are held back at most.
+HOLD_BYTES: Final = 4_000_000
+_COMMAND_ENDS: Final = frozenset(
+    (
+        tags.COMMAND_COMPLETE,
+        tags.EMPTY_QUERY,
+        tags.PORTAL_SUSPENDED,
+    )
+)
+_COUNTED_ENDS: Final = _COMMAND_ENDS.union((b'T', b'n'))
+_COPY_TAGS: Final = frozenset((tags.COPY_IN, tags.COPY_OUT, tags.COPY_BOTH))
+_EXPECTED_TAGS: Final = frozenset(
+    (
+        tags.PARSE_COMPLETE,
+        tags.BIND_COMPLETE,
+        tags.CLOSE_COMPLETE,
+    )
+)
+#: SQLSTATEs by which a database says that it did not run the request:
+#: read only, shutting down, starting up, too many connections.
+_NOT_RUN_STATES: Final = frozenset(
+    (
+        '25006',
+        '57P01',
+        '57P02',
+        '57P03',
+        '53300',
+    )
+)
+
+Sink = Callable[[bytes], Awaitable[None]]
+
+
+class AnswerTooLargeError(Exception):
+    """The answer of a change outgrew `HOLD_BYTES`."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayEnd:
+    """How a batch ended on its connection.
+
+    Attributes
+    ----------
+    status : str
+        Transaction status, or empty after Flush.
+    held : bytes
+        The answer's end, still to be passed on.
+    rejected : str
+        SQLSTATE, if the database ran nothing and nothing was passed on.
+    failed : bool
+        Whether the database reported an error.
+    """
+
+    status: str
+    held: bytes = b''
+    rejected: str = ''
+    failed: bool = False
+
+
+class Relay:
+    """One batch on one connection.
+
+    Parameters
+    ----------
+    link : DatabaseLink
+        The connection.
+    batch : RunBatch
+        What to run.
+    sink : callable
+        Coroutine function that passes answer bytes on.
+    """
+
+    def __init__(
+        self,
+        link: DatabaseLink,
+        batch: RunBatch,
+        sink: Sink,
+    ) -> None:
+        self._link = link
+        self._batch = batch
+        self._sink = sink
+        self._buffer = bytearray()
+        self._held = bytearray()
+        self._is_holding = False
+        self._sqlstate = ''
+        #: Whether any byte of the batch was sent.
+        self.is_sent = False
+        #: Whether any byte of the answer was passed on.
+        self.is_touched = False
+
+    async def run(self) -> RelayEnd:
+        """Send the batch and relay its answer.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection breaks.
+        AnswerTooLargeError
+            If more would have to be held back than allowed.
+        """
+        rewriter = Rewriter(self._batch.statements, self._link.prepared)
+        rewritten = rewriter.rewrite(self._batch.payload)
+        self.is_sent = True
+        await self._link.send(rewritten.payload)
+        replies = rewritten.replies
+        while rewritten.ends_with_sync or replies > 0:
+            frame = await self._next_frame()
+            if frame.tag == tags.READY:
+                return self._finish(frame.body.decode())
+            if frame.tag in _EXPECTED_TAGS:
+                expected = rewritten.expected.popleft()
+                replies -= int(not expected.is_dropped)
+                self._note_expected(expected)
+                if expected.is_dropped:
+                    continue
+            elif frame.tag in _COUNTED_ENDS:
+                replies -= 1
+            elif frame.tag == tags.ERROR:
+                self._note_error(frame)
+                rewritten.expected.clear()
+                replies = 0
+            await self._pass(frame)
+        await self.flush()
+        return self._finish('')
+
+    async def flush(self) -> None:
+        """Pass on what is gathered and not held back."""
+        if self._buffer:
+            self.is_touched = True
+            payload = bytes(self._buffer)
+            self._buffer.clear()
+            await self._sink(payload)
+
+    async def _next_frame(self) -> Frame:
+        frame = self._link.take_frame()
+        if frame is None:
+            if len(self._buffer) > _CHUNK_BYTES:
+                await self.flush()
+            frame = await self._link.read_frame()
+        return frame
+
+    async def _pass(self, frame: Frame) -> None:
+        if frame.tag == tags.NOTIFICATION:
+            return
+        if frame.tag in _COPY_TAGS:
+            raise WireError('the database began a COPY')
+        if frame.tag in _COMMAND_ENDS:
+            self._is_holding = True
+        if self._is_holding:
+            self._held.extend(frame.raw)
+            if len(self._held) > HOLD_BYTES:
+                await self._overflow()
+            return
+        self._buffer.extend(frame.raw)
+        if len(self._buffer) > _CHUNK_BYTES:
+            await self.flush()
+
+    async def _overflow(self) -> None:
+        if self._batch.access == Access.WRITE:
+            raise AnswerTooLargeError
+        self._buffer.extend(self._held)
+        self._held.clear()
+        await self.flush()
+
+    def _finish(self, status: str) -> RelayEnd:
+        is_rejected = self._sqlstate in _NOT_RUN_STATES and status != 'E'
+        if is_rejected and not self._is_holding and not self.is_touched:
+            return RelayEnd(status, rejected=self._sqlstate, failed=True)
+        held = bytes(self._buffer) + bytes(self._held)
+        return RelayEnd(status, held, failed=bool(self._sqlstate))
+
+    def _note_error(self, frame: Frame) -> None:
+        fields = decode_backend(frame).fields
+        self._sqlstate = fields.get('C', '')
+
+    def _note_expected(self, expected: Expected) -> None:
+        if expected.prepared:
+            self._link.prepared.add(expected.prepared)
+        if expected.closed:
+            self._link.prepared.discard(expected.closed)
+
+
+async def replay_settings(link: DatabaseLink, batch: RunBatch) -> str:
+    """Give a connection the settings of the caller's session.
+
+    Returns
+    -------
+    str
+        Empty, or what the database said against a setting.
+
+    Raises
+    ------
+    ConnectionError
+        If the connection breaks; nothing of the batch was sent.
+    """
+    wanted = tuple((name, text) for name, text in batch.settings)
+    if link.settings == wanted:
+        return ''
+    link.settings = (('', ''),)
+    calls = ['RESET ALL']
+    calls.extend(f'SET {name} = {_quote(text)}' for name, text in wanted)
+    for call in calls:
+        answer = await link.query(call)
+        if answer.sqlstate:
+            return answer.text
+    link.settings = wanted
+    return ''
+
+
+def _quote(text: str) -> str:
+    doubled = text.replace("'", "''")
+    return f"'{doubled}'"
--- /dev/null
+++ b/deckdrum/keepers/routing.py
@@ -0,0 +1,179 @@
+"""Choosing the database for a batch."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from functools import partial
+
+import curio
+
+from deckdrum.configuration.models import Service
+from deckdrum.databases.base import DatabaseState, Role
+from deckdrum.databases.pool import Pool
+from deckdrum.databases.watch import ServiceWatch
+from deckdrum.fleet.messages import RunBatch
+from deckdrum.keepers.access import Access
+from deckdrum.outcomes import Code, Refusal, refuse
+from deckdrum.sessions import Position
+
+
+class Reason(StrEnum):
+    """Why a batch went where it went; shown by ``deckdrumctl explain``."""
+
+    WRITE = 'change'
+    REPLICA = 'replica fresh enough'
+    REPLICA_AFTER_WAIT = 'replica after a wait'
+    NO_REPLICA = 'no replica fresh enough in time'
+
+    @property
+    def is_change(self) -> bool:
+        """Whether the batch may change something."""
+        return self is Reason.WRITE
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where a batch goes."""
+
+    pool: Pool
+    is_primary: bool
+    term: int
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a read asks of a replica."""
+
+    floor: Position
+    max_age: float | None
+
+
+class Router:
+    """Chooses databases of one service.
+
+    Parameters
+    ----------
+    service : Service
+        The declared service.
+    watch : ServiceWatch
+        States of its databases.
+    pools : mapping of str to Pool
+        Connections of each database.
+    data_centre : str
+        Where the keeper runs; databases there are nearer.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        watch: ServiceWatch,
+        pools: Mapping[str, Pool],
+        data_centre: str,
+    ) -> None:
+        self._service = service
+        self._watch = watch
+        self._pools = pools
+        self._data_centre = data_centre
+        #: Databases that the platform lists as leaving.
+        self.leaving: frozenset[str] = frozenset()
+
+    def reconfigure(self, service: Service) -> None:
+        """Take over a new declaration of the service."""
+        self._service = service
+
+    async def choose(
+        self,
+        batch: RunBatch,
+        access: Access,
+        limit: float,
+    ) -> Route | Refusal:
+        """Return the route of a batch.
+
+        Parameters
+        ----------
+        batch : RunBatch
+            The batch.
+        access : Access
+            What it needs.
+        limit : float
+            Longest wait in seconds.
+        """
+        if access is Access.WRITE:
+            return await self._choose_primary(Reason.WRITE, limit)
+        floor = Position(*batch.floor)
+        max_age: float | None = batch.max_age
+        if access is Access.CURRENT:
+            confirmed = await self._watch.confirm(limit)
+            if confirmed is None:
+                return refuse(Code.READ_NOT_POSSIBLE, 'no majority answers')
+            floor = max(floor, confirmed)
+            max_age = None
+        return await self._choose_reader(Need(floor, max_age), limit)
+
+    async def _choose_primary(
+        self,
+        reason: Reason,
+        limit: float,
+    ) -> Route | Refusal:
+        pool = await self._watch.wait_for(self._find_primary, limit)
+        if pool is None:
+            return refuse(Code.NO_PRIMARY, f'service {self._service.name}')
+        return Route(pool, True, self._watch.term, reason)
+
+    async def _choose_reader(self, need: Need, limit: float) -> Route | Refusal:
+        find = partial(self._find_replica, need, await curio.clock())
+        pool = find()
+        reason = Reason.REPLICA
+        if pool is None:
+            wait = min(limit, self._service.catch_up_limit)
+            # The age is bounded at the start: waiting must not age the data.
+            pool = await self._watch.wait_for(find, wait)
+            reason = Reason.REPLICA_AFTER_WAIT
+        if pool is not None:
+            return Route(pool, False, self._watch.term, reason)
+        if need.floor.term > self._watch.term:
+            return refuse(Code.READ_NOT_POSSIBLE, 'the keeper lags behind')
+        return await self._choose_primary(Reason.NO_REPLICA, limit)
+
+    def _find_primary(self) -> Pool | None:
+        state = self._watch.read_state(self._watch.primary)
+        if state is None or state.role is not Role.PRIMARY:
+            return None
+        if not state.takes_part(self._watch.term):
+            return None
+        return self._pools.get(self._watch.primary)
+
+    def _find_replica(self, need: Need, now: float) -> Pool | None:
+        fitting = [
+            pool
+            for name, pool in self._pools.items()
+            if self._fits(name, need, now)
+        ]
+        if not fitting:
+            return None
+        return min(fitting, key=self._rank)
+
+    def _fits(self, name: str, need: Need, now: float) -> bool:
+        state = self._watch.read_state(name)
+        if state is None or not self._may_read(name, state):
+            return False
+        if need.floor.term > state.term or need.floor.offset > state.applied:
+            return False
+        if need.max_age is None:
+            return True
+        age = self._watch.history.bound_age(state.applied, now)
+        return age <= need.max_age
+
+    def _may_read(self, name: str, state: DatabaseState) -> bool:
+        if state.leaving or name in self.leaving:
+            return False
+        is_replica = state.role is Role.REPLICA
+        return is_replica and state.takes_part(self._watch.term)
+
+    def _rank(self, pool: Pool) -> tuple[bool, int, bool, str]:
+        entry = pool.database.entry
+        is_busy = not pool.queue.is_free
+        is_far = entry.data_centre != self._data_centre
+        load = pool.queue.held + pool.queue.waiting
+        return (is_busy, load if is_busy else 0, is_far, entry.name)
--- /dev/null
+++ b/deckdrum/keepers/sessions.py
@@ -0,0 +1,373 @@
+"""The keeper's end of a channel: one task runs one caller's batches."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+
+from deckdrum.configuration.models import Acknowledgement
+from deckdrum.databases.pool import Lease
+from deckdrum.fleet.channels import Channel
+from deckdrum.fleet.messages import (
+    BatchEnd,
+    BatchRefused,
+    Message,
+    OpenChannel,
+    Rows,
+    RunBatch,
+)
+from deckdrum.keepers.access import Access
+from deckdrum.keepers.relay import (
+    AnswerTooLargeError,
+    Relay,
+    RelayEnd,
+    replay_settings,
+)
+from deckdrum.keepers.routing import Route
+from deckdrum.outcomes import Code, Refusal, refuse
+from deckdrum.sessions import Position
+
+if TYPE_CHECKING:
+    from deckdrum.keepers.core import Keeper
+
+#: How often a waiting relay looks whether its database is still in charge.
+_ALIVE_CHECK = 0.5
+_RETRY_PAUSE = 0.05
+_IDLE = 'I'
+
+
+class CallerGoneError(Exception):
+    """The caller's proxy no longer listens."""
+
+
+@dataclass(slots=True)
+class _Holding:
+    """A connection that the channel holds, and how it was routed."""
+
+    lease: Lease
+    route: Route
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """One batch and the time by which it must have a connection."""
+
+    batch: RunBatch
+    access: Access
+    deadline: float
+
+    async def remaining(self) -> float:
+        """Return the seconds left; at least a moment."""
+        now: float = await curio.clock()
+        return max(self.deadline - now, _RETRY_PAUSE)
+
+    async def is_over(self) -> bool:
+        """Tell whether the deadline has passed."""
+        now: float = await curio.clock()
+        return now >= self.deadline
+
+
+class KeeperSession:
+    """Runs the batches of one channel.
+
+    Parameters
+    ----------
+    keeper : Keeper
+        The keeper of the service.
+    channel : Channel
+        To the caller's proxy.
+    opened : OpenChannel
+        The message that opened the channel.
+    """
+
+    def __init__(
+        self,
+        keeper: 'Keeper',
+        channel: Channel,
+        opened: OpenChannel,
+    ) -> None:
+        self._keeper = keeper
+        self._channel = channel
+        self._group = opened.group
+        self._holding: _Holding | None = None
+        self._is_cancelled = False
+
+    @property
+    def is_pinned(self) -> bool:
+        """Whether a transaction holds a connection."""
+        return self._holding is not None
+
+    async def run(self) -> Message | None:
+        """Run batches until the channel ends or turns to another service.
+
+        Returns
+        -------
+        Message or None
+            The message that was no batch, or None at the end.
+        """
+        try:
+            while True:
+                message = await self._receive()
+                if message is None:
+                    continue
+                if not isinstance(message, RunBatch):
+                    return message
+                await self._run_batch(message)
+        except (ConnectionError, CallerGoneError):
+            return None
+        finally:
+            await self._drop()
+
+    async def cancel(self) -> None:
+        """Cancel what runs; the connection is closed after its transaction."""
+        if self._holding is not None:
+            self._is_cancelled = True
+            await self._holding.lease.link.cancel()
+
+    async def _receive(self) -> Message | None:
+        if self._holding is None:
+            return await self._channel.receive()
+        limit = self._keeper.read_idle_limit(self._group)
+        async with curio.ignore_after(limit):
+            return await self._channel.receive()
+        await self._drop()
+        await self._refuse(
+            refuse(Code.IDLE_TRANSACTION, f'limit {limit} s'),
+            lost=True,
+        )
+        return None
+
+    async def _run_batch(self, batch: RunBatch) -> None:
+        access = Access(batch.access)
+        if self._holding is not None:
+            await self._run_pinned(batch, access)
+            return
+        if self._keeper.is_draining:
+            await self._refuse(refuse(Code.DRAINING, 'the keeper stops'))
+            return
+        limit = self._keeper.service.wait_limit
+        deadline = await curio.clock() + limit
+        attempt: _Attempt | None = _Attempt(batch, access, deadline)
+        while attempt is not None:
+            attempt = await self._try(attempt)
+
+    async def _try(self, attempt: _Attempt) -> _Attempt | None:
+        """Try a batch once; return what is to be tried next, if anything."""
+        holding = await self._acquire(attempt)
+        if isinstance(holding, Refusal):
+            await self._refuse(holding)
+            return None
+        if holding is None:
+            await curio.sleep(_RETRY_PAUSE)
+            return attempt
+        self._holding = holding
+        link = holding.lease.link
+        try:
+            complaint = await replay_settings(link, attempt.batch)
+        except ConnectionError:
+            await self._drop()
+            return attempt
+        if complaint:
+            await self._drop()
+            await self._refuse(refuse(Code.BAD_SETTING, complaint))
+            return None
+        return await self._attempt(attempt)
+
+    async def _acquire(
+        self,
+        attempt: _Attempt,
+    ) -> _Holding | Refusal | None:
+        """Route a batch and lend a connection; None to try again."""
+        route = await self._keeper.router.choose(
+            attempt.batch,
+            attempt.access,
+            await attempt.remaining(),
+        )
+        if isinstance(route, Refusal):
+            return route
+        try:
+            lease = await route.pool.acquire(
+                self._group,
+                await attempt.remaining(),
+            )
+        except ConnectionError as error:
+            self._keeper.count('backend.connect_failed')
+            if await attempt.is_over():
+                return refuse(Code.NO_PRIMARY, str(error))
+            return None
+        if isinstance(lease, Refusal):
+            return lease
+        return _Holding(lease, route)
+
+    async def _attempt(self, attempt: _Attempt) -> _Attempt | None:
+        """Run a batch on the connection that the channel holds."""
+        holding = self._require_holding()
+        relay = Relay(holding.lease.link, attempt.batch, self._pass_rows)
+        try:
+            end = await self._guard(relay, holding.route)
+        except ConnectionError as error:
+            await self._drop()
+            is_read = attempt.access is not Access.WRITE
+            if is_read and not relay.is_touched and not await attempt.is_over():
+                self._keeper.count('read.retried')
+                return attempt
+            await self._refuse(refuse(Code.CONNECTION_LOST, str(error)))
+            return None
+        except AnswerTooLargeError:
+            await self._drop()
+            await self._refuse(refuse(Code.ANSWER_TOO_LARGE))
+            return None
+        if end.rejected:
+            return await self._handle_rejection(attempt, end)
+        await self._finish(end, holding.route)
+        return None
+
+    async def _handle_rejection(
+        self,
+        attempt: _Attempt,
+        end: RelayEnd,
+    ) -> _Attempt | None:
+        """Act on a database that itself said that it ran nothing."""
+        await self._let_go(end)
+        self._keeper.count('backend.rejected')
+        is_over = await attempt.is_over()
+        if is_over or not attempt.batch.repeatable or self._holding:
+            told = f'SQLSTATE {end.rejected}'
+            await self._refuse(refuse(Code.PRIMARY_REFUSED, told))
+            return None
+        await curio.sleep(_RETRY_PAUSE)
+        # A read that turns out to write needs the primary.
+        return _Attempt(attempt.batch, Access.WRITE, attempt.deadline)
+
+    async def _run_pinned(self, batch: RunBatch, access: Access) -> None:
+        holding = self._require_holding()
+        relay = Relay(holding.lease.link, batch, self._pass_rows)
+        try:
+            end = await self._guard(relay, holding.route)
+        except ConnectionError as error:
+            await self._drop()
+            await self._refuse(
+                refuse(Code.CONNECTION_LOST, str(error)),
+                lost=True,
+            )
+            return
+        except AnswerTooLargeError:
+            await self._drop()
+            await self._refuse(refuse(Code.ANSWER_TOO_LARGE), lost=True)
+            return
+        if end.rejected:
+            await self._let_go(end)
+            told = f'SQLSTATE {end.rejected}'
+            await self._refuse(
+                refuse(Code.PRIMARY_REFUSED, told),
+                lost=not self.is_pinned,
+            )
+            return
+        await self._finish(end, holding.route)
+
+    async def _guard(self, relay: Relay, route: Route) -> RelayEnd:
+        """Run a relay until its database is no longer in charge.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection breaks or the group moved to another term.
+        """
+        task = await curio.spawn(_run_relay, relay)
+        try:
+            while not task.terminated:
+                async with curio.ignore_after(_ALIVE_CHECK):
+                    await task.wait()
+                if not task.terminated and self._keeper.has_moved(route.term):
+                    raise ConnectionResetError('the primary was replaced')
+        finally:
+            if not task.terminated:
+                await task.cancel()
+        end: RelayEnd | Exception = task.result
+        if isinstance(end, Exception):
+            raise end
+        return end
+
+    async def _finish(self, end: RelayEnd, route: Route) -> None:
+        """Give the connection back, confirm, and pass the answer's end on."""
+        await self._let_go(end)
+        floor: Position | None = Position(0, 0)
+        if end.status == _IDLE:
+            floor = await self._confirm(route)
+        if floor is None:
+            code = Code.UNCONFIRMED
+            if not route.is_primary:
+                code = Code.READ_NOT_POSSIBLE
+            await self._refuse(refuse(code))
+            return
+        if end.held:
+            await self._pass_rows(end.held)
+        await self._send(
+            BatchEnd(
+                end.status,
+                route.pool.database.name,
+                route.reason.value,
+                (floor.term, floor.offset),
+            ),
+        )
+        self._keeper.note_done(self._group, route)
+
+    async def _confirm(self, route: Route) -> Position | None:
+        """Return the position that the answer rests on, once it is safe."""
+        service = self._keeper.service
+        watch = self._keeper.watch
+        if route.is_primary:
+            if service.acknowledgement is Acknowledgement.PRIMARY:
+                return await watch.fetch_applied(
+                    route.pool.database.name,
+                    service.confirm_limit,
+                )
+            return await watch.confirm(service.confirm_limit)
+        return await self._keeper.settle_read(route)
+
+    async def _let_go(self, end: RelayEnd) -> None:
+        """Give the connection back if no transaction is open."""
+        if end.status != _IDLE or self._holding is None:
+            return
+        holding = self._holding
+        self._holding = None
+        is_clean = not self._is_cancelled
+        self._is_cancelled = False
+        await holding.route.pool.release(holding.lease, is_clean)
+
+    async def _drop(self) -> None:
+        """Close the connection: its answer is in doubt or unwanted."""
+        holding = self._holding
+        self._holding = None
+        self._is_cancelled = False
+        if holding is not None:
+            async with curio.disable_cancellation():
+                await holding.route.pool.release(holding.lease, False)
+
+    async def _pass_rows(self, payload: bytes) -> None:
+        await self._send(Rows(payload))
+
+    async def _refuse(self, refusal: Refusal, lost: bool = False) -> None:
+        self._keeper.note_refused(self._group, refusal)
+        await self._send(
+            BatchRefused(refusal.code.value, refusal.text, lost),
+        )
+
+    async def _send(self, message: Message) -> None:
+        try:
+            await self._channel.send(message)
+        except ConnectionError as error:
+            raise CallerGoneError from error
+
+    def _require_holding(self) -> _Holding:
+        if self._holding is None:
+            raise RuntimeError('the channel holds no connection')
+        return self._holding
+
+
+async def _run_relay(relay: Relay) -> RelayEnd | Exception:
+    """Run a relay; its failure is a value for the task that waits."""
+    try:
+        return await relay.run()
+    except (ConnectionError, AnswerTooLargeError, CallerGoneError) as error:
+        return error
--- /dev/null
+++ b/deckdrum/keepers/supervision.py
@@ -0,0 +1,209 @@
+"""What a keeper does on its own: notice a lost primary and mend the group."""
+
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+import curio
+
+from deckdrum.databases import DatabaseState, Role
+from deckdrum.failover import FailoverDriver, FailoverReport
+from deckdrum.failover.driver import direct_follower
+from deckdrum.outcomes.errors import StoreError
+from deckdrum.platform.records import GroupRecord, Phase
+from deckdrum.platform.view import HeldRecord
+
+if TYPE_CHECKING:
+    from deckdrum.keepers.core import Keeper
+
+#: How often the supervisor looks, in seconds.
+ROUND: Final = 0.1
+#: Silence of a primary before peers are asked, in seconds.
+DETECT_AFTER: Final = 0.8
+#: Failed probes in a row that must have been seen as well.
+DETECT_FAILURES: Final = 2
+#: Time that another driver is given before its failover is taken over.
+TAKEOVER_AFTER: Final = 3.0
+#: Pause after a failover that could not be driven or was vetoed, in seconds.
+RETRY_AFTER: Final = 0.5
+#: Reports kept for ``deckdrumctl explain``.
+_REPORTS: Final = 50
+
+
+class Supervisor:
+    """Watches over the group of one keeper.
+
+    Parameters
+    ----------
+    keeper : Keeper
+        The keeper.
+    """
+
+    def __init__(self, keeper: 'Keeper') -> None:
+        self._keeper = keeper
+        self._around = keeper.around
+        self.reports: deque[FailoverReport] = deque(maxlen=_REPORTS)
+        self._fencing_since: tuple[int, float] = (0, 0)
+        self._silent_since: float | None = None
+        self._learned: FailoverReport | None = None
+
+    async def run(self) -> None:
+        """Look after the group for ever."""
+        while True:
+            self._keeper.adopt_record()
+            pause = await self._look()
+            await curio.sleep(pause)
+
+    async def _look(self) -> float:
+        held = self._around.view.records.get(self._keeper.service.name)
+        if held is None:
+            return await self._create_record()
+        if held.record.phase is Phase.FENCING:
+            return await self._look_at_fencing(held)
+        await self._note_learned(held)
+        reason = await self._find_loss(held.record)
+        if reason:
+            return await self._replace(held, reason)
+        await self._mend(held.record)
+        return ROUND
+
+    async def _create_record(self) -> float:
+        """Write the first record of a group, from what its databases say."""
+        states = self._read_states()
+        leading = [
+            (state.term, name)
+            for name, state in states.items()
+            if state.role is Role.PRIMARY
+        ]
+        is_known = self._around.view.is_reachable
+        if (
+            not leading
+            or not is_known
+            or len(states) < self._keeper.watch.majority
+        ):
+            return ROUND
+        term, primary = max(leading)
+        record = GroupRecord(
+            service=self._keeper.service.name,
+            term=term,
+            primary=primary,
+            phase=Phase.SETTLED,
+            operation=f'first-{self._around.proxy}',
+            driver=self._around.proxy,
+        )
+        try:
+            await self._around.view.put_record(record, 0)
+        except StoreError:
+            return RETRY_AFTER
+        return ROUND
+
+    def _read_states(self) -> dict[str, DatabaseState]:
+        states = {}
+        for name in self._keeper.databases:
+            state = self._keeper.watch.read_state(name)
+            if state is not None:
+                states[name] = state
+        return states
+
+    async def _look_at_fencing(self, held: HeldRecord) -> float:
+        """Take a failover over if its driver seems to be gone."""
+        now = await curio.clock()
+        term, since = self._fencing_since
+        if term != held.record.term:
+            self._fencing_since = (held.record.term, now)
+            return ROUND
+        is_own = held.record.driver == self._around.proxy
+        patience = RETRY_AFTER if is_own else TAKEOVER_AFTER
+        if now - since < patience:
+            return ROUND
+        return await self._replace(held, 'the driver did not finish')
+
+    async def _find_loss(self, record: GroupRecord) -> str:
+        """Return why the primary counts as lost, or nothing."""
+        watcher = self._keeper.watch.watchers.get(record.primary)
+        if watcher is None:
+            return 'the primary was taken out of the configuration'
+        now = await curio.clock()
+        state = self._keeper.watch.read_state(record.primary)
+        if state is not None:
+            self._silent_since = None
+            return _judge_answer(state, record.term)
+        if self._silent_since is None:
+            self._silent_since = now if watcher.failures else None
+            return ''
+        is_long = now - self._silent_since >= DETECT_AFTER
+        if not is_long or watcher.failures < DETECT_FAILURES:
+            return ''
+        return 'the primary does not answer'
+
+    async def _replace(self, held: HeldRecord, reason: str) -> float:
+        report = FailoverReport(
+            held.record.service,
+            held.record.term + 1,
+            self._around.proxy,
+            held.record.primary,
+            reason,
+        )
+        report.phases['suspect'] = self._silent_since or await curio.clock()
+        report.phases['detect'] = await curio.clock()
+        if held.record.phase is Phase.SETTLED and self._silent_since:
+            is_reached = await self._around.ask_peers(
+                held.record.service,
+                held.record.primary,
+            )
+            if is_reached:
+                # Only this proxy's link is bad: no reason to promote.
+                self._keeper.count('failover.vetoed')
+                return RETRY_AFTER
+        report.phases['decide'] = await curio.clock()
+        driver = FailoverDriver(
+            self._keeper.databases,
+            self._around.view,
+            self._around.proxy,
+            self._around.journal,
+            self._around.randomness,
+        )
+        is_settled = await driver.drive(held, report)
+        self._keeper.adopt_record()
+        if not is_settled:
+            return RETRY_AFTER
+        self._keeper.count('failover.settled')
+        self._silent_since = None
+        self.reports.append(report)
+        self._learned = report
+        return ROUND
+
+    async def _note_learned(self, held: HeldRecord) -> None:
+        """Note when the new primary was first seen to lead."""
+        report = self._learned
+        if report is None or report.term != held.record.term:
+            return
+        state = self._keeper.watch.read_state(report.promoted)
+        if state is not None and state.takes_part(report.term):
+            report.phases['learn'] = await curio.clock()
+            self._learned = None
+
+    async def _mend(self, record: GroupRecord) -> None:
+        """Have databases that follow another term follow this one."""
+        for name, state in self._read_states().items():
+            if name == record.primary or state.takes_part(record.term):
+                continue
+            if state.fenced > record.term:
+                continue
+            database = self._keeper.databases[name]
+            if await direct_follower(database, record.primary, record.term):
+                self._around.journal.record(
+                    'database.follows',
+                    database=name,
+                    term=record.term,
+                )
+
+
+def _judge_answer(state: DatabaseState, term: int) -> str:
+    """Return why a primary that answers cannot lead, or nothing."""
+    if state.fenced > term:
+        return f'the primary is fenced at term {state.fenced}'
+    if state.role is not Role.PRIMARY or state.term != term:
+        return f'the database is a {state.role} of term {state.term}'
+    if state.leaving:
+        return 'the primary is leaving'
+    return ''
--- /dev/null
+++ b/deckdrum/outcomes/codes.py
@@ -0,0 +1,117 @@
+"""Every error code that callers and operators may see.
+
+The codes form the SQLSTATE class ``DD``; standard classes are kept where
+drivers act on them.  `docs/errors.rst` is written from this table.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+#: Advised wait in seconds when the caller may ask again at once.
+_AT_ONCE = float(0)
+
+
+class Fate(StrEnum):
+    """What became of a request."""
+
+    DONE = 'done'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+
+
+class Code(StrEnum):
+    """SQLSTATE of a refusal or of an unknown outcome."""
+
+    QUEUE_FULL = 'DD001'
+    QUEUE_TIMEOUT = 'DD002'
+    NO_PRIMARY = 'DD003'
+    NO_KEEPER = 'DD004'
+    DRAINING = 'DD005'
+    READ_NOT_POSSIBLE = 'DD006'
+    NOT_CONFIGURED = 'DD007'
+    PRIMARY_REFUSED = 'DD008'
+    UNCONFIRMED = 'DD100'
+    CONNECTION_LOST = 'DD101'
+    ANSWER_TOO_LARGE = 'DD102'
+    IDLE_TRANSACTION = '25P03'
+    BAD_LOGIN = '28P01'
+    NOT_SUPPORTED = '0A000'
+    BAD_SETTING = '22023'
+    PROTOCOL_VIOLATION = '08P01'
+
+
+@dataclass(frozen=True, slots=True)
+class CodeEntry:
+    """Meaning of one code.
+
+    `retry_after` is the advised wait in seconds before the caller asks
+    again; None where asking again does not help.
+    """
+
+    code: Code
+    fate: Fate
+    meaning: str
+    retry_after: float | None = None
+
+
+def _entry(
+    code: Code,
+    fate: Fate,
+    meaning: str,
+    retry_after: float | None = None,
+) -> tuple[Code, CodeEntry]:
+    return code, CodeEntry(code, fate, meaning, retry_after)
+
+
+#: The table of all codes.
+CODES: dict[Code, CodeEntry] = dict(
+    (
+        _entry(Code.QUEUE_FULL, Fate.NOT_RUN, 'the queue is full', 1.0),
+        _entry(Code.QUEUE_TIMEOUT, Fate.NOT_RUN, 'no connection in time', 1.0),
+        _entry(Code.NO_PRIMARY, Fate.NOT_RUN, 'no primary accepts work', 1.0),
+        _entry(Code.NO_KEEPER, Fate.NOT_RUN, 'no keeper can be reached', 1.0),
+        _entry(Code.DRAINING, Fate.NOT_RUN, 'this proxy is stopping', _AT_ONCE),
+        _entry(
+            Code.READ_NOT_POSSIBLE,
+            Fate.NOT_RUN,
+            'no database can give a read this fresh',
+            0.5,
+        ),
+        _entry(Code.NOT_CONFIGURED, Fate.NOT_RUN, 'no such service'),
+        _entry(
+            Code.PRIMARY_REFUSED,
+            Fate.NOT_RUN,
+            'the database said it did not run the request',
+            0.5,
+        ),
+        _entry(
+            Code.UNCONFIRMED,
+            Fate.UNKNOWN,
+            'no majority confirmed the change; it may or may not last',
+        ),
+        _entry(
+            Code.CONNECTION_LOST,
+            Fate.UNKNOWN,
+            'the connection broke before the whole answer came',
+        ),
+        _entry(
+            Code.ANSWER_TOO_LARGE,
+            Fate.UNKNOWN,
+            'the answer of a change outgrew the buffer that holds it back',
+        ),
+        _entry(
+            Code.IDLE_TRANSACTION,
+            Fate.NOT_RUN,
+            'the transaction stayed idle too long and was rolled back',
+            _AT_ONCE,
+        ),
+        _entry(Code.BAD_LOGIN, Fate.NOT_RUN, 'password authentication failed'),
+        _entry(Code.NOT_SUPPORTED, Fate.NOT_RUN, 'not possible with pooling'),
+        _entry(Code.BAD_SETTING, Fate.NOT_RUN, 'a setting has a wrong value'),
+        _entry(
+            Code.PROTOCOL_VIOLATION,
+            Fate.NOT_RUN,
+            'the message broke the protocol',
+        ),
+    )
+)
--- /dev/null
+++ b/deckdrum/platform/store.py
@@ -0,0 +1,181 @@
+"""The interface to the platform's object API, and its HTTP client."""
+
+import json
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+from deckdrum.outcomes.errors import StoreError
+from deckdrum.platform.records import Instance
+from deckdrum.utils import Address
+from deckdrum.utils.http import HttpClient, Reply, Request
+
+#: Longest wait for the answer to a plain call, in seconds.
+CALL_LIMIT: Final = 2.0
+#: What a watch may take beyond its own wait, in seconds.
+_WATCH_SLACK: Final = 2.0
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 412
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """An object and the version that a conditional update must name."""
+
+    path: str
+    version: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """A conditional update took effect."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """A conditional update was refused: the version had moved on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What changed up to `revision`.
+
+    `instances` is None if the list of instances did not change.
+    """
+
+    revision: int
+    entries: tuple[StoredObject, ...]
+    instances: tuple[Instance, ...] | None
+
+
+class ObjectStore(ABC):
+    """The platform's object API.
+
+    Every method raises `StoreError` if no answer came; a change may then
+    have taken effect, and the caller reads back its operation id.
+    """
+
+    #: Calls made, a waiting watch as one.
+    calls: int = 0
+
+    @abstractmethod
+    async def fetch(self, path: str) -> StoredObject | None:
+        """Return an object, or None if there is none."""
+
+    @abstractmethod
+    async def put(
+        self,
+        path: str,
+        body: bytes,
+        version: int,
+    ) -> Stored | Conflict:
+        """Store an object if its version is still `version`; 0 creates."""
+
+    @abstractmethod
+    async def watch(self, revision: int, wait: float) -> Changes:
+        """Return what changed after `revision`, waiting for a change."""
+
+
+class HttpObjectStore(ObjectStore):
+    """The object API over HTTP.
+
+    Parameters
+    ----------
+    address : Address
+        The platform.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._client = HttpClient(address)
+        self._watching = HttpClient(address)
+        self.calls = 0
+
+    async def fetch(self, path: str) -> StoredObject | None:
+        """Return an object, or None if there is none."""
+        reply = await self._call(Request('GET', _locate(path)))
+        if reply.status == _NOT_FOUND:
+            return None
+        _check_status(reply)
+        version = int(reply.headers.get('etag', '0').strip('"'))
+        return StoredObject(path, version, reply.body)
+
+    async def put(
+        self,
+        path: str,
+        body: bytes,
+        version: int,
+    ) -> Stored | Conflict:
+        """Store an object if its version is still `version`; 0 creates."""
+        headers = {'if-match': f'"{version}"'}
+        if version == 0:
+            headers = {'if-none-match': '*'}
+        request = Request('PUT', _locate(path), {}, headers, body)
+        reply = await self._call(request)
+        if reply.status == _CONFLICT:
+            return Conflict()
+        _check_status(reply)
+        return Stored(int(reply.headers.get('etag', '0').strip('"')))
+
+    async def watch(self, revision: int, wait: float) -> Changes:
+        """Return what changed after `revision`, waiting for a change."""
+        query = urlencode({'since': revision, 'wait': wait})
+        self.calls += 1
+        try:
+            reply = await self._watching.call(
+                Request('GET', f'/watch?{query}'),
+                wait + _WATCH_SLACK,
+            )
+        except ConnectionError as error:
+            raise StoreError(f'the watch failed: {error}') from error
+        _check_status(reply)
+        return _decode_changes(reply.read_json())
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+        await self._watching.close()
+
+    async def _call(self, request: Request) -> Reply:
+        self.calls += 1
+        try:
+            return await self._client.call(request, CALL_LIMIT)
+        except ConnectionError as error:
+            raise StoreError(f'no answer: {error}') from error
+
+
+def _locate(path: str) -> str:
+    return f'/objects/{quote(path)}'
+
+
+def _check_status(reply: Reply) -> None:
+    if reply.status != _OK:
+        raise StoreError(f'the platform answered {reply.status}')
+
+
+def _decode_changes(raw: Any) -> Changes:
+    try:
+        return Changes(
+            raw['revision'],
+            tuple(
+                StoredObject(
+                    entry['path'],
+                    entry['version'],
+                    json.dumps(entry['body']).encode(),
+                )
+                for entry in raw['objects']
+            ),
+            _decode_instances(raw['instances']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreError('the platform sent no changes') from error
+
+
+def _decode_instances(raw: Any) -> tuple[Instance, ...] | None:
+    if raw is None:
+        return None
+    return tuple(Instance.model_validate(entry) for entry in raw)
--- /dev/null
+++ b/deckdrum/proxy/core.py
@@ -0,0 +1,304 @@
+"""Assembling one proxy from its parts."""
+
+from random import Random, SystemRandom
+from typing import Any, Final
+
+import curio
+
+from deckdrum.callers import CallerConnection, CallerHost
+from deckdrum.callers.host import CallerLimits, CancelKey, OpenedChannel
+from deckdrum.configuration import DatabaseEntry, Document
+from deckdrum.databases import Credentials, Database, PostgresDatabase
+from deckdrum.fleet.channels import LocalChannel, StreamChannel
+from deckdrum.fleet.membership import Membership
+from deckdrum.fleet.messages import CancelCaller, CancelChannel, OpenChannel
+from deckdrum.fleet.peers import Peers
+from deckdrum.keepers.core import Surroundings
+from deckdrum.outcomes import Code, Refusal, refuse
+from deckdrum.platform import Instance, ObjectStore
+from deckdrum.platform.view import StoreView
+from deckdrum.proxy.keeping import Keeping
+from deckdrum.proxy.registry import CallerRegistry, tag_proxy
+from deckdrum.proxy.spreading import Spreader
+from deckdrum.proxy.visitors import PeerDoor
+from deckdrum.sessions import KeyRing
+from deckdrum.settings import ProxySettings
+from deckdrum.statements import Classifier
+from deckdrum.utils import Address, Journal, Listener, Stream
+from deckdrum.utils.metrics import Metrics
+
+#: How often membership and the kept services are looked at, in seconds.
+_ROUND: Final = 0.25
+_DRAIN_POLL: Final = 0.05
+_CALLER_BITS: Final = 16
+_NUMBER_BITS: Final = 64
+
+
+class Proxy(CallerHost):
+    """One proxy.
+
+    Parameters
+    ----------
+    settings : ProxySettings
+        Its settings.
+    store : ObjectStore
+        The platform's object API.
+    journal : Journal
+        For changes of state.
+    """
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        store: ObjectStore,
+        journal: Journal,
+    ) -> None:
+        self.settings = settings
+        self.journal = journal
+        self.metrics = Metrics()
+        self.ring = KeyRing(settings.read_keys())
+        self.limits = CallerLimits(
+            settings.login_limit,
+            settings.max_message_bytes,
+        )
+        self.classifier = Classifier()
+        seed = settings.seed
+        self.randomness: Random = Random(seed) if seed else SystemRandom()
+        self.view = StoreView(store, journal, self.randomness)
+        self.membership = Membership(self._describe_self())
+        self.peers = Peers(self.membership, self.randomness)
+        self.registry = CallerRegistry(settings.name, self.randomness)
+        self.keeping = Keeping(self._describe_surroundings(), self.membership)
+        self.spreader = Spreader(self.view, self.membership, self.peers)
+        self.spreader.suggest(
+            tuple(Address.parse(peer) for peer in settings.peers),
+        )
+        self._door = PeerDoor(self)
+        self._callers = Listener(
+            Address.parse(settings.listen),
+            self._serve_caller,
+        )
+        self._tasks: list[Any] = []
+
+    @property
+    def name(self) -> str:
+        """Name of the proxy."""
+        return self.settings.name
+
+    @property
+    def document(self) -> Document | None:
+        """The configuration in force, or None before the first."""
+        return self.view.document
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether a planned stop is under way."""
+        return self.membership.is_leaving
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers can be served."""
+        return self.document is not None and not self.is_draining
+
+    @property
+    def address(self) -> Address:
+        """Where callers connect."""
+        return self._callers.address
+
+    async def start(self) -> None:
+        """Start to serve."""
+        await self._door.start()
+        self.membership.own = self._describe_self(self._door.address)
+        for run in (self.view.run, self.spreader.run, self._look_after):
+            self._tasks.append(await curio.spawn(run, daemon=True))
+        await self._callers.start()
+        self.journal.record('proxy.started', proxy=self.name)
+
+    async def drain(self) -> bool:
+        """Stop as planned: finish what runs, take nothing new.
+
+        Returns
+        -------
+        bool
+            Whether everything ended within ``drain_limit`` seconds.
+        """
+        self.membership.is_leaving = True
+        self.keeping.start_draining()
+        self.journal.record('proxy.draining', proxy=self.name)
+        await self._callers.stop_accepting()
+        is_done = False
+        async with curio.ignore_after(self.settings.drain_limit):
+            while not is_done:
+                for caller in self.registry.callers:
+                    await caller.say_goodbye()
+                is_done = not self.registry.callers and not self.keeping.pinned
+                await curio.sleep(_DRAIN_POLL)
+        self.journal.record('proxy.drained', proxy=self.name, complete=is_done)
+        return is_done
+
+    async def close(self) -> None:
+        """End at once."""
+        for task in self._tasks:
+            await task.cancel()
+        await self._callers.close()
+        await self._door.close()
+        await self.keeping.close()
+        await self.peers.close()
+        self.journal.record('proxy.stopped', proxy=self.name)
+
+    async def open_channel(
+        self,
+        service: str,
+        group: str,
+    ) -> OpenedChannel | Refusal:
+        """Open a channel to the keeper of a service."""
+        now = await curio.clock()
+        number = f'{self.name}-{self.randomness.getrandbits(_NUMBER_BITS):x}'
+        opening = OpenChannel(number, service, group)
+        for instance in self.membership.list_keepers(service, now):
+            if instance.name == self.name:
+                return await self._open_local(opening)
+            opened = await self._open_remote(instance, opening)
+            if opened is not None:
+                return opened
+            self.membership.suspect(instance.name, now)
+        return refuse(Code.NO_KEEPER, f'service {service}')
+
+    async def keep_channel(self, opened: OpenedChannel) -> None:
+        """Take back a channel on which nothing is under way."""
+        instance = self.membership.proxies.get(opened.keeper)
+        channel = opened.channel
+        if isinstance(channel, StreamChannel) and instance is not None:
+            await self.peers.keep(instance.endpoint, channel)
+        else:
+            await channel.close()
+
+    async def suspect(self, keeper: str) -> None:
+        """Pass a keeper over for a while."""
+        if keeper != self.name:
+            self.membership.suspect(keeper, await curio.clock())
+            self.metrics.count('keeper.suspected')
+
+    async def cancel_channel(self, opened: OpenedChannel) -> None:
+        """Cancel what runs on a channel."""
+        if opened.keeper == self.name:
+            await self.keeping.cancel(opened.number)
+            return
+        instance = self.membership.proxies.get(opened.keeper)
+        if instance is not None:
+            cancel = CancelChannel(opened.number)
+            await self.peers.ask(instance.endpoint, cancel)
+
+    async def cancel(self, key: CancelKey) -> None:
+        """Cancel the request of the caller who holds `key`."""
+        if self.registry.is_own(key):
+            await self.cancel_own(key)
+            return
+        tag = key.process >> _CALLER_BITS
+        for instance in self.membership.proxies.values():
+            if tag_proxy(instance.name) == tag:
+                message = CancelCaller(key.process, key.secret)
+                await self.peers.forward_cancel(instance.endpoint, message)
+
+    async def cancel_own(self, key: CancelKey) -> None:
+        """Cancel the request of one of this proxy's callers."""
+        caller = self.registry.find(key)
+        if caller is None:
+            self.metrics.count('cancel.wrong_key')
+        else:
+            self.metrics.count('cancel.passed_on')
+            await caller.cancel()
+
+    def find_database(self, service: str, name: str) -> Database | None:
+        """Return a declared database, or None."""
+        document = self.document
+        declared = document.find_service(service) if document else None
+        for entry in declared.databases if declared else ():
+            if entry.name == name:
+                return self._make_database(entry)
+        return None
+
+    def make_key(self) -> CancelKey:
+        """Return a new cancel key."""
+        return self.registry.make_key()
+
+    async def _open_local(
+        self, opening: OpenChannel
+    ) -> OpenedChannel | Refusal:
+        near, far = LocalChannel.open_pair()
+        await curio.spawn(self.keeping.serve, far, opening, daemon=True)
+        return OpenedChannel(near, opening.channel, self.name)
+
+    async def _open_remote(
+        self,
+        instance: Instance,
+        opening: OpenChannel,
+    ) -> OpenedChannel | None:
+        try:
+            channel = await self.peers.open(instance.endpoint)
+            await channel.send(opening)
+        except ConnectionError:
+            self.metrics.count('keeper.unreachable')
+            return None
+        return OpenedChannel(channel, opening.channel, instance.name)
+
+    async def _serve_caller(self, stream: Stream) -> None:
+        if len(self.registry.callers) >= self.settings.max_callers:
+            self.metrics.count('caller.too_many')
+            return
+        caller = CallerConnection(self, stream)
+        self.registry.add(caller)
+        try:
+            await caller.run()
+        finally:
+            self.registry.remove(caller)
+
+    async def _look_after(self) -> None:
+        while True:
+            self.membership.adopt(self.view.instances)
+            document = self.document
+            if document is not None:
+                self.classifier = self._fit_classifier(document)
+                await self.keeping.look_after(document)
+            await curio.sleep(_ROUND)
+
+    def _fit_classifier(self, document: Document) -> Classifier:
+        names = frozenset(
+            name
+            for service in document.services
+            for name in service.read_functions
+        )
+        if names == frozenset(self.classifier.read_functions):
+            return self.classifier
+        return Classifier(names)
+
+    def _make_database(self, entry: DatabaseEntry) -> Database:
+        settings = self.settings
+        credentials = Credentials(
+            settings.database_user,
+            settings.database_password.get_secret_value(),
+            f'{settings.name}@{settings.data_centre}',
+        )
+        return PostgresDatabase(entry, credentials)
+
+    def _describe_self(self, peer: Address | None = None) -> Instance:
+        settings = self.settings
+        return Instance(
+            name=settings.name,
+            kind='proxy',
+            data_centre=settings.data_centre,
+            address=str(peer or settings.peer_listen),
+            admin=settings.admin_listen,
+        )
+
+    def _describe_surroundings(self) -> Surroundings:
+        return Surroundings(
+            self.settings.name,
+            self.settings.data_centre,
+            self.view,
+            self.journal,
+            self.metrics,
+            self.randomness,
+            self._make_database,
+            self.peers.ask_reach,
+        )
--- /dev/null
+++ b/deckdrum/proxy/keeping.py
@@ -0,0 +1,156 @@
+"""The services that one proxy keeps."""
+
+from typing import Final
+
+import curio
+
+from deckdrum.configuration import Document, Service
+from deckdrum.fleet.channels import Channel
+from deckdrum.fleet.membership import Membership, rank_keepers
+from deckdrum.fleet.messages import BatchRefused, Message, OpenChannel
+from deckdrum.keepers.core import Keeper, Surroundings
+from deckdrum.outcomes import Code, refuse
+
+#: Proxies that watch each service: its keeper and one standby.
+_WATCHING: Final = 2
+#: How long an unneeded keeper stays, in seconds.
+_LINGER: Final = 10.0
+
+
+class Keeping:
+    """Starts, serves and ends the keepers of one proxy.
+
+    Parameters
+    ----------
+    around : Surroundings
+        What the proxy provides.
+    membership : Membership
+        Who is in the fleet.
+    """
+
+    def __init__(self, around: Surroundings, membership: Membership) -> None:
+        self.keepers: dict[str, Keeper] = {}
+        self._around = around
+        self._membership = membership
+        self._needed_at: dict[str, float] = {}
+        self._retired: list[Keeper] = []
+        self._starting = curio.Lock()
+
+    @property
+    def pinned(self) -> int:
+        """Channels that hold a connection."""
+        return sum(each.pinned for each in self.keepers.values())
+
+    def start_draining(self) -> None:
+        """Refuse new work from now on; open transactions go on."""
+        for keeper in self.keepers.values():
+            keeper.is_draining = True
+
+    async def close(self) -> None:
+        """End all keepers."""
+        for keeper in (*self.keepers.values(), *self._retired):
+            await keeper.close()
+        self.keepers.clear()
+        self._retired.clear()
+
+    async def look_after(self, document: Document) -> None:
+        """Start the keepers that this proxy should run; end the others."""
+        now = await curio.clock()
+        for service in document.services:
+            if self._should_watch(service.name):
+                await self._ensure(service, document, now)
+        for name, keeper in list(self.keepers.items()):
+            keeper.router.leaving = self._membership.leaving_databases
+            await self._review(name, keeper, document, now)
+
+    async def serve(self, channel: Channel, opened: OpenChannel) -> None:
+        """Serve a channel from its opening to its end."""
+        message: Message | None = opened
+        try:
+            while isinstance(message, OpenChannel):
+                keeper = await self._find(message)
+                if keeper is None:
+                    await self._refuse(channel)
+                    return
+                message = await keeper.serve(channel, message)
+        except ConnectionError:
+            return
+        finally:
+            await channel.close()
+
+    async def cancel(self, channel: str) -> None:
+        """Cancel what runs on a channel."""
+        for keeper in self.keepers.values():
+            if await keeper.cancel(channel):
+                return
+
+    async def _find(self, opened: OpenChannel) -> Keeper | None:
+        """Return the keeper of a service, started if need be.
+
+        Whoever asks has chosen this proxy by its own list; serving it is
+        safe even if another proxy keeps the service too.
+        """
+        now = await curio.clock()
+        self._needed_at[opened.service] = now
+        keeper = self.keepers.get(opened.service)
+        if keeper is not None:
+            return keeper
+        document = self._around.view.document
+        service = document.find_service(opened.service) if document else None
+        if document is None or service is None or self._membership.is_leaving:
+            return None
+        return await self._ensure(service, document, now)
+
+    async def _ensure(
+        self,
+        service: Service,
+        document: Document,
+        now: float,
+    ) -> Keeper:
+        async with self._starting:
+            self._needed_at[service.name] = now
+            keeper = self.keepers.get(service.name)
+            if keeper is None:
+                keeper = Keeper(service, document, self._around)
+                keeper.is_draining = self._membership.is_leaving
+                self.keepers[service.name] = keeper
+                await keeper.start()
+        return keeper
+
+    async def _review(
+        self,
+        name: str,
+        keeper: Keeper,
+        document: Document,
+        now: float,
+    ) -> None:
+        service = document.find_service(name)
+        is_needed = now - self._needed_at.get(name, 0) < _LINGER
+        if service is None or not (is_needed or keeper.sessions):
+            await self._retire(name, keeper)
+        elif not await keeper.reconfigure(service, document):
+            await self._retire(name, keeper)
+        await self._bury()
+
+    async def _retire(self, name: str, keeper: Keeper) -> None:
+        """Take a keeper out of use; its open transactions go on."""
+        self.keepers.pop(name, None)
+        keeper.is_draining = True
+        self._retired.append(keeper)
+
+    async def _bury(self) -> None:
+        for keeper in list(self._retired):
+            if not keeper.pinned:
+                self._retired.remove(keeper)
+                await keeper.close()
+
+    async def _refuse(self, channel: Channel) -> None:
+        await channel.receive()
+        refusal = refuse(Code.NO_KEEPER, 'this proxy keeps no such service')
+        await channel.send(BatchRefused(refusal.code.value, refusal.text))
+
+    def _should_watch(self, service: str) -> bool:
+        proxies = self._membership.proxies
+        ranked = rank_keepers(service, proxies)[:_WATCHING]
+        is_leaving = self._membership.is_leaving
+        return self._membership.own.name in ranked and not is_leaving
--- /dev/null
+++ b/deckdrum/proxy/registry.py
@@ -0,0 +1,82 @@
+"""The callers of one proxy, found by their cancel keys."""
+
+import hashlib
+import hmac
+import itertools
+from random import Random
+from typing import Final
+
+from deckdrum.callers import CallerConnection
+from deckdrum.callers.host import CancelKey
+
+_SECRET_BYTES: Final = 4
+#: A process number is 15 bits of the proxy's tag and 16 of the caller's.
+_CALLER_BITS: Final = 16
+_TAG_MASK: Final = 0x7FFF
+_CALLER_MASK: Final = 0xFFFF
+
+
+def tag_proxy(name: str) -> int:
+    """Return the tag by which other proxies find this one's callers.
+
+    Examples
+    --------
+    >>> tag_proxy('p1') == tag_proxy('p1')
+    True
+    >>> 0 <= tag_proxy('p2') <= 0x7FFF
+    True
+    """
+    digest = hashlib.blake2b(name.encode(), digest_size=2).digest()
+    return int.from_bytes(digest, 'big') & _TAG_MASK
+
+
+class CallerRegistry:
+    """Holds a proxy's callers.
+
+    Parameters
+    ----------
+    proxy : str
+        Name of the proxy.
+    randomness : random.Random
+        Source of the secrets.
+    """
+
+    def __init__(self, proxy: str, randomness: Random) -> None:
+        self._tag = tag_proxy(proxy)
+        self._randomness = randomness
+        self._numbers = itertools.count(1)
+        self._callers: set[CallerConnection] = set()
+
+    @property
+    def callers(self) -> list[CallerConnection]:
+        """The connected callers."""
+        return list(self._callers)
+
+    def add(self, caller: CallerConnection) -> None:
+        """Note a caller."""
+        self._callers.add(caller)
+
+    def remove(self, caller: CallerConnection) -> None:
+        """Forget a caller."""
+        self._callers.discard(caller)
+
+    def make_key(self) -> CancelKey:
+        """Return a new cancel key."""
+        number = next(self._numbers) & _CALLER_MASK
+        return CancelKey(
+            (self._tag << _CALLER_BITS) | number,
+            self._randomness.randbytes(_SECRET_BYTES),
+        )
+
+    def find(self, key: CancelKey) -> CallerConnection | None:
+        """Return the caller who holds exactly this key."""
+        for caller in self._callers:
+            held = caller.key
+            if held is not None and held.process == key.process:
+                if hmac.compare_digest(held.secret, key.secret):
+                    return caller
+        return None
+
+    def is_own(self, key: CancelKey) -> bool:
+        """Tell whether a key was made by this proxy."""
+        return key.process >> _CALLER_BITS == self._tag
--- /dev/null
+++ b/deckdrum/standins/replication.py
@@ -0,0 +1,239 @@
+"""Replication of a stand-in database: role, term, fencing and log.
+
+TEST STAND-IN.  It keeps a log with terms and offsets, replicates
+asynchronously with a settable lag, and can be paused, cut off, fenced and
+promoted.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any, Final
+
+import curio
+
+from deckdrum.standins.engine import Change, Engine, LogEntry
+from deckdrum.utils import Address
+
+#: How often a stalled task looks whether its fault is over, in seconds.
+_FAULT_POLL: Final = 0.02
+
+
+def _free_address() -> Address:
+    return Address('127.0.0.1', 0)
+
+
+class Role(StrEnum):
+    """What a database does in its group."""
+
+    PRIMARY = 'primary'
+    REPLICA = 'replica'
+    FENCED = 'fenced'
+
+
+class FencedError(Exception):
+    """The database does not do this in its present term or role."""
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults that a test sets on a database.
+
+    Attributes
+    ----------
+    paused : bool
+        Nothing is answered; connections stay open.
+    cut_from : set of str
+        Names of proxies and databases whose traffic does not arrive.
+    accepts_old_terms : bool
+        Break the contract: take the log of an outdated primary.
+    """
+
+    paused: bool = False
+    cut_from: set[str] = field(default_factory=set)
+    accepts_old_terms: bool = False
+
+
+@dataclass(slots=True)
+class DatabaseProfile:
+    """Fixed properties of a stand-in database; times in seconds."""
+
+    name: str
+    data_centre: str
+    address: Address = field(default_factory=_free_address)
+    max_connections: int = 25
+    connect_time: float = 0.01
+    hop_latency: float = 0.0015
+    local_latency: float = 0.0001
+    apply_lag: float = 0.02
+    statement_time: float = 0.0002
+    user: str = 'deckdrum'
+    password: str = 'standin'
+
+
+class ReplicatedDatabase:
+    """What a database server keeps, without its listener.
+
+    Parameters
+    ----------
+    profile : DatabaseProfile
+        Its properties.
+    """
+
+    def __init__(self, profile: DatabaseProfile) -> None:
+        self.profile = profile
+        self.engine = Engine(profile.name)
+        self.faults = Faults()
+        self.role = Role.REPLICA
+        self.term = 0
+        self.fenced_term = 0
+        self.leaving = False
+        self.write_lock = curio.Lock()
+        self.peers: dict[str, ReplicatedDatabase] = {}
+        self.sessions: dict[int, Any] = {}
+        self._source: str | None = None
+        self.running = False
+        self._grown = curio.Condition()
+
+    @property
+    def name(self) -> str:
+        """Name of the database."""
+        return self.profile.name
+
+    def lead(self, term: int) -> None:
+        """Make this the first primary of a new group."""
+        self.role = Role.PRIMARY
+        self.term = term
+        self.fenced_term = term
+        self.engine.append(LogEntry(term, 0))
+        self.engine.applied = self.engine.received
+
+    def fence(self, term: int) -> None:
+        """Refuse every log and write of terms before `term`.
+
+        Raises
+        ------
+        FencedError
+            If a higher term has fenced this database already.
+        """
+        if term < self.fenced_term:
+            raise FencedError(f'fenced at term {self.fenced_term}')
+        if term > self.fenced_term:
+            self.fenced_term = term
+            if not self.faults.accepts_old_terms:
+                self._source = None
+                self.role = Role.FENCED
+
+    async def promote(self, term: int) -> None:
+        """Become the primary of `term`; asking twice does no harm.
+
+        Raises
+        ------
+        FencedError
+            If the database is not fenced at exactly this term.
+        """
+        if self.role is Role.PRIMARY and self.term == term:
+            return
+        if self.fenced_term != term or self.role is not Role.FENCED:
+            raise FencedError(f'not fenced at term {term}')
+        while self.engine.applied < self.engine.received:
+            self.engine.apply_next()
+        self.role = Role.PRIMARY
+        self.term = term
+        await self._append(())
+
+    def follow(self, source: str, term: int) -> None:
+        """Replicate from `source`, the primary of `term`.
+
+        Raises
+        ------
+        FencedError
+            If a higher term has fenced this database.
+        """
+        if term < self.fenced_term:
+            raise FencedError(f'fenced at term {self.fenced_term}')
+        if self._source == source and self.term == term:
+            return
+        primary = self.peers[source]
+        if not self._reaches(primary) or primary.term != term:
+            raise FencedError(f'{source} does not lead term {term}')
+        if not self.engine.holds_prefix_of(primary.engine):
+            self.engine.copy_from(primary.engine)
+        self.fenced_term = term
+        self.term = term
+        self.role = Role.REPLICA
+        self._source = source
+
+    def check_writable(self) -> None:
+        """Raise `FencedError` unless this is an unfenced primary."""
+        if self.role is not Role.PRIMARY:
+            raise FencedError(f'a {self.role} cannot write')
+
+    async def commit(self, changes: tuple[Change, ...]) -> None:
+        """Add a committed transaction to the log."""
+        await self._append(changes)
+
+    async def wait_reachable(self, peer: str) -> None:
+        """Return when no fault keeps `peer`'s traffic from arriving."""
+        while self.faults.paused or peer in self.faults.cut_from:
+            await curio.sleep(_FAULT_POLL)
+
+    async def wait_growth(self) -> None:
+        """Return when the log has grown, or after a short while."""
+        async with curio.ignore_after(_FAULT_POLL):
+            async with self._grown:
+                await self._grown.wait()
+
+    async def receive_log(self) -> None:
+        """Take over the source's log for as long as the server runs."""
+        while True:
+            if not self._may_receive():
+                await curio.sleep(_FAULT_POLL)
+                continue
+            source = self.peers[self._source or '']
+            if source.engine.received <= self.engine.received:
+                await source.wait_growth()
+                continue
+            entry = source.engine.log[self.engine.received]
+            due = entry.committed_at + self.profile.hop_latency
+            now = await curio.clock()
+            if due > now:
+                await curio.sleep(due - now)
+            if self._may_receive():
+                self.engine.append(entry)
+                async with self._grown:
+                    await self._grown.notify_all()
+
+    async def apply_log(self) -> None:
+        """Make received entries visible once their lag is over."""
+        while True:
+            behind = self.engine.applied < self.engine.received
+            if self.role is Role.PRIMARY or self.faults.paused or not behind:
+                await self.wait_growth()
+                continue
+            entry = self.engine.log[self.engine.applied]
+            due = entry.committed_at + self.profile.apply_lag
+            now = await curio.clock()
+            if due > now:
+                # Look again soon: a test may have changed the lag meanwhile.
+                await curio.sleep(min(due - now, _FAULT_POLL))
+            else:
+                self.engine.apply_next()
+
+    async def _append(self, changes: tuple[Change, ...]) -> None:
+        now = await curio.clock()
+        self.engine.append(LogEntry(self.term, now, changes))
+        self.engine.applied = self.engine.received
+        async with self._grown:
+            await self._grown.notify_all()
+
+    def _reaches(self, other: 'ReplicatedDatabase') -> bool:
+        stalled = self.faults.paused or other.faults.paused
+        cut = other.name in self.faults.cut_from
+        cut = cut or self.name in other.faults.cut_from
+        return other.running and not stalled and not cut
+
+    def _may_receive(self) -> bool:
+        if self._source is None:
+            return False
+        source = self.peers[self._source]
+        return self._reaches(source) and source.term == self.term
--- /dev/null
+++ b/deckdrum/utils/http.py
@@ -0,0 +1,258 @@
+"""Small HTTP/1.1 client and server on curio, with `h11` as the codec."""
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+from urllib.parse import parse_qsl, urlsplit
+
+import curio
+import h11
+
+from deckdrum.utils.streams import Address, Listener, Stream, dial
+
+_TEXT: Final = 'text/plain; charset=utf-8'
+#: Largest body taken from a peer, in bytes (the platform holds 1 MB values).
+MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One HTTP request.
+
+    `headers` has lower-case names; `query` has the decoded parameters.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """One HTTP reply."""
+
+    status: int
+    body: bytes = b''
+    headers: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def from_json(cls, document: Any, status: int = 200) -> 'Reply':
+        """Return a reply with `document` as its JSON body."""
+        return cls(
+            status,
+            json.dumps(document).encode(),
+            {'content-type': 'application/json'},
+        )
+
+    @classmethod
+    def from_text(cls, text: str, status: int = 200) -> 'Reply':
+        """Return a reply with `text` as its body."""
+        return cls(status, text.encode(), {'content-type': _TEXT})
+
+    def read_json(self) -> Any:
+        """Return the decoded JSON body."""
+        return json.loads(self.body)
+
+
+class HttpClient:
+    """Sends requests to one address over kept-alive connections.
+
+    Parameters
+    ----------
+    address : Address
+        The server.
+    connect_limit : float
+        Longest wait for a connection, in seconds.
+    """
+
+    def __init__(self, address: Address, connect_limit: float = 1.0) -> None:
+        self.address = address
+        self._connect_limit = connect_limit
+        self._idle: list[tuple[Stream, h11.Connection]] = []
+
+    async def call(self, request: Request, limit: float) -> Reply:
+        """Send a request and return its reply.
+
+        Parameters
+        ----------
+        request : Request
+            The request; its query must already be part of `path`.
+        limit : float
+            Longest wait for the reply, in seconds.
+
+        Raises
+        ------
+        ConnectionError
+            If the server cannot be reached or the reply does not come; the
+            request may have taken effect.
+        """
+        stream, codec = await self._take()
+        try:
+            async with curio.timeout_after(limit):
+                reply = await self._exchange(stream, codec, request)
+        except (curio.TaskTimeout, h11.ProtocolError) as error:
+            await stream.close()
+            raise ConnectionAbortedError(
+                f'no reply from {self.address}: {error!r}',
+            ) from error
+        except (ConnectionError, curio.CancelledError):
+            await stream.close()
+            raise
+        await self._put(stream, codec)
+        return reply
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        for stream, _ in self._idle:
+            await stream.close()
+        self._idle.clear()
+
+    async def _take(self) -> tuple[Stream, h11.Connection]:
+        if self._idle:
+            return self._idle.pop()
+        stream = await dial(self.address, self._connect_limit)
+        return stream, h11.Connection(h11.CLIENT)
+
+    async def _put(self, stream: Stream, codec: h11.Connection) -> None:
+        try:
+            codec.start_next_cycle()
+        except h11.LocalProtocolError:
+            await stream.close()
+            return
+        self._idle.append((stream, codec))
+
+    async def _exchange(
+        self,
+        stream: Stream,
+        codec: h11.Connection,
+        request: Request,
+    ) -> Reply:
+        headers = {
+            'host': str(self.address),
+            'content-length': str(len(request.body)),
+            **request.headers,
+        }
+        head = h11.Request(
+            method=request.method,
+            target=request.path,
+            headers=list(headers.items()),
+        )
+        payload = codec.send(head) or b''
+        payload += codec.send(h11.Data(data=request.body)) or b''
+        payload += codec.send(h11.EndOfMessage()) or b''
+        await stream.send(payload)
+        answer, body = await _read_message(stream, codec)
+        return Reply(answer.status_code, body, _decode_headers(answer.headers))
+
+
+class HttpServer:
+    """Answers HTTP requests on one address.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    answer : callable
+        Coroutine function from `Request` to `Reply`; None drops the
+        connection without a reply.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        answer: Callable[[Request], Awaitable[Reply | None]],
+    ) -> None:
+        self._answer = answer
+        self._listener = Listener(address, self._serve)
+
+    @property
+    def address(self) -> Address:
+        """Where the server listens."""
+        return self._listener.address
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        await self._listener.start()
+
+    async def close(self) -> None:
+        """Stop listening and end the connections."""
+        await self._listener.close()
+
+    async def _serve(self, stream: Stream) -> None:
+        codec = h11.Connection(h11.SERVER)
+        while True:
+            try:
+                head, body = await _read_message(stream, codec)
+            except (ConnectionError, h11.ProtocolError):
+                return
+            reply = await self._answer(_decode_request(head, body))
+            if reply is None:
+                return
+            await stream.send(_encode_reply(codec, reply))
+            if codec.our_state is not h11.DONE:
+                return
+            codec.start_next_cycle()
+
+
+def _decode_request(head: Any, body: bytes) -> Request:
+    target = urlsplit(head.target.decode())
+    return Request(
+        head.method.decode(),
+        target.path,
+        dict(parse_qsl(target.query)),
+        _decode_headers(head.headers),
+        body,
+    )
+
+
+def _encode_reply(codec: h11.Connection, reply: Reply) -> bytes:
+    headers = {'content-length': str(len(reply.body)), **reply.headers}
+    head = h11.Response(
+        status_code=reply.status,
+        headers=list(headers.items()),
+    )
+    payload = codec.send(head) or b''
+    payload += codec.send(h11.Data(data=reply.body)) or b''
+    payload += codec.send(h11.EndOfMessage()) or b''
+    return payload
+
+
+def _decode_headers(headers: Any) -> dict[str, str]:
+    return {name.decode(): text.decode() for name, text in headers}
+
+
+async def _read_message(
+    stream: Stream,
+    codec: h11.Connection,
+) -> tuple[Any, bytes]:
+    head: Any = None
+    body = bytearray()
+    while True:
+        event = await _next_event(stream, codec)
+        if isinstance(event, h11.EndOfMessage):
+            return head, bytes(body)
+        if isinstance(event, h11.Data):
+            body.extend(event.data)
+            _check_size(len(body))
+        else:
+            head = event
+
+
+def _check_size(size: int) -> None:
+    if size > MAX_BODY_BYTES:
+        raise ConnectionAbortedError(
+            f'the body has over {size} bytes, expected {MAX_BODY_BYTES}',
+        )
+
+
+async def _next_event(stream: Stream, codec: h11.Connection) -> Any:
+    event = codec.next_event()
+    while event is h11.NEED_DATA:
+        codec.receive_data(await stream.receive())
+        event = codec.next_event()
+    if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+        raise ConnectionResetError('the peer closed the connection')
+    return event
--- /dev/null
+++ b/deckdrum/utils/streams.py
@@ -0,0 +1,233 @@
+"""Byte streams over TCP: addresses, connections and listeners."""
+
+import errno
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+import curio
+
+#: Bytes asked of the kernel in one receive.
+RECEIVE_BYTES: Final = 65536
+_BACKLOG: Final = 512
+#: Wait after a failed accept (descriptors used up), in seconds.
+_ACCEPT_PAUSE: Final = 0.05
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """An IP address and a TCP port.
+
+    Examples
+    --------
+    >>> Address.parse('127.0.0.1:5432')
+    Address(host='127.0.0.1', port=5432)
+    >>> str(Address('127.0.0.1', 80))
+    '127.0.0.1:80'
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+    @classmethod
+    def parse(cls, text: str) -> 'Address':
+        """Read an address of the form ``host:port``.
+
+        Raises
+        ------
+        ValueError
+            If `text` has no port or the port is no number.
+        """
+        host, colon, port = text.rpartition(':')
+        if not colon or not host or not port.isdecimal():
+            raise ValueError(f'{text!r} is no address, expected host:port')
+        return cls(host, int(port))
+
+
+class Stream:
+    """One TCP connection.
+
+    Parameters
+    ----------
+    sock : curio.io.Socket
+        The connected socket.
+    raw : socket.socket
+        The non-blocking socket below it.
+    """
+
+    __slots__ = ('_raw', '_sock', 'closed')
+
+    def __init__(self, sock: Any, raw: socket.socket) -> None:
+        self._sock = sock
+        self._raw = raw
+        self.closed = False
+
+    def is_quiet(self) -> bool:
+        """Tell whether the stream is open and has nothing to receive."""
+        if self.closed:
+            return False
+        try:
+            self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def receive(self) -> bytes:
+        """Return the next bytes, or ``b''`` once the peer has closed.
+
+        A reset by the peer counts as a close.
+        """
+        if self.closed:
+            return b''
+        try:
+            chunk: bytes = await self._sock.recv(RECEIVE_BYTES)
+        except OSError:
+            return b''
+        return chunk
+
+    async def send(self, payload: bytes) -> None:
+        """Send all of `payload`.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection is closed.
+        """
+        if self.closed:
+            raise ConnectionResetError('the stream is closed')
+        try:
+            await self._sock.sendall(payload)
+        except ConnectionError:
+            raise
+        except OSError as error:
+            raise ConnectionResetError(str(error)) from error
+
+    async def close(self) -> None:
+        """Close the connection; a second call does nothing."""
+        if self.closed:
+            return
+        self.closed = True
+        try:
+            # Wakes a task of ours that still waits to receive.
+            await self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            self.closed = True
+        await self._sock.close()
+
+
+async def dial(address: Address, limit: float) -> Stream:
+    """Open a connection.
+
+    Parameters
+    ----------
+    address : Address
+        Where to connect.
+    limit : float
+        Longest wait in seconds.
+
+    Returns
+    -------
+    Stream
+        The open connection.
+
+    Raises
+    ------
+    ConnectionError
+        If nobody answers in time or the connection is refused.
+    """
+    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock = curio.io.Socket(raw)
+    try:
+        async with curio.timeout_after(limit):
+            await sock.connect((address.host, address.port))
+    except (OSError, curio.TaskTimeout) as error:
+        await sock.close()
+        raise ConnectionRefusedError(
+            errno.ECONNREFUSED,
+            f'cannot connect to {address}: {error!r}',
+        ) from error
+    except curio.CancelledError:
+        await sock.close()
+        raise
+    return Stream(sock, raw)
+
+
+class Listener:
+    """A listening TCP socket with one task for each connection.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 takes a free one.
+    serve : callable
+        Coroutine function called with the `Stream` of each connection.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        serve: Callable[[Stream], Awaitable[None]],
+    ) -> None:
+        self.address = address
+        self._serve = serve
+        self._sock: Any = None
+        self._accepting: Any = None
+        self._open: dict[Stream, Any] = {}
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
+
+    async def start(self) -> None:
+        """Bind the address and begin to accept."""
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        raw.bind((self.address.host, self.address.port))
+        raw.listen(_BACKLOG)
+        self.address = Address(*raw.getsockname())
+        self._sock = curio.io.Socket(raw)
+        self._accepting = await curio.spawn(self._accept, daemon=True)
+
+    async def stop_accepting(self) -> None:
+        """Refuse new connections; open ones go on."""
+        if self._sock is None:
+            return
+        await self._accepting.cancel()
+        await self._sock.close()
+        self._sock = None
+
+    async def close(self) -> None:
+        """Refuse new connections and end the open ones."""
+        await self.stop_accepting()
+        for stream, task in list(self._open.items()):
+            await stream.close()
+            await task.cancel(blocking=False)
+
+    async def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = await self._sock.accept()
+            except OSError:
+                await curio.sleep(_ACCEPT_PAUSE)
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = Stream(sock, sock._socket)
+            task = await curio.spawn(self._run, stream, daemon=True)
+            self._open[stream] = task
+
+    async def _run(self, stream: Stream) -> None:
+        try:
+            await self._serve(stream)
+        except ConnectionError:
+            return
+        finally:
+            self._open.pop(stream, None)
+            await stream.close()
--- /dev/null
+++ b/deckdrum/wire/__init__.py
@@ -0,0 +1,19 @@
+"""The PostgreSQL protocol; the only module that knows `pygwire`."""
+
+from deckdrum.wire.frames import Frame, FrameReader, WireError
+from deckdrum.wire.messages import (
+    decode_frontend,
+    encode_error,
+    encode_parameter,
+    encode_ready,
+)
+
+__all__ = [
+    'Frame',
+    'FrameReader',
+    'WireError',
+    'decode_frontend',
+    'encode_error',
+    'encode_parameter',
+    'encode_ready',
+]
