Show the whole path with figures in one command

Cause: nothing told a newcomer what the fleet promises and keeps. Change: deckdrum-bench demo, a load of roaming callers and an independent checker of what they were told.

--- /dev/null
+++ b/deckdrum/bench/demo.py
@@ -0,0 +1,158 @@
+"""The demonstration: the whole path, with figures, on embedded stand-ins."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Final
+
+import curio
+
+from deckdrum.bench.deployment import Deployment, Layout
+from deckdrum.bench.history import Told
+from deckdrum.bench.workload import Load, Pace, create_table, read_rows
+from deckdrum.failover import FailoverReport
+
+_SERVICE: Final = 'stalls'
+_CALLERS: Final = 6
+_LOAD_SECONDS: Final = 3.0
+_IN_FORCE_LIMIT: Final = 5.0
+_FAILOVER_LIMIT: Final = 16.0
+_REPLICA_SHARE: Final = 0.9
+_POLL: Final = 0.01
+_PERCENT: Final = 100
+
+
+@dataclass(slots=True)
+class Account:
+    """What the demonstration found; lines to print and failures."""
+
+    lines: list[str] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
+
+    def tell(self, text: str, is_right: bool = True) -> None:
+        """Add a line; a wrong one fails the demonstration."""
+        mark = 'ok  ' if is_right else 'FAIL'
+        self.lines.append(f'{mark} {text}')
+        if not is_right:
+            self.failures.append(text)
+
+
+async def run_demo() -> Account:
+    """Run the demonstration in the present kernel."""
+    account = Account()
+    deployment = Deployment(Layout())
+    await deployment.start()
+    await create_table(deployment, _SERVICE)
+    load = Load(deployment, Pace(), Random(1))
+    await load.start(_CALLERS)
+    await curio.sleep(_LOAD_SECONDS)
+    await _show_configuration(deployment, account)
+    await _show_failover(deployment, account)
+    await curio.sleep(_LOAD_SECONDS)
+    await load.finish()
+    _show_history(deployment, load, account)
+    await deployment.close()
+    return account
+
+
+async def _show_configuration(
+    deployment: Deployment,
+    account: Account,
+) -> None:
+    text = deployment.describe().replace('max_age: 5', 'max_age: 4')
+    applied_at = await curio.clock()
+    await deployment.apply(text, number=2)
+    for name, proxy in deployment.proxies.items():
+        is_there = await _wait(_has_number(proxy, 2), _IN_FORCE_LIMIT)
+        delay = proxy.view.in_force_since - applied_at
+        account.tell(
+            f'configuration {proxy.view.number} in force on {name} '
+            f'after {delay:.3f} s',
+            is_there,
+        )
+
+
+async def _show_failover(deployment: Deployment, account: Account) -> None:
+    primary = deployment.find_primary(_SERVICE)
+    killed_at = await curio.clock()
+    await primary.crash()
+    client = await deployment.connect(min(deployment.proxies))
+    told = 'no answer'
+    while told != Told.DONE:
+        answer = await client.run('CREATE TABLE IF NOT EXISTS first (id int)')
+        told = 'done' if not answer.sqlstate else answer.text
+    gap = await curio.clock() - killed_at
+    await client.close()
+    account.tell(
+        f'{primary.name} killed; writes accepted again after {gap:.3f} s',
+        gap < _FAILOVER_LIMIT,
+    )
+    reports = _list_reports(deployment)
+    account.tell(f'failovers driven: {len(reports)}', len(reports) == 1)
+    for report in reports:
+        for phase, at in report.phases.items():
+            passed = at - killed_at
+            account.tell(f'  {phase} ended {passed:.3f} s after the kill')
+    await primary.start()
+
+
+def _list_reports(deployment: Deployment) -> list[FailoverReport]:
+    return [
+        report
+        for proxy in deployment.proxies.values()
+        for keeper in proxy.keeping.keepers.values()
+        for report in keeper.supervisor.reports
+    ]
+
+
+def _show_history(
+    deployment: Deployment,
+    load: Load,
+    account: Account,
+) -> None:
+    history = load.history
+    broken = history.check_rows(read_rows(deployment, _SERVICE))
+    account.tell(
+        f'writes: {history.count(Told.DONE)} acknowledged, '
+        f'{history.count(Told.NOT_RUN)} not run, '
+        f'{history.count(Told.UNKNOWN)} unknown',
+        history.count(Told.DONE) > 0,
+    )
+    account.tell(
+        f'read-your-write checks across proxies: {history.checks} '
+        f'in {history.reads} reads, {len(history.violations)} wrong',
+        history.checks > 0 and not history.violations,
+    )
+    share = read_replica_share(deployment)
+    account.tell(
+        f'reads served by replicas: {share * _PERCENT:.1f} %',
+        share >= _REPLICA_SHARE,
+    )
+    lost = [each for each in broken if 'lost' in each]
+    doubled = [each for each in broken if 'doubled' in each]
+    account.tell(f'acknowledged writes lost: {len(lost)}', not lost)
+    account.tell(f'writes doubled: {len(doubled)}', not doubled)
+    for each in broken:
+        account.tell(each, is_right=False)
+
+
+def read_replica_share(deployment: Deployment) -> float:
+    """Return the share of answered reads that replicas served."""
+    on_replicas = 0
+    in_all = 0
+    for proxy in deployment.proxies.values():
+        count = proxy.metrics.read_batches
+        on_replicas += count(access='read', outcome='done', target='replica')
+        in_all += count(access='read', outcome='done')
+    return on_replicas / in_all if in_all else 0
+
+
+def _has_number(proxy: Any, number: int) -> Callable[[], bool]:
+    return lambda: proxy.view.number >= number
+
+
+async def _wait(check: Callable[[], bool], limit: float) -> bool:
+    async with curio.ignore_after(limit):
+        while not check():
+            await curio.sleep(_POLL)
+    return check()
--- /dev/null
+++ b/deckdrum/bench/history.py
@@ -0,0 +1,106 @@
+"""A record of what callers asked and were told, and its checker.
+
+The checker is independent of the product: it compares the callers' record
+with the rows that the databases hold in the end.
+"""
+
+import json
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from deckdrum.databases import QueryAnswer
+
+
+class Told(StrEnum):
+    """What a caller was told of a write."""
+
+    DONE = 'done'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+
+
+def read_told(answer: QueryAnswer) -> Told:
+    """Return what an answer says of the request.
+
+    An error of the database itself counts as not run.
+
+    Examples
+    --------
+    >>> read_told(QueryAnswer()).value
+    'done'
+    >>> read_told(QueryAnswer((), '23505', 'exists')).value
+    'not run'
+    """
+    if not answer.sqlstate:
+        return Told.DONE
+    if answer.detail.startswith('{'):
+        return Told(json.loads(answer.detail)['outcome'])
+    return Told.NOT_RUN
+
+
+@dataclass(slots=True)
+class History:
+    """Writes by number, reads that went wrong, and counts.
+
+    Attributes
+    ----------
+    writes : dict of int to Told
+        What callers were told of each write.
+    violations : list of str
+        What broke a promise while the load ran.
+    """
+
+    writes: dict[int, Told] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+    reads: int = 0
+    checks: int = 0
+
+    def note_write(self, number: int, told: Told) -> None:
+        """Note what became of a write."""
+        self.writes[number] = told
+
+    def note_violation(self, text: str) -> None:
+        """Note a broken promise."""
+        self.violations.append(text)
+
+    def count(self, told: Told) -> int:
+        """Return the writes of which callers were told `told`."""
+        return sum(each is told for each in self.writes.values())
+
+    def check_rows(self, rows: Iterable[int]) -> list[str]:
+        """Compare the record with the rows that are there in the end.
+
+        Parameters
+        ----------
+        rows : iterable of int
+            Numbers of the rows, repeated if a row is there twice.
+
+        Returns
+        -------
+        list of str
+            Every broken promise.
+        """
+        counts = Counter(rows)
+        found = list(self.violations)
+        for number, told in self.writes.items():
+            found.extend(_judge(number, told, counts))
+        found.extend(
+            f'row {number} was never asked for'
+            for number in counts
+            if number not in self.writes
+        )
+        return found
+
+
+def _judge(number: int, told: Told, counts: Mapping[int, int]) -> list[str]:
+    count = counts[number]
+    found = []
+    if count > 1:
+        found.append(f'write {number} was doubled')
+    if told is Told.DONE and count == 0:
+        found.append(f'acknowledged write {number} was lost')
+    if told is Told.NOT_RUN and count:
+        found.append(f'write {number} was told not run, and ran')
+    return found
--- /dev/null
+++ b/deckdrum/bench/workload.py
@@ -0,0 +1,189 @@
+"""Callers that write, read back and roam between proxies."""
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, Final
+
+import curio
+
+from deckdrum.bench.client import Client
+from deckdrum.bench.deployment import Deployment
+from deckdrum.bench.history import History, Told, read_told
+
+TABLE: Final = 'bookings'
+_RECONNECT_PAUSE: Final = 0.05
+
+
+async def create_table(deployment: Deployment, service: str) -> None:
+    """Create the table that the load uses."""
+    client = await deployment.connect(min(deployment.proxies), service=service)
+    answer = await client.run(f'CREATE TABLE {TABLE} (id int, writer text)')
+    await client.close()
+    if answer.sqlstate:
+        raise RuntimeError(f'no table: {answer.text}')
+
+
+def read_rows(deployment: Deployment, service: str) -> list[int]:
+    """Return the numbers of the rows that the primary holds."""
+    primary = deployment.find_primary(service)
+    link = primary.engine.connect()
+    rows = link.execute(f'SELECT id FROM {TABLE}').fetchall()
+    link.close()
+    return [row[0] for row in rows]
+
+
+@dataclass(slots=True)
+class Pace:
+    """How a load behaves; times in seconds.
+
+    `read_kind` is the kind of read by which a caller reads back.
+    """
+
+    pause: float = 0.05
+    reads_each: int = 1
+    read_kind: str = 'browse'
+    group: str = 'growers'
+    service: str = 'stalls'
+
+
+@dataclass(slots=True)
+class Load:
+    """Callers that write, and check by reading on another proxy.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What is loaded.
+    pace : Pace
+        How each caller behaves.
+    randomness : random.Random
+        Chooses proxies.
+    """
+
+    deployment: Deployment
+    pace: Pace
+    randomness: Random
+    history: History = field(default_factory=History)
+    is_over: bool = False
+    _numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    _tasks: list[Any] = field(default_factory=list)
+
+    async def start(self, callers: int) -> None:
+        """Start callers."""
+        for number in range(callers):
+            task = await curio.spawn(self._run_caller, f'c{number}')
+            self._tasks.append(task)
+
+    async def finish(self) -> History:
+        """Let the callers finish what they do; return the record."""
+        self.is_over = True
+        for task in self._tasks:
+            await task.join()
+        return self.history
+
+    async def _run_caller(self, name: str) -> None:
+        caller = RoamingCaller(self, name)
+        while not self.is_over:
+            await caller.write()
+            for _ in range(self.pace.reads_each):
+                await caller.read_back()
+            await curio.sleep(self.pace.pause)
+        await caller.leave()
+
+    def take_number(self) -> int:
+        """Return the number of the next write."""
+        return next(self._numbers)
+
+
+class RoamingCaller:
+    """One caller whose session moves between proxies.
+
+    Parameters
+    ----------
+    load : Load
+        To which it belongs.
+    name : str
+        Written into its rows.
+    """
+
+    def __init__(self, load: Load, name: str) -> None:
+        self._load = load
+        self._name = name
+        self._client: Client | None = None
+        self._token = ''
+        self._done: set[int] = set()
+
+    async def write(self) -> None:
+        """Insert a row and note what was told."""
+        number = self._load.take_number()
+        self._load.history.note_write(number, Told.UNKNOWN)
+        client = await self._move()
+        if client is None:
+            self._load.history.note_write(number, Told.NOT_RUN)
+            return
+        try:
+            answer = await client.run(
+                f"INSERT INTO {TABLE} VALUES ({number}, '{self._name}')",
+            )
+        except ConnectionError:
+            await self.leave()
+            return
+        told = read_told(answer)
+        self._load.history.note_write(number, told)
+        self._token = client.token or self._token
+        if told is Told.DONE:
+            self._done.add(number)
+
+    async def read_back(self) -> None:
+        """Read own rows on another proxy and check that all are there."""
+        client = await self._move()
+        if client is None:
+            return
+        query = f"SELECT id FROM {TABLE} WHERE writer = '{self._name}'"
+        expected = set(self._done)
+        try:
+            answer = await client.run(query)
+        except ConnectionError:
+            await self.leave()
+            return
+        if answer.sqlstate:
+            return
+        self._token = client.token or self._token
+        history = self._load.history
+        history.reads += 1
+        history.checks += len(expected)
+        missing = expected - {int(row[0] or 0) for row in answer.rows}
+        if missing:
+            history.note_violation(
+                f'{self._name} does not see its writes {sorted(missing)}',
+            )
+
+    async def leave(self) -> None:
+        """Close the connection."""
+        if self._client is not None:
+            await self._client.close()
+            self._client = None
+
+    async def _move(self) -> Client | None:
+        """Connect to a proxy chosen at random, as a balancer would."""
+        await self.leave()
+        serving = sorted(
+            name
+            for name, proxy in self._load.deployment.proxies.items()
+            if proxy.is_ready
+        )
+        name = self._load.randomness.choice(serving)
+        pace = self._load.pace
+        try:
+            self._client = await self._load.deployment.connect(
+                name,
+                pace.group,
+                pace.service,
+                read_kind=pace.read_kind,
+                **({'session': self._token} if self._token else {}),
+            )
+        except ConnectionError:
+            await curio.sleep(_RECONNECT_PAUSE)
+        return self._client
--- a/deckdrum/commands/signals.py
+++ b/deckdrum/commands/signals.py
@@ -33,7 +33,7 @@
         sending.close()
 
 
-def _restore(before: Mapping[int, Any]) -> None:
+def _restore(before: Mapping[Any, Any]) -> None:
     signal.set_wakeup_fd(-1)
     for number, action in before.items():
         signal.signal(number, action)
--- a/deckdrum/testing/threads.py
+++ b/deckdrum/testing/threads.py
@@ -43,7 +43,8 @@
         """Return the port where a proxy's callers connect."""
         if self.deployment is None:
             raise RuntimeError('the deployment has not started')
-        return self.deployment.proxies[proxy].address.port
+        address = self.deployment.proxies[proxy].address
+        return address.port
 
     async def _main(self) -> None:
         self.deployment = Deployment(self._layout)
