Prove each promise under failure, once with its rule broken

Change: nine scenarios, each run as the product is and with one rule broken on purpose. They found three faults, mended here: (1) closing a stream while another task waited on it left a dead descriptor in the selector and stopped the whole process; (2) a primary listed as leaving went on getting work, now it hands over to a database that stays; (3) a current read just before the keeper knew the term was refused, now it waits for the term. A promoted primary's followers are directed by the driver at once. Ruled out: fencing the first majority to answer in a planned change; it promoted the leaving primary again. Conclusion: the nine promises hold, and each check can fail.

--- a/deckdrum/bench/demo.py
+++ b/deckdrum/bench/demo.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from deckdrum.bench.client import Client
 from deckdrum.bench.deployment import Deployment, Layout
 from deckdrum.bench.history import Told
 from deckdrum.bench.workload import Load, Pace, create_table, read_rows
@@ -77,32 +78,42 @@
     killed_at = await curio.clock()
     await primary.crash()
     client = await deployment.connect(min(deployment.proxies))
-    told = 'no answer'
-    while told != Told.DONE:
-        answer = await client.run('CREATE TABLE IF NOT EXISTS first (id int)')
-        told = 'done' if not answer.sqlstate else answer.text
+    while not await _is_writable(client):
+        await curio.sleep(_POLL)
     gap = await curio.clock() - killed_at
     await client.close()
     account.tell(
         f'{primary.name} killed; writes accepted again after {gap:.3f} s',
         gap < _FAILOVER_LIMIT,
     )
-    reports = _list_reports(deployment)
+    _show_phases(list_reports(deployment), killed_at, account)
+    await primary.start()
+
+
+def _show_phases(
+    reports: list[FailoverReport],
+    killed_at: float,
+    account: Account,
+) -> None:
     account.tell(f'failovers driven: {len(reports)}', len(reports) == 1)
     for report in reports:
         for phase, at in report.phases.items():
             passed = at - killed_at
             account.tell(f'  {phase} ended {passed:.3f} s after the kill')
-    await primary.start()
 
 
-def _list_reports(deployment: Deployment) -> list[FailoverReport]:
-    return [
-        report
-        for proxy in deployment.proxies.values()
-        for keeper in proxy.keeping.keepers.values()
-        for report in keeper.supervisor.reports
-    ]
+async def _is_writable(client: Client) -> bool:
+    answer = await client.run('CREATE TABLE IF NOT EXISTS first (id int)')
+    return not answer.sqlstate
+
+
+def list_reports(deployment: Deployment) -> list[FailoverReport]:
+    """Return the reports of every proxy."""
+    found: list[FailoverReport] = []
+    for proxy in deployment.proxies.values():
+        for keeper in proxy.keeping.keepers.values():
+            found.extend(keeper.supervisor.reports)
+    return found
 
 
 def _show_history(
--- a/deckdrum/bench/deployment.py
+++ b/deckdrum/bench/deployment.py
@@ -48,6 +48,7 @@
     #: First of the fixed ports; 0 takes free ones.
     first_port: int = 0
     not_repeatable_tables: tuple[str, ...] = ('fees',)
+    read_functions: tuple[str, ...] = ()
     seed: int = 1
 
 
@@ -216,6 +217,7 @@
         return {
             'name': service,
             'not_repeatable_tables': list(self.layout.not_repeatable_tables),
+            'read_functions': list(self.layout.read_functions),
             'databases': [
                 {
                     'name': database.name,
--- a/deckdrum/bench/history.py
+++ b/deckdrum/bench/history.py
@@ -86,11 +86,8 @@
         found = list(self.violations)
         for number, told in self.writes.items():
             found.extend(_judge(number, told, counts))
-        found.extend(
-            f'row {number} was never asked for'
-            for number in counts
-            if number not in self.writes
-        )
+        strange = counts.keys() - self.writes.keys()
+        found.extend(f'row {each} was never asked for' for each in strange)
         return found
 
 
--- a/deckdrum/bench/workload.py
+++ b/deckdrum/bench/workload.py
@@ -83,6 +83,10 @@
             await task.join()
         return self.history
 
+    def take_number(self) -> int:
+        """Return the number of the next write."""
+        return next(self._numbers)
+
     async def _run_caller(self, name: str) -> None:
         caller = RoamingCaller(self, name)
         while not self.is_over:
@@ -92,10 +96,6 @@
             await curio.sleep(self.pace.pause)
         await caller.leave()
 
-    def take_number(self) -> int:
-        """Return the number of the next write."""
-        return next(self._numbers)
-
 
 class RoamingCaller:
     """One caller whose session moves between proxies.
@@ -111,7 +111,7 @@
     def __init__(self, load: Load, name: str) -> None:
         self._load = load
         self._name = name
-        self._client: Client | None = None
+        self._clients: dict[str, Client] = {}
         self._token = ''
         self._done: set[int] = set()
 
@@ -161,29 +161,35 @@
             )
 
     async def leave(self) -> None:
-        """Close the connection."""
-        if self._client is not None:
-            await self._client.close()
-            self._client = None
+        """Close the connections."""
+        for client in self._clients.values():
+            await client.close()
+        self._clients.clear()
 
     async def _move(self) -> Client | None:
-        """Connect to a proxy chosen at random, as a balancer would."""
-        await self.leave()
+        """Go on at a proxy chosen at random, as a balancer would."""
         serving = sorted(
             name
             for name, proxy in self._load.deployment.proxies.items()
             if proxy.is_ready
         )
         name = self._load.randomness.choice(serving)
-        pace = self._load.pace
         try:
-            self._client = await self._load.deployment.connect(
-                name,
-                pace.group,
-                pace.service,
-                read_kind=pace.read_kind,
-                **({'session': self._token} if self._token else {}),
-            )
+            client = self._clients.get(name) or await self._connect(name)
+            self._clients[name] = client
+            if self._token:
+                await client.run(f"SET deckdrum.session = '{self._token}'")
         except ConnectionError:
+            self._clients.pop(name, None)
             await curio.sleep(_RECONNECT_PAUSE)
-        return self._client
+            return None
+        return client
+
+    async def _connect(self, proxy: str) -> Client:
+        pace = self._load.pace
+        return await self._load.deployment.connect(
+            proxy,
+            pace.group,
+            pace.service,
+            read_kind=pace.read_kind,
+        )
--- a/deckdrum/failover/driver.py
+++ b/deckdrum/failover/driver.py
@@ -12,7 +12,7 @@
 """
 
 import uuid
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Final
@@ -33,6 +33,9 @@
 PROMOTE_TRIES: Final = 4
 #: Bits of an operation id.
 _OPERATION_BITS: Final = 128
+#: Longest wait for a successor to catch up, in seconds.
+HANDOVER_LIMIT: Final = 2.0
+_HANDOVER_POLL: Final = 0.01
 #: Longest time that one driver tries, in seconds; then another may.
 DRIVE_LIMIT: Final = 8.0
 
@@ -58,9 +61,21 @@
     state: DatabaseState
 
     @property
-    def rank(self) -> tuple[int, int, str]:
-        """Order by how far the log reaches."""
-        return (self.state.term, self.state.received, self.database.name)
+    def reach(self) -> tuple[int, int]:
+        """How far the log reaches: its last term and offset."""
+        return (self.state.term, self.state.received)
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """How a primary that still answers gives way.
+
+    `has_successor` tells whether a database that is to stay has received
+    the log up to an offset; `unwanted` are the names of those that leave.
+    """
+
+    has_successor: Callable[[int], bool]
+    unwanted: frozenset[str]
 
 
 class FailoverDriver:
@@ -98,9 +113,19 @@
         self,
         held: HeldRecord,
         report: FailoverReport,
+        handover: Handover | None = None,
     ) -> bool:
         """Replace the primary of `held`.
 
+        Parameters
+        ----------
+        held : HeldRecord
+            The record as it is known.
+        report : FailoverReport
+            Filled with the times of the phases.
+        handover : Handover, optional
+            For a primary that still answers and must leave.
+
         Returns
         -------
         bool
@@ -109,22 +134,32 @@
         """
         async with curio.ignore_after(DRIVE_LIMIT):
             try:
-                return await self._drive(held, report)
+                return await self._drive(held, report, handover)
             except StoreError as error:
                 self._journal.record('failover.no_platform', reason=str(error))
         return False
 
-    async def _drive(self, held: HeldRecord, report: FailoverReport) -> bool:
+    async def _drive(
+        self,
+        held: HeldRecord,
+        report: FailoverReport,
+        handover: Handover | None,
+    ) -> bool:
         claim = await self._claim(held, report)
         if claim is None:
             return False
-        fenced = await self._fence_majority(report.term)
+        if handover is not None:
+            await self._hand_over(handover, report)
+        unwanted = handover.unwanted if handover else frozenset()
+        fenced = await self._fence_majority(report.term, unwanted)
         report.phases['fence'] = await curio.clock()
-        chosen = await self._promote(fenced, report.term)
+        leader = choose_leader(fenced, unwanted)
+        chosen = await self._promote(leader, report.term)
         if chosen is None:
             return False
         report.promoted = chosen.name
         report.phases['promote'] = await curio.clock()
+        await self._direct_others(chosen.name, report.term)
         is_settled = await self._settle(claim, chosen.name)
         report.phases['settle'] = await curio.clock()
         self._journal.record(
@@ -160,55 +195,69 @@
         )
         return self._view.records[report.service]
 
-    async def _fence_majority(self, term: int) -> list[Fenced]:
+    async def _hand_over(
+        self,
+        handover: Handover,
+        report: FailoverReport,
+    ) -> None:
+        """Stop the old primary and let a successor catch up with it.
+
+        A fenced primary takes no writes but still sends its log, so that a
+        database that is to stay reaches its end before it is fenced too.
+        """
+        old = self._databases[report.lost]
+        state = await _call_step(old, 'fence', report.term)
+        if state is None:
+            return
+        end = state.received
+        async with curio.ignore_after(HANDOVER_LIMIT):
+            while not handover.has_successor(end):
+                await curio.sleep(_HANDOVER_POLL)
+        report.phases['hand over'] = await curio.clock()
+
+    async def _fence_majority(
+        self,
+        term: int,
+        unwanted: frozenset[str],
+    ) -> list[Fenced]:
+        """Fence until a majority has accepted.
+
+        One round waits for a database that is to stay, so that a planned
+        change of primary does not end where it began.
+        """
         majority = len(self._databases) // 2 + 1
         fenced: dict[str, Fenced] = {}
         while len(fenced) < majority:
-            missing = [
-                each
-                for each in self._databases.values()
-                if each.name not in fenced
-            ]
-            for answer in await self._fence_all(missing, term, majority):
-                fenced[answer.database.name] = answer
+            async with curio.TaskGroup() as tasks:
+                for database in self._databases.values():
+                    await tasks.spawn(_fence, database, term)
+                await _gather(tasks, fenced, majority, unwanted)
             if len(fenced) < majority:
                 await curio.sleep(STEP_PAUSE)
         return list(fenced.values())
 
-    async def _fence_all(
-        self,
-        databases: Iterable[Database],
-        term: int,
-        majority: int,
-    ) -> list[Fenced]:
-        """Fence at once; stop waiting when a majority has answered."""
-        found: list[Fenced] = []
-        async with curio.TaskGroup() as tasks:
-            for database in databases:
-                await tasks.spawn(_fence, database, term)
-            async for task in tasks:
-                if isinstance(task.result, Fenced):
-                    found.append(task.result)
-                if len(found) >= majority:
-                    await tasks.cancel_remaining()
-                    break
-        return found
+    async def _direct_others(self, primary: str, term: int) -> None:
+        """Have the others follow at once: a majority needs one of them."""
+        for database in self._databases.values():
+            if database.name != primary:
+                await curio.spawn(
+                    direct_follower,
+                    database,
+                    primary,
+                    term,
+                    daemon=True,
+                )
 
     async def _promote(
         self,
-        fenced: list[Fenced],
+        leader: Fenced,
         term: int,
     ) -> Database | None:
-        """Promote the furthest; asking it twice does no harm.
-
-        Only the furthest may lead: a lesser one could lack a confirmed
-        change that the furthest alone among the fenced holds.
-        """
-        furthest = max(fenced, key=_rank)
+        """Promote a database; asking it twice does no harm."""
         for _ in range(PROMOTE_TRIES):
-            state = await _call_step(furthest.database, 'promote', term)
+            state = await _call_step(leader.database, 'promote', term)
             if state is not None:
-                return furthest.database
+                return leader.database
             await curio.sleep(STEP_PAUSE)
         return None
 
@@ -227,8 +276,37 @@
         return str(uuid.UUID(int=number))
 
 
-def _rank(fenced: Fenced) -> tuple[int, int, str]:
-    return fenced.rank
+def choose_leader(fenced: Iterable[Fenced], unwanted: Container[str]) -> Fenced:
+    """Return the database to promote: the furthest, wanted if possible.
+
+    Only a furthest one may lead: a lesser one could lack a confirmed change
+    that the furthest alone among the fenced holds.
+    """
+    known = list(fenced)
+    reach = max(each.reach for each in known)
+    furthest = [each for each in known if each.reach == reach]
+    return min(
+        furthest,
+        key=lambda each: (
+            each.state.leaving or each.database.name in unwanted,
+            each.database.name,
+        ),
+    )
+
+
+async def _gather(
+    tasks: Any,
+    fenced: dict[str, Fenced],
+    majority: int,
+    unwanted: frozenset[str],
+) -> None:
+    """Collect fenced databases until they are enough."""
+    async for task in tasks:
+        if isinstance(task.result, Fenced):
+            fenced[task.result.database.name] = task.result
+        if len(fenced) >= majority and fenced.keys() - unwanted:
+            await tasks.cancel_remaining()
+            return
 
 
 async def _fence(database: Database, term: int) -> Fenced | None:
--- /dev/null
+++ b/deckdrum/invariants/changes.py
@@ -0,0 +1,107 @@
+"""Promises about changes: none lost, none doubled, refusals true."""
+
+from random import Random
+from typing import Final
+
+import curio
+
+from deckdrum.bench.client import Client
+from deckdrum.bench.deployment import Deployment, Layout
+from deckdrum.bench.history import History, Told, read_told
+from deckdrum.bench.workload import Load, Pace, create_table, read_rows
+from deckdrum.standins.database import StandinDatabase
+
+_SERVICE: Final = 'stalls'
+_WRITERS: Final = 6
+_STEPS: Final = 10
+_PAUSE: Final = 0.02
+#: Moments of a write's life at which the primary is crashed, in seconds.
+_MOMENTS: Final = tuple(step / 1000 for step in range(_STEPS))
+_PACE: Final = Pace(pause=_PAUSE, reads_each=0)
+
+
+async def keep_acknowledged() -> list[str]:
+    """Cut a primary off with its keeper while it still takes writes.
+
+    The other databases and proxies replace it; what it took afterwards must
+    not have been acknowledged.
+    """
+    deployment = Deployment(Layout(services=(_SERVICE,)))
+    await deployment.start()
+    await create_table(deployment, _SERVICE)
+    load = Load(deployment, _PACE, Random(3))
+    await load.start(_WRITERS)
+    await curio.sleep(1)
+    primary = deployment.find_primary(_SERVICE)
+    _cut_off(deployment, primary)
+    await curio.sleep(6)
+    primary.faults.cut_from.clear()
+    await curio.sleep(2)
+    history = await load.finish()
+    broken = history.check_rows(read_rows(deployment, _SERVICE))
+    if deployment.find_primary(_SERVICE) is primary:
+        broken.append('the cut-off primary was not replaced')
+    await deployment.close()
+    return broken
+
+
+def _cut_off(deployment: Deployment, primary: StandinDatabase) -> None:
+    """Leave a primary reachable by its keeper only."""
+    keepers = [
+        name
+        for name, proxy in deployment.proxies.items()
+        if proxy.membership.list_keepers(_SERVICE, 0)[0].name == name
+    ]
+    others = {each.name for each in deployment.list_databases(_SERVICE)}
+    proxies = set(deployment.proxies) - set(keepers)
+    primary.faults.cut_from.update(others - {primary.name}, proxies)
+
+
+async def tell_truth_when_cut() -> list[str]:
+    """Crash the primary at every moment of a write's life."""
+    broken: list[str] = []
+    for moment in _MOMENTS:
+        broken.extend(await _crash_after(moment, is_once=False))
+    return broken
+
+
+async def run_once_at_most() -> list[str]:
+    """Crash the primary under changes that must not be repeated."""
+    broken: list[str] = []
+    for moment in _MOMENTS:
+        broken.extend(await _crash_after(moment, is_once=True))
+    return broken
+
+
+async def _crash_after(seconds: float, is_once: bool) -> list[str]:
+    """Crash the primary some time after writers began, and bring it back."""
+    deployment = Deployment(Layout(services=(_SERVICE,)))
+    await deployment.start()
+    await create_table(deployment, _SERVICE)
+    history = History()
+    async with curio.TaskGroup() as tasks:
+        for number in range(_WRITERS):
+            client = await deployment.connect(f'p{number % 3 + 1}')
+            write = _write_once if is_once else _write
+            await tasks.spawn(write, client, number, history)
+        await curio.sleep(seconds)
+        primary = deployment.find_primary(_SERVICE)
+        await primary.crash()
+        await curio.sleep(2)
+        await primary.start()
+        await curio.sleep(1)
+    broken = history.check_rows(read_rows(deployment, _SERVICE))
+    await deployment.close()
+    return [f'crash after {seconds:.3f} s: {each}' for each in broken]
+
+
+async def _write(client: Client, number: int, history: History) -> None:
+    history.note_write(number, Told.UNKNOWN)
+    insert = f"INSERT INTO bookings VALUES ({number}, 'w')"
+    history.note_write(number, read_told(await client.run(insert)))
+    await client.close()
+
+
+async def _write_once(client: Client, number: int, history: History) -> None:
+    await client.run('SET deckdrum.repeatable = off')
+    await _write(client, number, history)
--- /dev/null
+++ b/deckdrum/invariants/tests/test_invariants.py
@@ -0,0 +1,165 @@
+"""Each promise of the brief, as it is and with one rule broken."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from deckdrum.databases.pool import Pool
+from deckdrum.invariants import changes, operations, sessions
+from deckdrum.keepers.relay import RelayEnd
+from deckdrum.keepers.routing import Router
+from deckdrum.keepers.sessions import KeeperSession
+from deckdrum.outcomes import CODES, Code, Fate
+from deckdrum.outcomes.codes import CodeEntry
+from deckdrum.platform.view import StoreView
+from deckdrum.proxy import Proxy
+from deckdrum.sessions import Position, Token
+from deckdrum.sessions.position import NOWHERE
+from deckdrum.utils.virtualtime import run_virtual
+
+Scenario = Callable[[], Awaitable[list[str]]]
+SCENARIOS = (
+    sessions.see_own_writes,
+    sessions.keep_transactions_apart,
+    sessions.give_each_its_answer,
+    changes.keep_acknowledged,
+    changes.tell_truth_when_cut,
+    changes.run_once_at_most,
+    operations.leave_alone_the_leaving,
+    operations.stop_without_cutting,
+    operations.stay_in_force,
+)
+
+
+@pytest.mark.parametrize('scenario', SCENARIOS, ids=lambda each: each.__name__)
+def test_promise_holds(scenario: Scenario) -> None:
+    assert not run_virtual(scenario)
+
+
+def forget_floors(patch: pytest.MonkeyPatch) -> None:
+    """Break: reads take no account of what the session has seen."""
+    patch.setattr(Token, 'floor', lambda token, group: NOWHERE)
+
+
+def release_inside_transactions(patch: pytest.MonkeyPatch) -> None:
+    """Break: a connection is given back in the middle of a transaction."""
+    let_go = KeeperSession._let_go
+
+    async def release(session: Any, end: RelayEnd) -> None:
+        await let_go(session, RelayEnd('I', end.held, end.rejected))
+
+    patch.setattr(KeeperSession, '_let_go', release)
+
+
+def reuse_doubtful(patch: pytest.MonkeyPatch) -> None:
+    """Break: a connection with an answer under way is lent again."""
+    release = Pool.release
+
+    async def release_clean(pool: Pool, lease: Any, is_clean: bool) -> None:
+        await release(pool, lease, True)
+
+    patch.setattr(Pool, 'release', release_clean)
+
+
+def acknowledge_alone(patch: pytest.MonkeyPatch) -> None:
+    """Break: the primary's own word is enough to acknowledge."""
+
+    async def trust(session: Any, route: Any) -> Position | None:
+        watch = session._keeper.watch
+        name = route.pool.database.name
+        position: Position | None = await watch.fetch_applied(name, 3)
+        return position
+
+    patch.setattr(KeeperSession, '_confirm', trust)
+
+
+def deny_unknown(patch: pytest.MonkeyPatch) -> None:
+    """Break: an unknown outcome is told as not run."""
+    for code in (Code.CONNECTION_LOST, Code.UNCONFIRMED):
+        patch.setitem(CODES, code, CodeEntry(code, Fate.NOT_RUN, 'broken'))
+
+
+def retry_changes(patch: pytest.MonkeyPatch) -> None:
+    """Break: a change whose connection broke is sent again."""
+    attempt = KeeperSession._attempt
+
+    async def attempt_again(session: Any, tried: Any) -> Any:
+        refuse = session._refuse
+        again: list[Any] = []
+
+        async def hold_back(refusal: Any, lost: bool = False) -> None:
+            if refusal.fate is Fate.UNKNOWN:
+                again.append(tried)
+            else:
+                await refuse(refusal, lost)
+
+        session._refuse = hold_back
+        try:
+            following = await attempt(session, tried)
+        finally:
+            session._refuse = refuse
+        return again[0] if again else following
+
+    patch.setattr(KeeperSession, '_attempt', attempt_again)
+
+
+def read_from_leaving(patch: pytest.MonkeyPatch) -> None:
+    """Break: the list of leaving databases is ignored."""
+    patch.setattr(
+        Router,
+        '_may_read',
+        lambda router, name, state: state.role == 'replica',
+    )
+
+
+def cut_callers(patch: pytest.MonkeyPatch) -> None:
+    """Break: a planned stop does not wait for transactions."""
+
+    async def close_at_once(proxy: Proxy) -> bool:
+        proxy.membership.is_leaving = True
+        await proxy._callers.close()
+        return True
+
+    patch.setattr(Proxy, 'drain', close_at_once)
+
+
+def accept_any_number(patch: pytest.MonkeyPatch) -> None:
+    """Break: an older configuration replaces a newer one."""
+    patch.setattr(StoreView, 'number', property(_read))
+
+
+def _read(view: StoreView) -> int:
+    import sys
+
+    caller = sys._getframe(1).f_code.co_name
+    if caller == 'adopt_configuration':
+        return 0
+    return view.configuration.number if view.configuration else 0
+
+
+BROKEN = (
+    (sessions.see_own_writes, forget_floors),
+    (sessions.keep_transactions_apart, release_inside_transactions),
+    (sessions.give_each_its_answer, reuse_doubtful),
+    (changes.keep_acknowledged, acknowledge_alone),
+    (changes.tell_truth_when_cut, deny_unknown),
+    (changes.run_once_at_most, retry_changes),
+    (operations.leave_alone_the_leaving, read_from_leaving),
+    (operations.stop_without_cutting, cut_callers),
+    (operations.stay_in_force, accept_any_number),
+)
+
+
+@pytest.mark.parametrize(
+    ('scenario', 'break_rule'),
+    BROKEN,
+    ids=[rule.__name__ for _, rule in BROKEN],
+)
+def test_broken_rule_is_noticed(
+    scenario: Scenario,
+    break_rule: Callable[[pytest.MonkeyPatch], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    break_rule(monkeypatch)
+    assert run_virtual(scenario)
--- a/deckdrum/keepers/routing.py
+++ b/deckdrum/keepers/routing.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import partial
+from typing import Final
 
 import curio
 
@@ -16,6 +17,9 @@
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.sessions import Position
 
+#: Pause before a position is asked for in a new term, in seconds.
+_TERM_POLL: Final = 0.01
+
 
 class Reason(StrEnum):
     """Why a batch went where it went; shown by ``deckdrumctl explain``."""
@@ -104,13 +108,25 @@
         floor = Position(*batch.floor)
         max_age: float | None = batch.max_age
         if access is Access.CURRENT:
-            confirmed = await self._watch.confirm(limit)
+            confirmed = await self._confirm(limit)
             if confirmed is None:
                 return refuse(Code.READ_NOT_POSSIBLE, 'no majority answers')
             floor = max(floor, confirmed)
             max_age = None
         return await self._choose_reader(Need(floor, max_age), limit)
 
+    async def _confirm(self, limit: float) -> Position | None:
+        """Return a confirmed position, also across a change of term."""
+        async with curio.ignore_after(limit):
+            while True:
+                confirmed = await self._watch.confirm(limit)
+                if confirmed is not None:
+                    return confirmed
+                # The term has ended; the read has not run, so wait for the
+                # next one.
+                await curio.sleep(_TERM_POLL)
+        return None
+
     async def _choose_primary(
         self,
         reason: Reason,
--- a/deckdrum/keepers/supervision.py
+++ b/deckdrum/keepers/supervision.py
@@ -1,13 +1,15 @@
 """What a keeper does on its own: notice a lost primary and mend the group."""
 
 from collections import deque
+from collections.abc import Mapping
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import curio
 
 from deckdrum.databases import DatabaseState, Role
 from deckdrum.failover import FailoverDriver, FailoverReport
-from deckdrum.failover.driver import direct_follower
+from deckdrum.failover.driver import Handover, direct_follower
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.platform.records import GroupRecord, Phase
 from deckdrum.platform.view import HeldRecord
@@ -25,6 +27,9 @@
 TAKEOVER_AFTER: Final = 3.0
 #: Pause after a failover that could not be driven or was vetoed, in seconds.
 RETRY_AFTER: Final = 0.5
+#: Pause between two tries to hand over from a leaving primary, in seconds.
+HAND_OVER_AGAIN: Final = 10.0
+_LEAVING: Final = 'the primary is leaving'
 #: Reports kept for ``deckdrumctl explain``.
 _REPORTS: Final = 50
 
@@ -44,6 +49,7 @@
         self.reports: deque[FailoverReport] = deque(maxlen=_REPORTS)
         self._fencing_since: tuple[int, float] = (0, 0)
         self._silent_since: float | None = None
+        self._hand_over_after: float = 0
         self._learned: FailoverReport | None = None
         #: Version of the record, and since when it is known.
         self._known: tuple[int, float] = (0, 0)
@@ -53,7 +59,14 @@
         while True:
             self._keeper.adopt_record()
             pause = await self._look()
-            await curio.sleep(pause)
+            await self._rest(pause)
+
+    async def _rest(self, pause: float) -> None:
+        """Rest until the platform's objects change, or for `pause` seconds."""
+        changed = self._around.view.changed
+        async with curio.ignore_after(pause):
+            async with changed:
+                await changed.wait()
 
     async def _look(self) -> float:
         held = self._around.view.records.get(self._keeper.service.name)
@@ -65,6 +78,8 @@
         reason = await self._find_loss(held)
         if reason:
             return await self._replace(held, reason)
+        if await self._should_hand_over(held.record):
+            return await self._replace(held, _LEAVING, self._plan_handover())
         await self._mend(held.record)
         return ROUND
 
@@ -143,7 +158,46 @@
             return ''
         return 'the primary does not answer'
 
-    async def _replace(self, held: HeldRecord, reason: str) -> float:
+    async def _should_hand_over(self, record: GroupRecord) -> bool:
+        """Tell whether the primary leaves and another can take its place."""
+        states = self._read_states()
+        leaving = self._list_leaving(states)
+        if record.primary not in leaving:
+            return False
+        staying = [
+            name
+            for name, state in states.items()
+            if name not in leaving and state.takes_part(record.term)
+        ]
+        now: float = await curio.clock()
+        if not staying or now < self._hand_over_after:
+            return False
+        # If no successor catches up, the old primary leads on for a while.
+        self._hand_over_after = now + HAND_OVER_AGAIN
+        return True
+
+    def _list_leaving(self, states: Mapping[str, DatabaseState]) -> set[str]:
+        own = {name for name, state in states.items() if state.leaving}
+        return own | self._keeper.router.leaving
+
+    def _plan_handover(self) -> Handover:
+        leaving = frozenset(self._list_leaving(self._read_states()))
+        return Handover(partial(self._has_successor, leaving), leaving)
+
+    def _has_successor(self, leaving: frozenset[str], end: int) -> bool:
+        """Tell whether a database that is to stay has received `end`."""
+        return any(
+            state.received >= end
+            for name, state in self._read_states().items()
+            if name not in leaving
+        )
+
+    async def _replace(
+        self,
+        held: HeldRecord,
+        reason: str,
+        handover: Handover | None = None,
+    ) -> float:
         report = FailoverReport(
             held.record.service,
             held.record.term + 1,
@@ -170,7 +224,7 @@
             self._around.journal,
             self._around.randomness,
         )
-        is_settled = await driver.drive(held, report)
+        is_settled = await driver.drive(held, report, handover)
         self._keeper.adopt_record()
         if not is_settled:
             return RETRY_AFTER
@@ -212,6 +266,4 @@
         return f'the primary is fenced at term {state.fenced}'
     if state.role is not Role.PRIMARY or state.term != term:
         return f'the database is a {state.role} of term {state.term}'
-    if state.leaving:
-        return 'the primary is leaving'
     return ''
--- a/deckdrum/members/queue.py
+++ b/deckdrum/members/queue.py
@@ -70,6 +70,8 @@
         self._slots = slots
         self._shares = dict(shares)
         self._accounts: dict[str, _Account] = {}
+        #: Permits granted so far.
+        self.granted = 0
 
     @property
     def held(self) -> int:
@@ -161,6 +163,7 @@
 
     def _grant(self, account: _Account, group: str, now: float) -> Permit:
         account.held += 1
+        self.granted += 1
         return Permit(group, now)
 
     async def _abandon(self, account: _Account, waiter: _Waiter) -> None:
--- a/deckdrum/utils/streams.py
+++ b/deckdrum/utils/streams.py
@@ -114,12 +114,24 @@
             return
         self.closed = True
         try:
-            # Wakes a task of ours that still waits to receive.
+            # Wakes a task of ours that still waits on the socket.
             await self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
-            self.closed = True
+            await self._sock.close()
+            return
+        await self._wait_unused()
         await self._sock.close()
 
+    async def _wait_unused(self) -> None:
+        """Let tasks that wait on the socket leave it before it is closed.
+
+        The kernel's selector must not keep a closed descriptor: the next
+        socket with the same number would stop the whole process.
+        """
+        descriptor = self._sock._fileno
+        while any(await curio.traps._io_waiting(descriptor)):
+            await curio.sleep(0)
+
 
 async def dial(address: Address, limit: float) -> Stream:
     """Open a connection.
