--- a/deckdrum/proxy/registry.py
+++ b/deckdrum/proxy/registry.py
@@ -50,7 +50,8 @@
         self._tag = tag_proxy(proxy)
         self._randomness = randomness
         self._numbers = itertools.count(1)
-        self._callers: set[CallerConnection] = set()
+        # A dictionary keeps the order of arrival; a set would not.
+        self._callers: dict[CallerConnection, None] = {}
 
     @property
     def callers(self) -> list[CallerConnection]:
@@ -59,11 +60,11 @@
 
     def add(self, caller: CallerConnection) -> None:
         """Note a caller."""
-        self._callers.add(caller)
+        self._callers[caller] = None
 
     def remove(self, caller: CallerConnection) -> None:
         """Forget a caller."""
-        self._callers.discard(caller)
+        self._callers.pop(caller, None)
 
     def make_key(self) -> CancelKey:
         """Return a new cancel key."""
--- /dev/null
+++ b/deckdrum/testing/builders.py
@@ -0,0 +1,62 @@
+"""Builders of test data."""
+
+from typing import Any
+
+from deckdrum.callers.login import make_verifier
+from deckdrum.configuration import DatabaseEntry, Service
+from deckdrum.databases import DatabaseState, Role
+
+SALT = b'0123456789abcdef'
+
+
+def build_entry(name: str = 'stalls-1', **fields: Any) -> DatabaseEntry:
+    """Return a declared database."""
+    defaults = {'data_centre': 'ba-hall', 'address': '127.0.0.1:1'}
+    return DatabaseEntry(name=name, **(defaults | fields))
+
+
+def build_service(databases: int = 3, **fields: Any) -> Service:
+    """Return a declared service."""
+    entries = [
+        build_entry(f'stalls-{slot + 1}', address=f'127.0.0.1:{slot + 1}')
+        for slot in range(databases)
+    ]
+    return Service(name='stalls', databases=entries, **fields)
+
+
+def build_state(**fields: Any) -> DatabaseState:
+    """Return the state of a replica that takes part in term 1."""
+    defaults: dict[str, Any] = {
+        'role': Role.REPLICA,
+        'term': 1,
+        'received': 10,
+        'applied': 10,
+        'fenced': 1,
+        'leaving': False,
+    }
+    return DatabaseState(**(defaults | fields))
+
+
+def build_document(**replaced: Any) -> dict[str, Any]:
+    """Return a plain valid document; `replaced` sections override it."""
+    entries = [
+        {
+            'name': f'stalls-{slot}',
+            'data_centre': 'ba-hall',
+            'address': f'127.0.0.1:{slot}',
+        }
+        for slot in (1, 2, 3)
+    ]
+    document: dict[str, Any] = {
+        'groups': [{'name': 'growers', 'weight': 2}, {'name': 'shoppers'}],
+        'users': [
+            {
+                'name': 'growers-app',
+                'group': 'growers',
+                'verifier': make_verifier('word', SALT),
+            },
+        ],
+        'services': [{'name': 'stalls', 'databases': entries}],
+        'read_kinds': [{'name': 'browse', 'max_age': 5}],
+    }
+    return document | replaced
