--- /dev/null
+++ b/deckdrum/callers/tests/test_golden.py
@@ -0,0 +1,89 @@
+"""Golden files of whole sessions; rewrite with ``--force-regen``."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import pytest
+from pytest_regressions.file_regression import FileRegressionFixture
+
+from deckdrum.bench.deployment import Deployment, Layout
+from deckdrum.testing.golden import Scribe
+from deckdrum.utils.virtualtime import run_virtual
+
+
+async def book_and_roam(scribe: Scribe, deployment: Deployment) -> None:
+    await scribe.connect('grower', 'p1')
+    await scribe.query('grower', 'CREATE TABLE pitches (id int, name text)')
+    await scribe.extended(
+        'grower', 'INSERT INTO pitches VALUES ($1, $2)', '1', 'bees'
+    )
+    await scribe.query('grower', 'SELECT * FROM pitches')
+    await scribe.roam('grower', 'p2', read_kind='browse')
+    await scribe.extended(
+        'grower', 'SELECT name FROM pitches WHERE id = $1', '1'
+    )
+    await scribe.query('grower', 'SHOW deckdrum.read_kind')
+
+
+async def roll_back(scribe: Scribe, deployment: Deployment) -> None:
+    await scribe.connect('grower', 'p1')
+    await scribe.query('grower', 'CREATE TABLE fees (id int PRIMARY KEY)')
+    await scribe.query('grower', 'BEGIN')
+    await scribe.query('grower', 'INSERT INTO fees VALUES (1)')
+    await scribe.query('grower', 'INSERT INTO fees VALUES (1)')
+    await scribe.query('grower', 'SELECT 1')
+    await scribe.query('grower', 'COMMIT')
+    await scribe.query('grower', 'SELECT count(*) FROM fees')
+    await scribe.query(
+        'grower', 'INSERT INTO fees VALUES (2); INSERT INTO fees VALUES (3)'
+    )
+    await scribe.query('grower', '')
+
+
+async def refuse(scribe: Scribe, deployment: Deployment) -> None:
+    await scribe.connect('grower', 'p1')
+    await scribe.query('grower', 'LISTEN news')
+    await scribe.query('grower', 'SET deckdrum.nonsense = 1')
+    await scribe.query('grower', "SET client_encoding = 'LATIN1'")
+    await scribe.query('grower', 'BEGIN')
+    await scribe.query('grower', 'SET work_mem = 1')
+    await scribe.query('grower', 'ROLLBACK')
+    await scribe.extended('grower', 'SELECT * FROM nowhere')
+    for database in deployment.list_databases('stalls'):
+        await database.crash()
+    await curio.sleep(1)
+    await scribe.query('grower', 'SELECT 1')
+    await scribe.query('grower', 'CREATE TABLE late (id int)')
+
+
+async def lose_the_primary(scribe: Scribe, deployment: Deployment) -> None:
+    await scribe.connect('grower', 'p1')
+    await scribe.query('grower', 'CREATE TABLE fees (id int PRIMARY KEY)')
+    await scribe.query('grower', 'BEGIN')
+    await scribe.query('grower', 'INSERT INTO fees VALUES (1)')
+    await deployment.find_primary('stalls').crash()
+    await curio.sleep(2)
+    await scribe.query('grower', 'INSERT INTO fees VALUES (2)')
+    await scribe.query('grower', 'SELECT 1')
+    await scribe.query('grower', 'ROLLBACK')
+    await scribe.query('grower', 'INSERT INTO fees VALUES (3)')
+    await scribe.query('grower', 'SELECT * FROM fees')
+
+
+SESSIONS = (book_and_roam, roll_back, refuse, lose_the_primary)
+
+
+@pytest.mark.parametrize('play', SESSIONS, ids=lambda each: each.__name__)
+def test_session(
+    play: Callable[[Scribe, Deployment], Awaitable[None]],
+    file_regression: FileRegressionFixture,
+) -> None:
+    async def main() -> str:
+        deployment = Deployment(Layout(services=('stalls',)))
+        await deployment.start()
+        scribe = Scribe(deployment)
+        await play(scribe, deployment)
+        await deployment.close()
+        return scribe.text
+
+    file_regression.check(run_virtual(main))
--- a/deckdrum/callers/tests/test_protocol.py
+++ b/deckdrum/callers/tests/test_protocol.py
@@ -158,7 +158,7 @@
         # The database is held back too: its connection is still in use.
         assert count_held(deployment) == 1
         assert await other.read_one('SELECT 6') == '6'
-        seen = []
+        seen: list[bytes] = []
         while not seen or seen[-1] != b'Z':
             seen.append((await slow.link.read_frame()).tag)
         assert seen.count(b'D') == 4000
--- a/deckdrum/commands/proxy.py
+++ b/deckdrum/commands/proxy.py
@@ -30,7 +30,9 @@
     store = HttpObjectStore(Address.parse(settings.platform))
     proxy = Proxy(settings, store, open_journal(settings.name))
     with catch_signals() as signals:
-        await curio.spawn(stop_at_signal, signals, proxy.request_stop)
+        await curio.spawn(
+            stop_at_signal, signals, proxy.request_stop, daemon=True
+        )
         return await proxy.run()
 
 
--- a/deckdrum/commands/standin.py
+++ b/deckdrum/commands/standin.py
@@ -29,7 +29,7 @@
     sys.stdout.flush()
     stopped = curio.Event()
     with catch_signals() as signals:
-        await curio.spawn(stop_at_signal, signals, stopped.set)
+        await curio.spawn(stop_at_signal, signals, stopped.set, daemon=True)
         await stopped.wait()
     await deployment.close()
 
--- /dev/null
+++ b/deckdrum/commands/tests/test_commands.py
@@ -0,0 +1,154 @@
+"""The programs' command lines, run as processes where it matters."""
+
+import json
+import signal
+import subprocess
+import sys
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+import psycopg
+import pytest
+import yaml
+
+from deckdrum.bench.deployment import Layout
+from deckdrum.commands import control, proxy
+from deckdrum.testing.builders import build_document
+from deckdrum.testing.threads import DeploymentThread, run_deployment
+
+SETTINGS = {
+    'name': 'p9',
+    'data_centre': 'ba-hall',
+    'listen': '127.0.0.1:0',
+    'peer_listen': '127.0.0.1:0',
+    'admin_listen': '127.0.0.1:0',
+    'platform': '127.0.0.1:1',
+    'database_password': 'standin',
+    'session_keys': ['a key of the stand-in fleet'],
+}
+
+
+def write(path: Path, document: object) -> str:
+    path.write_text(yaml.safe_dump(document, sort_keys=False))
+    return str(path)
+
+
+def test_settings_errors_name_all_there_is(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    wrong = SETTINGS | {'listen': 'nowhere', 'nonsense': 1}
+    path = write(tmp_path / 's.yaml', wrong)
+    assert proxy.main(['--check', path]) == 2
+    told = capsys.readouterr().err
+    assert f"{path}: line 3: listen: Value error, 'nowhere'" in told
+    assert 'nonsense' in told
+    assert 'standin' not in told
+
+
+def test_validate(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    good = write(tmp_path / 'good.yaml', build_document())
+    assert control.main(['validate', good]) == 0
+    bad = write(tmp_path / 'bad.yaml', build_document(services=[]))
+    assert control.main(['validate', bad]) == 2
+    assert 'services' in capsys.readouterr().err
+
+
+def test_operators_day(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    with run_deployment(services=('stalls',)) as thread:
+        deployment = thread.deployment
+        assert deployment is not None
+        platform = str(deployment.platform.address)
+        admin = [
+            str(each.admin.address) for each in deployment.proxies.values()
+        ]
+        text = deployment.describe().replace('max_age: 5', 'max_age: 4')
+        changed = tmp_path / 'new.yaml'
+        changed.write_text(text)
+        assert control.main(['diff', str(changed), '--platform', platform]) == 0
+        assert (
+            'read_kinds[browse].max_age: 5.0 -> 4.0' in capsys.readouterr().out
+        )
+        apply = ['apply', str(changed), '--platform', platform, '--base', '1']
+        assert control.main(apply) == 0
+        assert 'accepted: configuration 2' in capsys.readouterr().out
+        assert control.main(apply) == 3
+        assert control.main(['status', '--json', '--admin', admin[0]]) == 0
+        shown = json.loads(capsys.readouterr().out.split('\n', 1)[1])
+        assert shown['name'] == 'p1'
+        assert control.main(['status', '--admin', *admin]) == 0
+        assert 'stalls-1: primary' in capsys.readouterr().out
+        explain = ['explain', 'stalls', '--admin', *admin]
+        assert control.main(explain) == 0
+        assert control.main(['status', '--admin', '127.0.0.1:1']) == 1
+
+
+def test_proxy_process_serves_and_drains(tmp_path: Path) -> None:
+    with run_deployment(services=('stalls',), proxies=1) as thread:
+        ports = find_ports(thread)
+        path = write(tmp_path / 's.yaml', ports)
+        command = [sys.executable, '-c', RUN_PROXY, path]
+        process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+        try:
+            admin = ports['admin_listen']
+            wait_ready(f'http://{admin}/readyz')
+            port = ports['listen'].rpartition(':')[2]
+            link = psycopg.connect(
+                host='127.0.0.1',
+                port=port,
+                user='growers-app',
+                password='standin',
+                dbname='stalls',
+            )
+            link.execute('CREATE TABLE drained (id int)')
+            process.send_signal(signal.SIGTERM)
+            link.execute('INSERT INTO drained VALUES (1)')
+            link.commit()
+            assert process.wait(20) == 0
+        finally:
+            process.kill()
+        assert process.stderr is not None
+        events = [json.loads(line)['event'] for line in process.stderr]
+        assert events[-2:] == ['proxy.drained', 'proxy.stopped']
+
+
+RUN_PROXY = (
+    'import sys; from deckdrum.commands.proxy import main; '
+    'sys.exit(main(sys.argv[1:]))'
+)
+
+
+def find_ports(thread: DeploymentThread) -> dict[str, Any]:
+    """Return settings with free ports, found by binding them once."""
+    import socket
+
+    assert thread.deployment is not None
+    sockets = [socket.create_server(('127.0.0.1', 0)) for _ in range(3)]
+    found = [f'127.0.0.1:{each.getsockname()[1]}' for each in sockets]
+    for each in sockets:
+        each.close()
+    names = ('listen', 'peer_listen', 'admin_listen')
+    platform = {'platform': str(thread.deployment.platform.address)}
+    return {**SETTINGS, **dict(zip(names, found, strict=True)), **platform}
+
+
+def wait_ready(url: str) -> None:
+    import time
+
+    for _ in range(200):
+        try:
+            with urllib.request.urlopen(url) as reply:
+                if reply.status == 200:
+                    return
+        except OSError:
+            time.sleep(0.1)
+    raise AssertionError('the proxy did not become ready')
+
+
+def test_layout_is_the_markets() -> None:
+    layout = Layout()
+    assert (len(layout.services), layout.databases) == (3, 3)
--- a/deckdrum/statements/classification.py
+++ b/deckdrum/statements/classification.py
@@ -242,7 +242,7 @@
         functions = {node.name.lower() for node in tree.find_all(exp.Anonymous)}
         if functions & _REFUSED_FUNCTIONS or _is_bound(tree):
             return Effect.REFUSED
-        if not isinstance(tree, exp.Query | exp.Describe):
+        if not isinstance(tree, exp.Query | exp.Values):
             return Effect.WRITE
         if tree.find(*_WRITE_NODES) is not None:
             return Effect.WRITE
