Measure the cost of the relay

Change: deckdrum-bench relay compares a proxy with the stand-in itself, in one run, and weighs an idle caller.

--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -6,13 +6,15 @@
 import curio
 
 from deckdrum.bench.demo import run_demo
+from deckdrum.bench.relay import measure_relay
 from deckdrum.commands.parsing import EXIT_FAILED, EXIT_OK, make_parser
 from deckdrum.utils.virtualtime import run_virtual
 
 _DESCRIPTION = """\
 Runs proxies and stand-ins in one process.
 
-  demo   the whole path with figures; fails if any promise is broken"""
+  demo   the whole path with figures; fails if any promise is broken
+  relay  cost of the relay in wall-clock time, as ratios in one run"""
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -25,7 +27,12 @@
         action='store_true',
         help='in virtual time: the same figures on every run',
     )
+    commands.add_parser('relay', help='cost of the relay')
     options = parser.parse_args(arguments)
+    if options.command == 'relay':
+        for name, figure in curio.run(measure_relay).items():
+            sys.stdout.write(f'{name}: {figure:.2f}\n')
+        return EXIT_OK
     run = run_virtual if options.virtual else curio.run
     account = run(run_demo)
     sys.stdout.write('\n'.join((*account.lines, '')))
