Ask a replica for its position behind the read, not beside it

Cause: a current read cost 14 probes: after each read every database was probed to learn how far the replica was that had answered. Change: the keeper sends its query for the replica's state behind the caller's messages on the same connection; a wait for one database probes only that one. The bench leaves sleeps out, whose clock is too coarse. What is left are the three probes of the confirmation, which many callers share; one caller alone pays them all.

--- a/deckdrum/bench/deployment.py
+++ b/deckdrum/bench/deployment.py
@@ -44,6 +44,8 @@
     max_connections: int = 25
     connect_time: float = 0.01
     hop_latency: float = 0.0015
+    local_latency: float = 0.0001
+    statement_time: float = 0.0002
     apply_lag: float = 0.02
     #: First of the fixed ports; 0 takes free ones.
     first_port: int = 0
@@ -201,6 +203,8 @@
                 connect_time=layout.connect_time,
                 hop_latency=layout.hop_latency,
                 apply_lag=layout.apply_lag,
+                local_latency=layout.local_latency,
+                statement_time=layout.statement_time,
             )
             database = StandinDatabase(profile)
             await database.start()
--- a/deckdrum/bench/relay.py
+++ b/deckdrum/bench/relay.py
@@ -42,7 +42,10 @@
     """Return the figures by name, with their units in the names."""
     layout = Layout(
         services=(_SERVICE,),
+        # The clock of a sleep is too coarse to be part of the comparison.
         hop_latency=0,
+        local_latency=0,
+        statement_time=0,
         connect_time=0,
         proxies=1,
     )
--- a/deckdrum/databases/base.py
+++ b/deckdrum/databases/base.py
@@ -104,6 +104,10 @@
     async def query(self, text: str) -> QueryAnswer:
         """Run a simple query and return its whole answer."""
 
+    @abstractmethod
+    async def read_answer(self) -> QueryAnswer:
+        """Return the whole answer to a query that was sent."""
+
     @abstractmethod
     async def cancel(self) -> None:
         """Ask the database to cancel what runs on this connection."""
@@ -130,6 +134,15 @@
         """Name of the database."""
         return self.entry.name
 
+    @property
+    @abstractmethod
+    def state_request(self) -> bytes:
+        """Messages that ask for the state, to send behind a batch."""
+
+    @abstractmethod
+    def decode_state(self, answer: QueryAnswer) -> DatabaseState | None:
+        """Return the state in an answer, or None if it is none."""
+
     @abstractmethod
     async def connect(self, limit: float) -> DatabaseLink:
         """Open a connection within `limit` seconds.
--- a/deckdrum/databases/postgres.py
+++ b/deckdrum/databases/postgres.py
@@ -25,6 +25,7 @@
 _CANCEL_LIMIT: Final = 1.0
 _TRUE_WORDS: Final = frozenset(('1', 't', 'true'))
 _STATE_QUERY: Final = 'SELECT * FROM deckdrum_state'
+_STATE_REQUEST: Final = codec.Query(query_string=_STATE_QUERY).to_wire()
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +125,10 @@
     async def query(self, text: str) -> QueryAnswer:
         """Run a simple query and return its whole answer."""
         await self.send(codec.Query(query_string=text).to_wire())
+        return await self.read_answer()
+
+    async def read_answer(self) -> QueryAnswer:
+        """Return the whole answer to a query that was sent."""
         rows: list[tuple[str | None, ...]] = []
         failure = QueryAnswer()
         while True:
@@ -230,6 +235,28 @@
         super().__init__(entry)
         self._credentials = credentials
 
+    @property
+    def state_request(self) -> bytes:
+        """Messages that ask for the state, to send behind a batch."""
+        return _STATE_REQUEST
+
+    def decode_state(self, answer: QueryAnswer) -> DatabaseState | None:
+        """Return the state in an answer, or None if it is none."""
+        if answer.sqlstate or not answer.rows:
+            return None
+        role, *numbers, leaving = answer.rows[0]
+        term, received, applied, fenced = (
+            int(number or 0) for number in numbers
+        )
+        return DatabaseState(
+            Role(role or ''),
+            term,
+            received,
+            applied,
+            fenced,
+            leaving in _TRUE_WORDS,
+        )
+
     async def connect(self, limit: float) -> DatabaseLink:
         """Open a connection within `limit` seconds."""
         stream = await dial(self.entry.endpoint, limit)
@@ -278,21 +305,7 @@
         return await self._ask(link, call)
 
     async def _ask(self, link: DatabaseLink, text: str) -> DatabaseState | None:
-        answer = await link.query(text)
-        if answer.sqlstate or not answer.rows:
-            return None
-        role, *numbers, leaving = answer.rows[0]
-        term, received, applied, fenced = (
-            int(number or 0) for number in numbers
-        )
-        return DatabaseState(
-            Role(role or ''),
-            term,
-            received,
-            applied,
-            fenced,
-            leaving in _TRUE_WORDS,
-        )
+        return self.decode_state(await link.query(text))
 
 
 def _decode_row(frame: Frame) -> tuple[str | None, ...]:
--- a/deckdrum/databases/watch.py
+++ b/deckdrum/databases/watch.py
@@ -59,6 +59,8 @@
         self.probes = 0
         #: Probes in a row that told nothing new.
         self.repeats = 0
+        #: Requests that wait for a fresh state.
+        self.interest = 0
         #: Set when a request begins to wait for a fresh state.
         self.wanted = curio.Event()
         self._link: DatabaseLink | None = None
@@ -85,9 +87,9 @@
         self.sample = Sample(state, started_at)
         return True
 
-    def pick_pause(self, is_interesting: bool) -> float:
+    def pick_pause(self) -> float:
         """Return how long to rest before the next probe, in seconds."""
-        if not is_interesting:
+        if not self.interest:
             return IDLE_INTERVAL
         if self.repeats == 0:
             return 0
@@ -121,7 +123,6 @@
         self.term = 0
         self.primary = ''
         self._changed = curio.Condition()
-        self._interest = 0
         self._candidate: Sample | None = None
         self._tasks: list[Any] = []
 
@@ -170,6 +171,7 @@
         self,
         check: Callable[[], _Found | None],
         limit: float,
+        names: Iterable[str] | None = None,
     ) -> _Found | None:
         """Probe without pause until `check` gives something.
 
@@ -179,13 +181,15 @@
             Looks at the samples; called after each probe.
         limit : float
             Longest wait in seconds.
+        names : iterable of str, optional
+            Databases to probe; all by default.
 
         Returns
         -------
         object or None
             What `check` gave, or None after `limit`.
         """
-        async with self._interested():
+        async with self._interested(names or self.watchers):
             async with curio.ignore_after(limit):
                 return await self._wait_changed(check)
         return None
@@ -212,7 +216,7 @@
         """Return how far a database has applied, fetched from now on."""
         began = await curio.clock()
         check = partial(_read_applied, self.watchers[name], began)
-        return await self.wait_for(check, limit)
+        return await self.wait_for(check, limit, (name,))
 
     async def _wait_changed(
         self,
@@ -226,14 +230,16 @@
                 await self._changed.wait()
 
     @asynccontextmanager
-    async def _interested(self) -> AsyncIterator[None]:
-        self._interest += 1
-        for watcher in self.watchers.values():
+    async def _interested(self, names: Iterable[str]) -> AsyncIterator[None]:
+        watchers = [self.watchers[name] for name in names]
+        for watcher in watchers:
+            watcher.interest += 1
             await watcher.wanted.set()
         try:
             yield
         finally:
-            self._interest -= 1
+            for watcher in watchers:
+                watcher.interest -= 1
 
     async def _run(self, watcher: Watcher) -> None:
         while True:
@@ -245,9 +251,7 @@
             if not is_answered:
                 await curio.sleep(FAILURE_INTERVAL)
                 continue
-            async with curio.ignore_after(
-                watcher.pick_pause(self._interest > 0)
-            ):
+            async with curio.ignore_after(watcher.pick_pause()):
                 await watcher.wanted.wait()
 
     def _note(self, watcher: Watcher) -> None:
--- a/deckdrum/invariants/tests/test_invariants.py
+++ b/deckdrum/invariants/tests/test_invariants.py
@@ -65,7 +65,7 @@
 def acknowledge_alone(patch: pytest.MonkeyPatch) -> None:
     """Break: the primary's own word is enough to acknowledge."""
 
-    async def trust(session: Any, route: Any) -> Position | None:
+    async def trust(session: Any, route: Any, end: Any) -> Position | None:
         watch = session._keeper.watch
         name = route.pool.database.name
         position: Position | None = await watch.fetch_applied(name, 3)
--- a/deckdrum/keepers/core.py
+++ b/deckdrum/keepers/core.py
@@ -14,7 +14,7 @@
 import curio
 
 from deckdrum.configuration import Document, Service
-from deckdrum.databases import Database
+from deckdrum.databases import Database, QueryAnswer
 from deckdrum.databases.pool import Pool
 from deckdrum.databases.watch import ServiceWatch
 from deckdrum.fleet.channels import Channel
@@ -195,15 +195,25 @@
             return _DEFAULT_IDLE_LIMIT
         return declared.idle_transaction_limit
 
-    async def settle_read(self, route: Route) -> Position | None:
+    async def settle_read(
+        self,
+        route: Route,
+        trailer: QueryAnswer | None,
+    ) -> Position | None:
         """Return a position that covers what a replica has just shown.
 
+        `trailer` is the replica's state as sent behind the read, if it was.
+
         With up to three databases a replica and its primary are a majority;
         in larger groups a majority must confirm what the replica showed.
         """
         limit = self.service.confirm_limit
-        name = route.pool.database.name
-        seen = await self.watch.fetch_applied(name, limit)
+        database = route.pool.database
+        state = database.decode_state(trailer) if trailer else None
+        if state is None:
+            seen = await self.watch.fetch_applied(database.name, limit)
+        else:
+            seen = Position(state.term, state.applied)
         if seen is None or len(self.databases) <= _PAIR_IS_MAJORITY:
             return seen
         confirmed = await self.watch.confirm(limit)
--- a/deckdrum/keepers/relay.py
+++ b/deckdrum/keepers/relay.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from deckdrum.databases import DatabaseLink
+from deckdrum.databases import DatabaseLink, QueryAnswer
 from deckdrum.fleet.messages import RunBatch
 from deckdrum.keepers.access import Access
 from deckdrum.keepers.rewriting import Expected, Rewriter
@@ -69,12 +69,15 @@
         SQLSTATE, if the database ran nothing and nothing was passed on.
     failed : bool
         Whether the database reported an error.
+    trailer : QueryAnswer or None
+        Answer to the request that was sent behind the batch.
     """
 
     status: str
     held: bytes = b''
     rejected: str = ''
     failed: bool = False
+    trailer: QueryAnswer | None = None
 
 
 class Relay:
@@ -88,6 +91,9 @@
         What to run.
     sink : callable
         Coroutine function that passes answer bytes on.
+    trailer : bytes
+        A query of the keeper's own to send behind the batch: its answer
+        comes with the batch's, without a round trip of its own.
     """
 
     def __init__(
@@ -95,10 +101,12 @@
         link: DatabaseLink,
         batch: RunBatch,
         sink: Sink,
+        trailer: bytes = b'',
     ) -> None:
         self._link = link
         self._batch = batch
         self._sink = sink
+        self._trailer = trailer
         self._buffer = bytearray()
         self._held = bytearray()
         self._is_holding = False
@@ -121,12 +129,13 @@
         rewriter = Rewriter(self._batch.statements, self._link.prepared)
         rewritten = rewriter.rewrite(self._batch.payload)
         self.is_sent = True
-        await self._link.send(rewritten.payload)
+        await self._link.send(rewritten.payload + self._trailer)
         replies = rewritten.replies
         while rewritten.ends_with_sync or replies > 0:
             frame = await self._next_frame()
             if frame.tag == tags.READY:
-                return self._finish(frame.body.decode())
+                answer = await self._read_trailer()
+                return self._finish(frame.body.decode(), answer)
             if frame.tag in _EXPECTED_TAGS:
                 expected = rewritten.expected.popleft()
                 replies -= int(not expected.is_dropped)
@@ -151,6 +160,9 @@
             self._buffer.clear()
             await self._sink(payload)
 
+    async def _read_trailer(self) -> QueryAnswer | None:
+        return await self._link.read_answer() if self._trailer else None
+
     async def _next_frame(self) -> Frame:
         frame = self._link.take_frame()
         if frame is None:
@@ -182,12 +194,17 @@
         self._held.clear()
         await self.flush()
 
-    def _finish(self, status: str) -> RelayEnd:
+    def _finish(
+        self,
+        status: str,
+        trailer: QueryAnswer | None = None,
+    ) -> RelayEnd:
         is_rejected = self._sqlstate in _NOT_RUN_STATES and status != 'E'
         if is_rejected and not self._is_holding and not self.is_touched:
             return RelayEnd(status, rejected=self._sqlstate, failed=True)
         held = bytes(self._buffer) + bytes(self._held)
-        return RelayEnd(status, held, failed=bool(self._sqlstate))
+        failed = bool(self._sqlstate)
+        return RelayEnd(status, held, failed=failed, trailer=trailer)
 
     def _note_error(self, frame: Frame) -> None:
         fields = decode_backend(frame).fields
--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -26,6 +26,7 @@
 from deckdrum.keepers.routing import Route
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.sessions import Position
+from deckdrum.wire import Frame, tags
 
 if TYPE_CHECKING:
     from deckdrum.keepers.core import Keeper
@@ -34,6 +35,7 @@
 _ALIVE_CHECK = 0.5
 _RETRY_PAUSE = 0.05
 _IDLE = 'I'
+_FLUSH = Frame.build(tags.FLUSH).raw
 
 
 class CallerGoneError(Exception):
@@ -202,7 +204,12 @@
     async def _attempt(self, attempt: _Attempt) -> _Attempt | None:
         """Run a batch on the connection that the channel holds."""
         holding = self._require_holding()
-        relay = Relay(holding.lease.link, attempt.batch, self._pass_rows)
+        relay = Relay(
+            holding.lease.link,
+            attempt.batch,
+            self._pass_rows,
+            _read_trailer(holding.route, attempt.batch),
+        )
         try:
             end = await self._guard(relay, holding.route)
         except ConnectionError as error:
@@ -293,7 +300,7 @@
         await self._let_go(end)
         floor: Position | None = Position(0, 0)
         if end.status == _IDLE:
-            floor = await self._confirm(route)
+            floor = await self._confirm(route, end)
         if floor is None:
             code = Code.UNCONFIRMED
             if not route.is_primary:
@@ -312,7 +319,11 @@
         )
         self._keeper.note_done(self._group, route)
 
-    async def _confirm(self, route: Route) -> Position | None:
+    async def _confirm(
+        self,
+        route: Route,
+        end: RelayEnd,
+    ) -> Position | None:
         """Return the position that the answer rests on, once it is safe."""
         service = self._keeper.service
         watch = self._keeper.watch
@@ -323,7 +334,7 @@
                     service.confirm_limit,
                 )
             return await watch.confirm(service.confirm_limit)
-        return await self._keeper.settle_read(route)
+        return await self._keeper.settle_read(route, end.trailer)
 
     async def _let_go(self, end: RelayEnd) -> None:
         """Give the connection back if no transaction is open."""
@@ -371,3 +382,10 @@
         return await relay.run()
     except (ConnectionError, AnswerTooLargeError, CallerGoneError) as error:
         return error
+
+
+def _read_trailer(route: Route, batch: RunBatch) -> bytes:
+    """Return what to ask a replica behind a read: how far it is."""
+    if route.is_primary or batch.payload.endswith(_FLUSH):
+        return b''
+    return route.pool.database.state_request
--- a/deckdrum/standins/transactions.py
+++ b/deckdrum/standins/transactions.py
@@ -179,6 +179,8 @@
         match = _SLEEP.match(text)
         if match is not None:
             seconds += float(match.group(1))
+        if not seconds:
+            return
         self.cancelled.clear()
         async with curio.ignore_after(seconds):
             await self.cancelled.wait()
