Experiments: replica reads, failover gap, fair share, replacement, races

Change: experiments in virtual time with bounds and naive baselines. They led to these changes: a keeper with a bad link to the primary steps aside and gives up requests that wait in vain (one bad link hung them for ever); pools open connections ahead; what another group lately needed is not lent, and an idle transaction on a lent connection gives way.

--- a/deckdrum/bench/demo.py
+++ b/deckdrum/bench/demo.py
@@ -9,8 +9,15 @@
 
 from deckdrum.bench.client import Client
 from deckdrum.bench.deployment import Deployment, Layout
+from deckdrum.bench.experiments.failover import list_reports
 from deckdrum.bench.history import Told
-from deckdrum.bench.workload import Load, Pace, create_table, read_rows
+from deckdrum.bench.workload import (
+    Load,
+    Pace,
+    create_table,
+    read_replica_share,
+    read_rows,
+)
 from deckdrum.failover import FailoverReport
 
 _SERVICE: Final = 'stalls'
@@ -107,15 +114,6 @@
     return not answer.sqlstate
 
 
-def list_reports(deployment: Deployment) -> list[FailoverReport]:
-    """Return the reports of every proxy."""
-    found: list[FailoverReport] = []
-    for proxy in deployment.proxies.values():
-        for keeper in proxy.keeping.keepers.values():
-            found.extend(keeper.supervisor.reports)
-    return found
-
-
 def _show_history(
     deployment: Deployment,
     load: Load,
@@ -147,17 +145,6 @@
         account.tell(each, is_right=False)
 
 
-def read_replica_share(deployment: Deployment) -> float:
-    """Return the share of answered reads that replicas served."""
-    on_replicas = 0
-    in_all = 0
-    for proxy in deployment.proxies.values():
-        count = proxy.metrics.read_batches
-        on_replicas += count(access='read', outcome='done', target='replica')
-        in_all += count(access='read', outcome='done')
-    return on_replicas / in_all if in_all else 0
-
-
 def _has_number(proxy: Any, number: int) -> Callable[[], bool]:
     return lambda: proxy.view.number >= number
 
--- /dev/null
+++ b/deckdrum/bench/policies.py
@@ -0,0 +1,60 @@
+"""Naive policies, for comparison in the same run."""
+
+import itertools
+
+from deckdrum.bench.deployment import Deployment
+from deckdrum.fleet.messages import RunBatch
+from deckdrum.keepers.access import Access
+from deckdrum.keepers.core import Keeper
+from deckdrum.keepers.routing import Reason, Route, Router
+from deckdrum.outcomes import Refusal
+
+
+class PrimaryRouter(Router):
+    """Sends every read to the primary."""
+
+    async def choose(
+        self,
+        batch: RunBatch,
+        access: Access,
+        limit: float,
+    ) -> Route | Refusal:
+        """Return the route to the primary."""
+        if access is Access.WRITE:
+            return await super().choose(batch, access, limit)
+        return await self.choose_primary(Reason.NO_REPLICA, limit)
+
+
+class RotatingRouter(Router):
+    """Sends reads to replicas in turn, whatever they have applied."""
+
+    _turns = itertools.count()
+
+    async def choose(
+        self,
+        batch: RunBatch,
+        access: Access,
+        limit: float,
+    ) -> Route | Refusal:
+        """Return the route to the next replica."""
+        if access is Access.WRITE:
+            return await super().choose(batch, access, limit)
+        replicas = [name for name in self.pools if name != self.watch.primary]
+        name = replicas[next(self._turns) % len(replicas)]
+        return Route(self.pools[name], False, self.watch.term, Reason.REPLICA)
+
+
+def install_router(deployment: Deployment, router_type: type[Router]) -> None:
+    """Have every keeper of a deployment route by another policy."""
+    for proxy in deployment.proxies.values():
+        for keeper in proxy.keeping.keepers.values():
+            keeper.router = _make_router(keeper, router_type)
+
+
+def _make_router(keeper: Keeper, router_type: type[Router]) -> Router:
+    return router_type(
+        keeper.service,
+        keeper.watch,
+        keeper.pools,
+        keeper.around.data_centre,
+    )
--- a/deckdrum/bench/workload.py
+++ b/deckdrum/bench/workload.py
@@ -3,6 +3,7 @@
 import itertools
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import Any, Final
 
@@ -16,9 +17,14 @@
 _RECONNECT_PAUSE: Final = 0.05
 
 
-async def create_table(deployment: Deployment, service: str) -> None:
+async def create_table(
+    deployment: Deployment,
+    service: str,
+    group: str = 'growers',
+) -> None:
     """Create the table that the load uses."""
-    client = await deployment.connect(min(deployment.proxies), service=service)
+    proxy = min(deployment.proxies)
+    client = await deployment.connect(proxy, group, service)
     answer = await client.run(f'CREATE TABLE {TABLE} (id int, writer text)')
     await client.close()
     if answer.sqlstate:
@@ -34,6 +40,25 @@
     return [row[0] for row in rows]
 
 
+def read_replica_share(
+    deployment: Deployment,
+    accesses: tuple[str, ...] = ('current', 'aged'),
+) -> float:
+    """Return the share of answered reads that replicas served."""
+    on_replicas = 0
+    in_all = 0
+    for proxy in deployment.proxies.values():
+        for access in accesses:
+            count = partial(
+                proxy.metrics.read_batches,
+                access=access,
+                outcome='done',
+            )
+            on_replicas += count(target='replica')
+            in_all += count()
+    return on_replicas / in_all if in_all else 0
+
+
 @dataclass(slots=True)
 class Pace:
     """How a load behaves; times in seconds.
@@ -83,6 +108,10 @@
             await task.join()
         return self.history
 
+    def start_numbers(self, first: int) -> None:
+        """Set the number of the first write."""
+        self._numbers = itertools.count(first)
+
     def take_number(self) -> int:
         """Return the number of the next write."""
         return next(self._numbers)
--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -1,10 +1,16 @@
 """``deckdrum-bench``: the demonstration and experiments, on stand-ins."""
 
+import argparse
+import json
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from types import MappingProxyType
+from typing import Final
 
 import curio
 
+from deckdrum.bench import runner
 from deckdrum.bench.demo import run_demo
 from deckdrum.bench.relay import measure_relay
 from deckdrum.commands.parsing import EXIT_FAILED, EXIT_OK, make_parser
@@ -14,26 +20,114 @@
 Runs proxies and stand-ins in one process.
 
   demo   the whole path with figures; fails if any promise is broken
+  list   names of the experiments
+  run    one experiment in virtual time
+  all    every experiment, compared with the committed baseline
   relay  cost of the relay in wall-clock time, as ratios in one run"""
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Run the program and return its exit code."""
+def say(*lines: str) -> None:
+    """Write lines to standard output."""
+    for line in lines:
+        sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def demo(options: argparse.Namespace) -> int:
+    """Show the whole path with figures."""
+    run = run_virtual if options.virtual else curio.run
+    account = run(run_demo)
+    say(*account.lines)
+    return EXIT_FAILED if account.failures else EXIT_OK
+
+
+def relay(options: argparse.Namespace) -> int:
+    """Measure the cost of the relay."""
+    for name, figure in curio.run(measure_relay).items():
+        say(f'{name}: {figure:.2f}')
+    return EXIT_OK
+
+
+def list_names(options: argparse.Namespace) -> int:
+    """List the experiments."""
+    for name, experiment in runner.EXPERIMENTS.items():
+        say(f'{name:20} {experiment.about}')
+    return EXIT_OK
+
+
+def run_one(options: argparse.Namespace) -> int:
+    """Run one experiment."""
+    figures = runner.run_experiment(options.name, options.seed)
+    if options.json:
+        say(json.dumps(runner.encode(figures), indent=1))
+    else:
+        say(*runner.describe(options.name, figures))
+    is_met = all(each.is_met for each in figures)
+    return EXIT_OK if is_met else EXIT_FAILED
+
+
+def run_all(options: argparse.Namespace) -> int:
+    """Run every experiment and compare with the baseline."""
+    baseline = runner.read_baseline()
+    found = {}
+    faults = []
+    for name in runner.EXPERIMENTS:
+        figures = runner.run_experiment(name, options.seed)
+        found[name] = figures
+        say(*runner.describe(name, figures))
+        worse = runner.find_regressions(figures, baseline.get(name, {}))
+        say(*(f'  WORSE {each}' for each in worse))
+        faults.extend(worse)
+        faults.extend(each.name for each in figures if not each.is_met)
+    runner.write_report(found, options.output)
+    if options.rebase:
+        runner.write_baseline(found)
+    return EXIT_FAILED if faults else EXIT_OK
+
+
+_Step = Callable[[argparse.Namespace], int]
+_STEPS: Final[Mapping[str, _Step]] = MappingProxyType(
+    {
+        'demo': demo,
+        'list': list_names,
+        'run': run_one,
+        'all': run_all,
+        'relay': relay,
+    }
+)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the command line of ``deckdrum-bench``."""
     parser = make_parser('deckdrum-bench', _DESCRIPTION)
     commands = parser.add_subparsers(dest='command', required=True)
-    demo = commands.add_parser('demo', help='the whole path with figures')
-    demo.add_argument(
+    parsers = {
+        name: commands.add_parser(name, help=(step.__doc__ or '').strip())
+        for name, step in _STEPS.items()
+    }
+    parsers['demo'].add_argument(
         '--virtual',
         action='store_true',
         help='in virtual time: the same figures on every run',
     )
-    commands.add_parser('relay', help='cost of the relay')
-    options = parser.parse_args(arguments)
-    if options.command == 'relay':
-        for name, figure in curio.run(measure_relay).items():
-            sys.stdout.write(f'{name}: {figure:.2f}\n')
-        return EXIT_OK
-    run = run_virtual if options.virtual else curio.run
-    account = run(run_demo)
-    sys.stdout.write('\n'.join((*account.lines, '')))
-    return EXIT_FAILED if account.failures else EXIT_OK
+    parsers['run'].add_argument('name', choices=list(runner.EXPERIMENTS))
+    parsers['run'].add_argument('--json', action='store_true')
+    for name in ('run', 'all'):
+        parsers[name].add_argument('--seed', type=int, default=1)
+    parsers['all'].add_argument(
+        '--output',
+        type=Path,
+        default=Path('build/bench.json'),
+    )
+    parsers['all'].add_argument(
+        '--rebase',
+        action='store_true',
+        help='write the figures as the new baseline',
+    )
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the program and return its exit code."""
+    options = build_parser().parse_args(arguments)
+    return _STEPS[options.command](options)
--- a/deckdrum/databases/pool.py
+++ b/deckdrum/databases/pool.py
@@ -12,6 +12,8 @@
 
 #: Longest wait for a new connection, in seconds.
 CONNECT_LIMIT: Final = 1.0
+#: Connections that a pool keeps open ahead of requests.
+WARM_CONNECTIONS: Final = 3
 
 
 @dataclass(slots=True, eq=False)
@@ -87,6 +89,22 @@
             await lease.link.close()
         await self.queue.release(lease.permit)
 
+    async def warm(self) -> None:
+        """Open connections ahead, so that a request need not wait for one.
+
+        One connection a call, so that many proxies that start together do
+        not storm a database.
+        """
+        in_use = len(self._idle) + self.queue.held
+        if in_use >= min(WARM_CONNECTIONS, self.queue.slots):
+            return
+        try:
+            link = await self.database.connect(CONNECT_LIMIT)
+        except ConnectionError:
+            return
+        self.opened += 1
+        self._idle.append(link)
+
     async def close_idle(self) -> None:
         """Close the connections that nobody uses."""
         while self._idle:
--- a/deckdrum/databases/watch.py
+++ b/deckdrum/databases/watch.py
@@ -63,6 +63,7 @@
         self.interest = 0
         #: Set when a request begins to wait for a fresh state.
         self.wanted = curio.Event()
+        self._begun_at: float = 0
         self._link: DatabaseLink | None = None
 
     @property
@@ -70,9 +71,15 @@
         """Whether the last probe was answered."""
         return self.sample is not None and self.failures == 0
 
+    def is_silent(self, now: float, limit: float) -> bool:
+        """Tell whether the last `limit` seconds brought no answer."""
+        last = self.sample.started_at if self.sample else self._begun_at
+        return self.failures > 0 and now - last >= limit
+
     async def probe(self) -> bool:
         """Ask once; return whether an answer came."""
         started_at = await curio.clock()
+        self._begun_at = self._begun_at or started_at
         self.probes += 1
         try:
             async with curio.timeout_after(PROBE_LIMIT):
@@ -167,6 +174,15 @@
             return None
         return watcher.sample.state if watcher.sample else None
 
+    def sees_majority(self, now: float, limit: float) -> bool:
+        """Tell whether a majority has answered within `limit` seconds."""
+        silent = [
+            watcher
+            for watcher in self.watchers.values()
+            if watcher.is_silent(now, limit)
+        ]
+        return len(self.watchers) - len(silent) >= self.majority
+
     async def wait_for(
         self,
         check: Callable[[], _Found | None],
--- a/deckdrum/keepers/core.py
+++ b/deckdrum/keepers/core.py
@@ -32,8 +32,14 @@
 
 #: Decisions kept for ``deckdrumctl explain``.
 _DECISIONS: Final = 500
+#: Silence of a database after which its requests are given up, in seconds.
+SILENCE_LIMIT: Final = 3.0
+#: Silence of most databases after which another keeper is better, in seconds.
+FIT_LIMIT: Final = 1.0
 #: Databases up to which a replica and its primary make a majority.
 _PAIR_IS_MAJORITY: Final = 3
+#: Pause between two looks at the pools, in seconds.
+_WARM_ROUND: Final = 0.05
 _DEFAULT_IDLE_LIMIT: Final = 10.0
 
 
@@ -106,6 +112,10 @@
         )
         self.decisions: deque[Decision] = deque(maxlen=_DECISIONS)
         self.is_draining = False
+        #: Until when this proxy leaves the service to others.
+        self.unfit_until: float = 0
+        #: Whether a caller has ever used the service here.
+        self.was_used = False
         self.supervisor = Supervisor(self)
         self._sessions: dict[str, KeeperSession] = {}
         self._tasks: list[Any] = []
@@ -124,7 +134,8 @@
         """Begin to watch the databases."""
         self.adopt_record()
         await self.watch.start()
-        self._tasks = [await curio.spawn(self.supervisor.run, daemon=True)]
+        for run in (self.supervisor.run, self._keep_warm):
+            self._tasks.append(await curio.spawn(run, daemon=True))
 
     async def close(self) -> None:
         """Stop, and close every connection."""
@@ -161,6 +172,7 @@
         """Run the batches of a channel; see `KeeperSession.run`."""
         session = KeeperSession(self, channel, opened)
         self._sessions[opened.channel] = session
+        self.was_used = True
         try:
             return await session.run()
         finally:
@@ -183,10 +195,28 @@
         is_settled = record.phase is Phase.SETTLED
         self.watch.adopt(record.term, record.primary if is_settled else '')
 
-    def has_moved(self, term: int) -> bool:
-        """Tell whether the group has left `term`."""
+    async def has_lost(self, route: Route) -> bool:
+        """Tell whether a batch on `route` waits in vain for its answer.
+
+        The group has moved to another term, or the database has been silent
+        so long that its link must be gone.
+        """
         self.adopt_record()
-        return self.watch.term != term
+        if self.watch.term != route.term:
+            return True
+        watcher = self.watch.watchers[route.pool.database.name]
+        return watcher.is_silent(await curio.clock(), SILENCE_LIMIT)
+
+    async def is_fit(self) -> bool:
+        """Tell whether this proxy should take work for the service.
+
+        A proxy with a bad link to the primary, or cut off from most of the
+        databases, leaves the service to the next keeper.
+        """
+        now = await curio.clock()
+        if self.is_draining or now < self.unfit_until:
+            return False
+        return self.watch.sees_majority(now, FIT_LIMIT)
 
     def read_idle_limit(self, group: str) -> float:
         """Return how long a transaction of `group` may pause, in seconds."""
@@ -222,11 +252,10 @@
     def note_done(self, group: str, route: Route) -> None:
         """Count and remember an answered batch."""
         target = 'primary' if route.is_primary else 'replica'
-        access = 'change' if route.reason.is_change else 'read'
         self.around.metrics.count_batch(
             self.service.name,
             group,
-            access,
+            route.access.value,
             target,
             'done',
         )
@@ -263,6 +292,18 @@
         """Count an event."""
         self.around.metrics.count(event)
 
+    async def _keep_warm(self) -> None:
+        """Keep a few connections open while callers use the service."""
+        while True:
+            if self.was_used:
+                await self._warm_pools()
+            await curio.sleep(_WARM_ROUND)
+
+    async def _warm_pools(self) -> None:
+        for name, pool in self.pools.items():
+            if self.watch.read_state(name) is not None:
+                await pool.warm()
+
     def _count_slots(self, database: Database) -> int:
         reserved = self.service.reserved_connections
         return database.entry.max_connections - reserved
--- a/deckdrum/keepers/routing.py
+++ b/deckdrum/keepers/routing.py
@@ -1,7 +1,7 @@
 """Choosing the database for a batch."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from functools import partial
 from typing import Final
@@ -43,6 +43,7 @@
     is_primary: bool
     term: int
     reason: Reason
+    access: Access = Access.WRITE
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,8 +77,8 @@
         data_centre: str,
     ) -> None:
         self._service = service
-        self._watch = watch
-        self._pools = pools
+        self.watch = watch
+        self.pools = pools
         self._data_centre = data_centre
         #: Databases that the platform lists as leaving.
         self.leaving: frozenset[str] = frozenset()
@@ -104,7 +105,29 @@
             Longest wait in seconds.
         """
         if access is Access.WRITE:
-            return await self._choose_primary(Reason.WRITE, limit)
+            return await self.choose_primary(Reason.WRITE, limit)
+        route = await self._choose_for_read(batch, access, limit)
+        if isinstance(route, Refusal):
+            return route
+        return replace(route, access=access)
+
+    async def choose_primary(
+        self,
+        reason: Reason,
+        limit: float,
+    ) -> Route | Refusal:
+        """Return the route to the primary once there is one."""
+        pool = await self.watch.wait_for(self._find_primary, limit)
+        if pool is None:
+            return refuse(Code.NO_PRIMARY, f'service {self._service.name}')
+        return Route(pool, True, self.watch.term, reason)
+
+    async def _choose_for_read(
+        self,
+        batch: RunBatch,
+        access: Access,
+        limit: float,
+    ) -> Route | Refusal:
         floor = Position(*batch.floor)
         max_age: float | None = batch.max_age
         if access is Access.CURRENT:
@@ -119,7 +142,7 @@
         """Return a confirmed position, also across a change of term."""
         async with curio.ignore_after(limit):
             while True:
-                confirmed = await self._watch.confirm(limit)
+                confirmed = await self.watch.confirm(limit)
                 if confirmed is not None:
                     return confirmed
                 # The term has ended; the read has not run, so wait for the
@@ -127,16 +150,6 @@
                 await curio.sleep(_TERM_POLL)
         return None
 
-    async def _choose_primary(
-        self,
-        reason: Reason,
-        limit: float,
-    ) -> Route | Refusal:
-        pool = await self._watch.wait_for(self._find_primary, limit)
-        if pool is None:
-            return refuse(Code.NO_PRIMARY, f'service {self._service.name}')
-        return Route(pool, True, self._watch.term, reason)
-
     async def _choose_reader(self, need: Need, limit: float) -> Route | Refusal:
         find = partial(self._find_replica, need, await curio.clock())
         pool = find()
@@ -144,26 +157,26 @@
         if pool is None:
             wait = min(limit, self._service.catch_up_limit)
             # The age is bounded at the start: waiting must not age the data.
-            pool = await self._watch.wait_for(find, wait)
+            pool = await self.watch.wait_for(find, wait)
             reason = Reason.REPLICA_AFTER_WAIT
         if pool is not None:
-            return Route(pool, False, self._watch.term, reason)
-        if need.floor.term > self._watch.term:
+            return Route(pool, False, self.watch.term, reason)
+        if need.floor.term > self.watch.term:
             return refuse(Code.READ_NOT_POSSIBLE, 'the keeper lags behind')
-        return await self._choose_primary(Reason.NO_REPLICA, limit)
+        return await self.choose_primary(Reason.NO_REPLICA, limit)
 
     def _find_primary(self) -> Pool | None:
-        state = self._watch.read_state(self._watch.primary)
+        state = self.watch.read_state(self.watch.primary)
         if state is None or state.role is not Role.PRIMARY:
             return None
-        if not state.takes_part(self._watch.term):
+        if not state.takes_part(self.watch.term):
             return None
-        return self._pools.get(self._watch.primary)
+        return self.pools.get(self.watch.primary)
 
     def _find_replica(self, need: Need, now: float) -> Pool | None:
         fitting = [
             pool
-            for name, pool in self._pools.items()
+            for name, pool in self.pools.items()
             if self._fits(name, need, now)
         ]
         if not fitting:
@@ -171,25 +184,25 @@
         return min(fitting, key=self._rank)
 
     def _fits(self, name: str, need: Need, now: float) -> bool:
-        state = self._watch.read_state(name)
+        state = self.watch.read_state(name)
         if state is None or not self._may_read(name, state):
             return False
         if need.floor.term > state.term or need.floor.offset > state.applied:
             return False
         if need.max_age is None:
             return True
-        age = self._watch.history.bound_age(state.applied, now)
+        age = self.watch.history.bound_age(state.applied, now)
         return age <= need.max_age
 
     def _may_read(self, name: str, state: DatabaseState) -> bool:
         if state.leaving or name in self.leaving:
             return False
         is_replica = state.role is Role.REPLICA
-        return is_replica and state.takes_part(self._watch.term)
+        return is_replica and state.takes_part(self.watch.term)
 
     def _rank(self, pool: Pool) -> tuple[bool, int, bool, str]:
         entry = pool.database.entry
-        is_busy = not pool.queue.is_free
+        is_busy = pool.queue.is_busy
         is_far = entry.data_centre != self._data_centre
         load = pool.queue.held + pool.queue.waiting
         return (is_busy, load if is_busy else 0, is_far, entry.name)
--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -34,6 +34,11 @@
 #: How often a waiting relay looks whether its database is still in charge.
 _ALIVE_CHECK = 0.5
 _RETRY_PAUSE = 0.05
+#: How often an idle transaction is looked at, in seconds.
+_IDLE_CHECK = 0.25
+#: Idle time of a transaction on a lent connection that another group waits
+#: for, in seconds.
+_LENT_IDLE_LIMIT = 0.5
 _IDLE = 'I'
 _FLUSH = Frame.build(tags.FLUSH).raw
 
@@ -130,22 +135,32 @@
         if self._holding is None:
             return await self._channel.receive()
         limit = self._keeper.read_idle_limit(self._group)
-        async with curio.ignore_after(limit):
-            return await self._channel.receive()
+        idle: float = 0
+        while idle < limit and not self._must_give_back(idle):
+            async with curio.ignore_after(_IDLE_CHECK):
+                return await self._channel.receive()
+            idle += _IDLE_CHECK
         await self._drop()
         await self._refuse(
-            refuse(Code.IDLE_TRANSACTION, f'limit {limit} s'),
+            refuse(Code.IDLE_TRANSACTION, f'idle for {idle} s'),
             lost=True,
         )
         return None
 
+    def _must_give_back(self, idle: float) -> bool:
+        """Tell whether an idle transaction sits on another group's share."""
+        if idle < _LENT_IDLE_LIMIT or self._holding is None:
+            return False
+        queue = self._holding.route.pool.queue
+        return queue.is_wanted_back(self._group)
+
     async def _run_batch(self, batch: RunBatch) -> None:
         access = Access(batch.access)
         if self._holding is not None:
             await self._run_pinned(batch, access)
             return
-        if self._keeper.is_draining:
-            await self._refuse(refuse(Code.DRAINING, 'the keeper stops'))
+        if not await self._keeper.is_fit():
+            await self._refuse(refuse(Code.NO_KEEPER, 'another one is better'))
             return
         limit = self._keeper.service.wait_limit
         deadline = await curio.clock() + limit
@@ -285,8 +300,8 @@
             while not task.terminated:
                 async with curio.ignore_after(_ALIVE_CHECK):
                     await task.wait()
-                if not task.terminated and self._keeper.has_moved(route.term):
-                    raise ConnectionResetError('the primary was replaced')
+                if not task.terminated and await self._keeper.has_lost(route):
+                    raise ConnectionResetError('the database is gone')
         finally:
             if not task.terminated:
                 await task.cancel()
--- a/deckdrum/keepers/supervision.py
+++ b/deckdrum/keepers/supervision.py
@@ -30,6 +30,8 @@
 #: Pause between two tries to hand over from a leaving primary, in seconds.
 HAND_OVER_AGAIN: Final = 10.0
 _LEAVING: Final = 'the primary is leaving'
+#: How long a keeper leaves its service to others, in seconds.
+UNFIT_TIME: Final = 3.0
 #: Reports kept for ``deckdrumctl explain``.
 _REPORTS: Final = 50
 
@@ -215,6 +217,7 @@
             if is_reached:
                 # Only this proxy's link is bad: no reason to promote.
                 self._keeper.count('failover.vetoed')
+                await self._step_aside()
                 return RETRY_AFTER
         report.phases['decide'] = await curio.clock()
         driver = FailoverDriver(
@@ -234,6 +237,16 @@
         self._learned = report
         return ROUND
 
+    async def _step_aside(self) -> None:
+        """Leave the service to a proxy that reaches the primary."""
+        now: float = await curio.clock()
+        if now >= self._keeper.unfit_until:
+            self._around.journal.record(
+                'keeper.steps_aside',
+                service=self._keeper.service.name,
+            )
+        self._keeper.unfit_until = now + UNFIT_TIME
+
     async def _note_learned(self, held: HeldRecord) -> None:
         """Note when the new primary was first seen to lead."""
         report = self._learned
--- a/deckdrum/members/queue.py
+++ b/deckdrum/members/queue.py
@@ -2,19 +2,27 @@
 
 The free connection goes to the waiting group that holds the fewest
 connections for its weight; among equals to the one that has used the least.
-A group alone may use every connection; a group that comes back gets the next
-connection that is released.
+
+Beyond its share a group borrows.  What other groups have lately needed, up to
+their shares, is not lent: they find it free.  A need that is not felt again
+fades within seconds, so that a group alone uses every connection.
 """
 
+import math
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Final
 
 import curio
 
 from deckdrum.outcomes import Code, Refusal, refuse
 
+#: Time in which a need that is not felt again fades by half, in seconds.
+_NEED_HALF_LIFE: Final = 1.0
+#: How often a waiting request looks whether needs have faded, in seconds.
+_LOOK_AGAIN: Final = 0.25
+
 
 @dataclass(frozen=True, slots=True)
 class GroupShare:
@@ -42,13 +50,31 @@
 
 @dataclass(slots=True)
 class _Account:
-    """Holdings of one group: connections held, seconds used, and waiters."""
+    """Holdings of one group.
+
+    Connections held, seconds used, waiters, and how many connections it
+    lately needed at a time (`needed` as of `needed_at`).
+    """
 
     share: GroupShare
     held: int = 0
     used: float = 0
+    needed: float = 0
+    needed_at: float = 0
     waiting: deque[_Waiter] = field(default_factory=deque)
 
+    def note_need(self, now: float) -> None:
+        """Note a request: one connection more than are held is needed."""
+        wanted = self.held + len(self.waiting) + 1
+        self.needed = max(wanted, self.read_need(now))
+        self.needed_at = now
+
+    def read_need(self, now: float) -> float:
+        """Return the lately needed connections; fades by halves."""
+        age = now - self.needed_at
+        faded = math.exp2(-age / _NEED_HALF_LIFE)
+        return self.needed * faded
+
     def rank(self) -> tuple[float, float]:
         """Return the order in which groups are served; the least first."""
         weight = self.share.weight
@@ -67,7 +93,8 @@
     """
 
     def __init__(self, slots: int, shares: Mapping[str, GroupShare]) -> None:
-        self._slots = slots
+        #: Connections to share.
+        self.slots = slots
         self._shares = dict(shares)
         self._accounts: dict[str, _Account] = {}
         #: Permits granted so far.
@@ -84,21 +111,32 @@
         return sum(len(each.waiting) for each in self._accounts.values())
 
     @property
-    def is_free(self) -> bool:
-        """Whether a request would be served at once."""
-        return self.held < self._slots and not self.waiting
+    def is_busy(self) -> bool:
+        """Whether a request might have to wait."""
+        return self.held >= self.slots or self.waiting > 0
 
     def count_held(self, group: str) -> int:
         """Return the connections that `group` uses."""
         return self._find(group).held
 
+    def is_wanted_back(self, group: str) -> bool:
+        """Tell whether `group` borrows while another waits for its share."""
+        borrower = self._find(group)
+        if borrower.held <= self._count_share(borrower):
+            return False
+        return any(
+            account.waiting and account.held < self._count_share(account)
+            for account in self._accounts.values()
+            if account is not borrower
+        )
+
     async def resize(
         self,
         slots: int,
         shares: Mapping[str, GroupShare],
     ) -> None:
         """Take over a new configuration; held connections stay held."""
-        self._slots = slots
+        self.slots = slots
         self._shares = dict(shares)
         for group, account in self._accounts.items():
             account.share = self._shares.get(group, GroupShare())
@@ -122,15 +160,15 @@
         """
         account = self._find(group)
         now = await curio.clock()
-        if self.is_free:
+        account.note_need(now)
+        if not account.waiting and self._may_grant(account, now):
             return self._grant(account, group, now)
         if len(account.waiting) >= account.share.max_waiting:
             return refuse(Code.QUEUE_FULL, f'group {group}')
         waiter = _Waiter(group)
         account.waiting.append(waiter)
         try:
-            async with curio.ignore_after(limit):
-                await waiter.ready.wait()
+            await self._wait(waiter, limit)
         except curio.CancelledError:
             await self._abandon(account, waiter)
             raise
@@ -161,11 +199,44 @@
             self._accounts[group] = account
         return account
 
+    def _may_grant(self, account: _Account, now: float) -> bool:
+        """Tell whether a group may have one connection more."""
+        free = self.slots - self.held
+        if free <= 0:
+            return False
+        if account.held < self._count_share(account):
+            return True
+        return free > self._count_reserved(account, now)
+
+    def _count_share(self, account: _Account) -> int:
+        """Return the connections that belong to a group, at least one."""
+        weights = [share.weight for share in self._shares.values()]
+        whole = sum(weights) or account.share.weight
+        return max(1, int(self.slots * account.share.weight / whole))
+
+    def _count_reserved(self, borrower: _Account, now: float) -> int:
+        """Return the free connections that others are likely to need."""
+        reserved = 0
+        for account in self._accounts.values():
+            if account is not borrower:
+                need = round(account.read_need(now))
+                own = min(need, self._count_share(account))
+                reserved += max(0, own - account.held)
+        return reserved
+
     def _grant(self, account: _Account, group: str, now: float) -> Permit:
         account.held += 1
         self.granted += 1
         return Permit(group, now)
 
+    async def _wait(self, waiter: _Waiter, limit: float) -> None:
+        """Wait for a permit; needs of others that fade free connections."""
+        async with curio.ignore_after(limit):
+            while waiter.permit is None:
+                async with curio.ignore_after(_LOOK_AGAIN):
+                    await waiter.ready.wait()
+                await self._dispatch()
+
     async def _abandon(self, account: _Account, waiter: _Waiter) -> None:
         if waiter.permit is None:
             account.waiting.remove(waiter)
@@ -174,11 +245,15 @@
 
     async def _dispatch(self) -> None:
         now = await curio.clock()
-        while self.held < self._slots:
-            waiting = [each for each in self._accounts.values() if each.waiting]
-            if not waiting:
+        while True:
+            ready = [
+                each
+                for each in self._accounts.values()
+                if each.waiting and self._may_grant(each, now)
+            ]
+            if not ready:
                 return
-            account = min(waiting, key=_Account.rank)
+            account = min(ready, key=_Account.rank)
             waiter = account.waiting.popleft()
             waiter.permit = self._grant(account, waiter.group, now)
             await waiter.ready.set()
--- a/deckdrum/standins/replication.py
+++ b/deckdrum/standins/replication.py
@@ -17,6 +17,8 @@
 
 #: How often a stalled task looks whether its fault is over, in seconds.
 _FAULT_POLL: Final = 0.02
+#: Longest wait for the log to grow before faults are looked at, in seconds.
+_GROWTH_WAIT: Final = 0.5
 
 
 def _free_address() -> Address:
@@ -180,7 +182,7 @@
 
     async def wait_growth(self) -> None:
         """Return when the log has grown, or after a short while."""
-        async with curio.ignore_after(_FAULT_POLL):
+        async with curio.ignore_after(_GROWTH_WAIT):
             async with self._grown:
                 await self._grown.wait()
 
