Cut requests at every step; close streams only when nobody waits on them

Cause: the experiment outcomes stopped the whole process when a keeper was killed: a stream was closed while a task that had been woken by it had not run yet, and the next socket with the same number met a dead entry in the selector. Asking curio for waiting tasks does not show such a task. Change: closing waits until the selector itself no longer holds the descriptor. Experiments outcomes and retry-storm; requests that will not get their turn in time are refused at once.

--- a/deckdrum/bench/runner.py
+++ b/deckdrum/bench/runner.py
@@ -11,9 +11,11 @@
 from deckdrum.bench.experiments.base import describe_table
 from deckdrum.bench.experiments.failover import FailoverGap
 from deckdrum.bench.experiments.outages import ConfigRaces, StoreOutage
+from deckdrum.bench.experiments.outcomes import Outcomes
 from deckdrum.bench.experiments.reads import ReplicaReads
 from deckdrum.bench.experiments.rolling import RollingReplacement
 from deckdrum.bench.experiments.shares import FairShare
+from deckdrum.bench.experiments.storms import RetryStorm
 from deckdrum.utils.virtualtime import run_virtual
 
 #: How far a figure may be from the baseline, as a share of it.
@@ -28,6 +30,8 @@
     StoreOutage(),
     RollingReplacement(),
     ConfigRaces(),
+    RetryStorm(),
+    Outcomes(),
 )
 EXPERIMENTS: Final[Mapping[str, Experiment]] = MappingProxyType(
     {each.name: each for each in _ALL},
--- a/deckdrum/members/queue.py
+++ b/deckdrum/members/queue.py
@@ -20,6 +20,8 @@
 
 #: Time in which a need that is not felt again fades by half, in seconds.
 _NEED_HALF_LIFE: Final = 1.0
+#: Weight of the latest hold in the usual one.
+_HOLD_WEIGHT: Final = 0.05
 #: How often a waiting request looks whether needs have faded, in seconds.
 _LOOK_AGAIN: Final = 0.25
 
@@ -97,6 +99,7 @@
         self.slots = slots
         self._shares = dict(shares)
         self._accounts: dict[str, _Account] = {}
+        self._usual_hold: float = 0
         #: Permits granted so far.
         self.granted = 0
 
@@ -165,6 +168,9 @@
             return self._grant(account, group, now)
         if len(account.waiting) >= account.share.max_waiting:
             return refuse(Code.QUEUE_FULL, f'group {group}')
+        if self._expect_wait(account) > limit:
+            # Refused at once: it would not get its turn in time anyway.
+            return refuse(Code.QUEUE_TIMEOUT, f'group {group} waits too long')
         waiter = _Waiter(group)
         account.waiting.append(waiter)
         try:
@@ -184,7 +190,9 @@
         permit.spent = True
         account = self._find(permit.group)
         account.held -= 1
-        account.used += await curio.clock() - permit.granted_at
+        hold = await curio.clock() - permit.granted_at
+        account.used += hold
+        self._usual_hold += (hold - self._usual_hold) * _HOLD_WEIGHT
         await self._dispatch()
 
     def _find(self, group: str) -> _Account:
@@ -199,6 +207,12 @@
             self._accounts[group] = account
         return account
 
+    def _expect_wait(self, account: _Account) -> float:
+        """Return the likely wait of one request more, in seconds."""
+        ahead = len(account.waiting)
+        connections = max(account.held, self._count_share(account))
+        return ahead * self._usual_hold / connections
+
     def _may_grant(self, account: _Account, now: float) -> bool:
         """Tell whether a group may have one connection more."""
         free = self.slots - self.held
--- a/deckdrum/utils/streams.py
+++ b/deckdrum/utils/streams.py
@@ -117,8 +117,8 @@
             # Wakes a task of ours that still waits on the socket.
             await self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
-            await self._sock.close()
-            return
+            # Not connected any more: whoever waits is woken by that.
+            await curio.sleep(0)
         await self._wait_unused()
         await self._sock.close()
 
@@ -126,10 +126,12 @@
         """Let tasks that wait on the socket leave it before it is closed.
 
         The kernel's selector must not keep a closed descriptor: the next
-        socket with the same number would stop the whole process.
+        socket with the same number would stop the whole process.  A task
+        that has been woken and has not run yet keeps it too.
         """
-        descriptor = self._sock._fileno
-        while any(await curio.traps._io_waiting(descriptor)):
+        kernel = await curio.traps._get_kernel()
+        watched = kernel._selector.get_map()
+        while self._raw.fileno() in watched:
             await curio.sleep(0)
 
 
--- /dev/null
+++ b/deckdrum/utils/tests/test_streams.py
@@ -0,0 +1,75 @@
+"""Closing a stream must never leave its descriptor in the selector."""
+
+import curio
+
+from deckdrum.utils import Address, Listener, Stream, dial
+from deckdrum.utils.virtualtime import run_virtual
+
+
+async def _echo(stream: Stream) -> None:
+    while chunk := await stream.receive():
+        await stream.send(chunk)
+
+
+async def _wait_for_bytes(stream: Stream) -> bytes:
+    return await stream.receive()
+
+
+def test_closing_while_another_task_waits() -> None:
+    async def main() -> list[bytes]:
+        listener = Listener(Address('127.0.0.1', 0), _echo)
+        await listener.start()
+        found = []
+        for _ in range(20):
+            stream = await dial(listener.address, 1)
+            waiting = await curio.spawn(_wait_for_bytes, stream)
+            await curio.sleep(0)
+            await stream.close()
+            # The next socket takes the same descriptor at once.
+            other = await dial(listener.address, 1)
+            await other.send(b'x')
+            found.append(await other.receive())
+            assert await waiting.join() == b''
+            await other.close()
+        await listener.close()
+        return found
+
+    assert set(run_virtual(main)) == {b'x'}
+
+
+def test_closing_while_a_woken_task_has_not_run() -> None:
+    async def main() -> bytes:
+        listener = Listener(Address('127.0.0.1', 0), _echo)
+        await listener.start()
+        stream = await dial(listener.address, 1)
+        waiting = await curio.spawn(_wait_for_bytes, stream)
+        await curio.sleep(0)
+        await stream.send(b'wakes')
+        await curio.sleep(0)
+        await stream.close()
+        other = await dial(listener.address, 1)
+        await other.send(b'y')
+        answer = await other.receive()
+        await waiting.join()
+        await other.close()
+        await listener.close()
+        return answer
+
+    assert run_virtual(main) == b'y'
+
+
+def test_a_reset_peer_reads_as_closed() -> None:
+    async def leave(stream: Stream) -> None:
+        await stream.close()
+
+    async def main() -> bytes:
+        listener = Listener(Address('127.0.0.1', 0), leave)
+        await listener.start()
+        stream = await dial(listener.address, 1)
+        answer = await stream.receive()
+        await stream.close()
+        await stream.close()
+        await listener.close()
+        return answer
+
+    assert run_virtual(main) == b''
