Measure slopes on proxy processes; a standby probes seldom

Cause: the capacity page needs slopes; and two watchers for each service at ten probes a second would pass 8 KB a second for control at the target. Change: deckdrum-bench slopes; a proxy that is only a service's standby probes every 0.3 s instead of 0.1 s while no caller uses it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test fleet lint types format clean
+.PHONY: demo test fleet bench lint types format clean
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -16,6 +16,9 @@
 fleet: $(VENV)/.installed
 	$(BIN)/deckdrum-standin fleet
 
+bench: $(VENV)/.installed
+	$(BIN)/deckdrum-bench all
+
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check deckdrum
 	$(BIN)/ruff check deckdrum
--- /dev/null
+++ b/deckdrum/bench/slopes.py
@@ -0,0 +1,347 @@
+"""Slopes of the capacity page, measured on proxy processes over loopback.
+
+The databases and the platform are stand-ins in this process; the proxies are
+processes of their own, whose memory and processor time the kernel accounts.
+"""
+
+import itertools
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from statistics import linear_regression, pstdev
+from typing import Any, Final
+
+import curio
+import yaml
+
+from deckdrum.bench.client import Client
+from deckdrum.bench.deployment import Deployment, Layout
+from deckdrum.databases import Credentials
+from deckdrum.fleet.membership import rank_keepers
+from deckdrum.platform import Instance
+from deckdrum.utils import Address
+from deckdrum.utils.http import HttpClient, Request
+from deckdrum.utils.virtualtime import run_virtual
+
+_HOST: Final = '127.0.0.1'
+_FIRST_PORT: Final = 6700
+_SERVICE: Final = 'stalls'
+_CALLER_COUNTS: Final = (0, 100, 200, 300, 400)
+_STATEMENT_COUNTS: Final = (0, 800, 1600, 2400)
+_SERVICE_COUNTS: Final = (1, 3, 6)
+_PROXY_COUNTS: Final = (2, 4, 8)
+_CLIENTS: Final = 8
+_CONTROL_SECONDS: Final = 4.0
+_QUIET_SECONDS: Final = 300.0
+_SETTLE: Final = 0.7
+_READY_LIMIT: Final = 15.0
+_POLL: Final = 0.1
+_PERCENT: Final = 100
+_OK: Final = 200
+_MICROSECONDS: Final = 1_000_000
+_USER_TIME: Final = 13
+_SYSTEM_TIME: Final = 14
+_RESIDENT_PAGES: Final = 1
+_COMMAND: Final = (
+    'import sys; from deckdrum.commands.proxy import main; '
+    'sys.exit(main(sys.argv[1:]))'
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A fitted line.
+
+    Attributes
+    ----------
+    name, unit : str
+        What grows, and by which unit for each step.
+    slope, base : float
+        The fit.
+    spread : float
+        Standard deviation of the points from the line, in the unit.
+    span : tuple of float
+        Range over which it was measured.
+    """
+
+    name: str
+    unit: str
+    slope: float
+    base: float
+    spread: float
+    span: tuple[float, float]
+
+
+def fit(
+    name: str,
+    unit: str,
+    steps: Sequence[float],
+    measured: Sequence[float],
+) -> Slope:
+    """Fit a line through measured points.
+
+    Examples
+    --------
+    >>> fit('memory', 'B', [0, 1, 2], [10, 15, 20]).slope
+    5.0
+    """
+    line = linear_regression(steps, measured)
+    distances = [
+        point - (line.intercept + line.slope * step)
+        for step, point in zip(steps, measured, strict=True)
+    ]
+    return Slope(
+        name,
+        unit,
+        line.slope,
+        line.intercept,
+        pstdev(distances),
+        (min(steps), max(steps)),
+    )
+
+
+@dataclass(slots=True)
+class ProxyProcess:
+    """One ``deckdrum-proxy`` process."""
+
+    number: int
+    platform: Address
+    folder: str
+    process: Any = field(default=None)
+
+    @property
+    def name(self) -> str:
+        """Name of the proxy."""
+        return f'p{self.number}'
+
+    @property
+    def cpu(self) -> float:
+        """Processor time so far, in seconds."""
+        text = Path(f'/proc/{self.process.pid}/stat').read_text()
+        fields = text.rsplit(')', 1)[1].split()
+        ticks = int(fields[_USER_TIME - 2]) + int(fields[_SYSTEM_TIME - 2])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
+    @property
+    def memory(self) -> int:
+        """Resident memory, in bytes."""
+        text = Path(f'/proc/{self.process.pid}/statm').read_text()
+        pages = int(text.split()[_RESIDENT_PAGES])
+        return pages * os.sysconf('SC_PAGE_SIZE')
+
+    def pick(self, offset: int) -> Address:
+        """Return one of the proxy's addresses."""
+        return Address(_HOST, _FIRST_PORT + 10 * self.number + offset)
+
+    async def start(self, deployment: Deployment) -> None:
+        """Start the process and wait until it is ready."""
+        path = Path(self.folder) / f'{self.name}.yaml'
+        path.write_text(yaml.safe_dump(self._describe()))
+        self.process = subprocess.Popen(
+            [sys.executable, '-c', _COMMAND, str(path)],
+            stderr=subprocess.DEVNULL,
+        )
+        instance = Instance(
+            name=self.name,
+            kind='proxy',
+            data_centre='ba-hall',
+            address=str(self.pick(1)),
+        )
+        await deployment.platform.list_instance(instance, at_once=True)
+        async with curio.timeout_after(_READY_LIMIT):
+            while not await self._is_ready():
+                await curio.sleep(_POLL)
+
+    def stop(self) -> None:
+        """End the process."""
+        self.process.kill()
+        self.process.wait()
+
+    async def connect(self, service: str) -> Client:
+        """Log a caller in."""
+        credentials = Credentials('growers-app', 'standin', 'bench', service)
+        return await Client.connect(self.pick(0), credentials)
+
+    def _describe(self) -> dict[str, object]:
+        return {
+            'name': self.name,
+            'data_centre': 'ba-hall',
+            'listen': str(self.pick(0)),
+            'peer_listen': str(self.pick(1)),
+            'admin_listen': str(self.pick(2)),
+            'platform': str(self.platform),
+            'database_password': 'standin',
+            'session_keys': ['a key of the stand-in fleet'],
+        }
+
+    async def _is_ready(self) -> bool:
+        client = HttpClient(self.pick(2))
+        try:
+            reply = await client.call(Request('GET', '/readyz'), 1)
+        except ConnectionError:
+            return False
+        finally:
+            await client.close()
+        return reply.status == _OK
+
+
+async def measure_processes() -> list[Slope]:
+    """Measure what needs proxy processes, in real time."""
+    found: list[Slope] = []
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = await _start_backends((_SERVICE,))
+        pair = [
+            ProxyProcess(number, deployment.platform.address, folder)
+            for number in (1, 2)
+        ]
+        try:
+            for proxy in pair:
+                await proxy.start(deployment)
+            keeper, entry = _tell_apart(pair)
+            found.append(await _measure_callers(entry))
+            found.extend(await _measure_statements(entry, keeper))
+        finally:
+            for proxy in pair:
+                proxy.stop()
+            await deployment.close()
+        found.append(await _measure_control(folder))
+    return found
+
+
+async def _start_backends(services: tuple[str, ...]) -> Deployment:
+    layout = Layout(
+        services=services,
+        proxies=0,
+        hop_latency=0,
+        local_latency=0,
+        statement_time=0,
+        connect_time=0,
+    )
+    deployment = Deployment(layout)
+    await deployment.start()
+    return deployment
+
+
+def _tell_apart(
+    pair: Sequence[ProxyProcess],
+) -> tuple[ProxyProcess, ProxyProcess]:
+    """Return the keeper of the service and the other proxy."""
+    ranked = rank_keepers(_SERVICE, [proxy.name for proxy in pair])
+    named = {proxy.name: proxy for proxy in pair}
+    return named[ranked[0]], named[ranked[1]]
+
+
+async def _measure_callers(entry: ProxyProcess) -> Slope:
+    clients: list[Client] = []
+    measured = []
+    for count in _CALLER_COUNTS:
+        while len(clients) < count:
+            clients.append(await entry.connect(_SERVICE))
+        await curio.sleep(_SETTLE)
+        measured.append(entry.memory)
+    for client in clients:
+        await client.close()
+    return fit('memory of an idle caller', 'B', _CALLER_COUNTS, measured)
+
+
+async def _measure_statements(
+    entry: ProxyProcess,
+    keeper: ProxyProcess,
+) -> list[Slope]:
+    clients = [await entry.connect(_SERVICE) for _ in range(_CLIENTS)]
+    cpu: dict[str, list[float]] = {'entry': [0], 'keeper': [0]}
+    for before, count in itertools.pairwise(_STATEMENT_COUNTS):
+        start = entry.cpu, keeper.cpu
+        each = (count - before) // _CLIENTS
+        async with curio.TaskGroup() as tasks:
+            for client in clients:
+                await tasks.spawn(_run_statements, client, each)
+        cpu['entry'].append(cpu['entry'][-1] + entry.cpu - start[0])
+        cpu['keeper'].append(cpu['keeper'][-1] + keeper.cpu - start[1])
+    for client in clients:
+        await client.close()
+    return [
+        fit(
+            f'processor time of a current read, {role}',
+            'us',
+            _STATEMENT_COUNTS,
+            [seconds * _MICROSECONDS for seconds in measured],
+        )
+        for role, measured in cpu.items()
+    ]
+
+
+async def _run_statements(client: Client, count: int) -> None:
+    for _ in range(count):
+        await client.run('SELECT 1')
+
+
+async def _measure_control(folder: str) -> Slope:
+    """Measure a quiet proxy's processor share for each kept service."""
+    shares = []
+    for count in _SERVICE_COUNTS:
+        services = tuple(f'service{place}' for place in range(count))
+        deployment = await _start_backends(services)
+        proxy = ProxyProcess(3, deployment.platform.address, folder)
+        try:
+            await proxy.start(deployment)
+            shares.append(await _measure_share(proxy))
+        finally:
+            proxy.stop()
+            await deployment.close()
+    return fit(
+        'processor share of a kept service, quiet',
+        '%',
+        _SERVICE_COUNTS,
+        shares,
+    )
+
+
+async def _measure_share(proxy: ProxyProcess) -> float:
+    """Return the share of a core that a quiet proxy uses, in per cent."""
+    await curio.sleep(_SETTLE)
+    before = proxy.cpu
+    await curio.sleep(_CONTROL_SECONDS)
+    return (proxy.cpu - before) / _CONTROL_SECONDS * _PERCENT
+
+
+async def count_store_calls(proxies: int) -> float:
+    """Return the platform's calls a second on a quiet day, in virtual time."""
+    layout = replace(Layout(), services=(_SERVICE,), proxies=proxies)
+    deployment = Deployment(layout)
+    await deployment.start()
+    await curio.sleep(_SETTLE)
+    before = sum(deployment.platform.calls.values())
+    await curio.sleep(_QUIET_SECONDS)
+    calls = sum(deployment.platform.calls.values()) - before
+    await deployment.close()
+    return calls / _QUIET_SECONDS
+
+
+def measure_all() -> list[Slope]:
+    """Measure every slope of the capacity page."""
+    found: list[Slope] = curio.run(measure_processes)
+    calls = [run_virtual(count_store_calls, each) for each in _PROXY_COUNTS]
+    found.append(
+        fit('store calls of a proxy, quiet', '1/s', _PROXY_COUNTS, calls),
+    )
+    return found
+
+
+def describe_slopes(slopes: Sequence[Slope]) -> str:
+    """Return the table of the capacity page."""
+    lines = [
+        '| slope | for each step | base | spread | measured from .. to |',
+        '|---|---|---|---|---|',
+    ]
+    lines.extend(
+        f'| {each.name} | {each.slope:.4g} {each.unit} | '
+        f'{each.base:.4g} {each.unit} | {each.spread:.2g} {each.unit} | '
+        f'{each.span[0]:g} .. {each.span[1]:g} |'
+        for each in slopes
+    )
+    return '\n'.join(lines)
--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -4,6 +4,7 @@
 import json
 import sys
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import asdict
 from pathlib import Path
 from types import MappingProxyType
 from typing import Final
@@ -13,6 +14,7 @@
 from deckdrum.bench import runner
 from deckdrum.bench.demo import run_demo
 from deckdrum.bench.relay import measure_relay
+from deckdrum.bench.slopes import describe_slopes, measure_all
 from deckdrum.commands.parsing import EXIT_FAILED, EXIT_OK, make_parser
 from deckdrum.utils.virtualtime import run_virtual
 
@@ -23,7 +25,8 @@
   list   names of the experiments
   run    one experiment in virtual time
   all    every experiment, compared with the committed baseline
-  relay  cost of the relay in wall-clock time, as ratios in one run"""
+  relay  cost of the relay in wall-clock time, as ratios in one run
+  slopes slopes of docs/CAPACITY.md, on proxy processes"""
 
 
 def say(*lines: str) -> None:
@@ -48,6 +51,16 @@
     return EXIT_OK
 
 
+def slopes(options: argparse.Namespace) -> int:
+    """Measure the slopes of the capacity page."""
+    found = measure_all()
+    say(describe_slopes(found))
+    options.output.parent.mkdir(parents=True, exist_ok=True)
+    encoded = [asdict(each) for each in found]
+    options.output.write_text(json.dumps(encoded, indent=1))
+    return EXIT_OK
+
+
 def list_names(options: argparse.Namespace) -> int:
     """List the experiments."""
     for name, experiment in runner.EXPERIMENTS.items():
@@ -93,6 +106,7 @@
         'run': run_one,
         'all': run_all,
         'relay': relay,
+        'slopes': slopes,
     }
 )
 
@@ -119,6 +133,11 @@
         type=Path,
         default=Path('build/bench.json'),
     )
+    parsers['slopes'].add_argument(
+        '--output',
+        type=Path,
+        default=Path('build/slopes.json'),
+    )
     parsers['all'].add_argument(
         '--rebase',
         action='store_true',
--- a/deckdrum/databases/watch.py
+++ b/deckdrum/databases/watch.py
@@ -23,6 +23,8 @@
 
 #: Time between probes while nobody waits, in seconds.
 IDLE_INTERVAL: Final = 0.1
+#: The same for a standby, which only has to notice a loss.
+STANDBY_INTERVAL: Final = 0.3
 #: Longest wait for the answer to a probe, in seconds.
 PROBE_LIMIT: Final = 0.4
 #: Time between probes of a database that does not answer, in seconds.
@@ -94,10 +96,10 @@
         self.sample = Sample(state, started_at)
         return True
 
-    def pick_pause(self) -> float:
+    def pick_pause(self, idle_interval: float) -> float:
         """Return how long to rest before the next probe, in seconds."""
         if not self.interest:
-            return IDLE_INTERVAL
+            return idle_interval
         if self.repeats == 0:
             return 0
         exponent = min(self.repeats, _MOST_DOUBLINGS)
@@ -129,6 +131,8 @@
         self.history = History()
         self.term = 0
         self.primary = ''
+        #: Time between probes while nobody waits, in seconds.
+        self.idle_interval = IDLE_INTERVAL
         self._changed = curio.Condition()
         self._candidate: Sample | None = None
         self._tasks: list[Any] = []
@@ -267,7 +271,9 @@
             if not is_answered:
                 await curio.sleep(FAILURE_INTERVAL)
                 continue
-            async with curio.ignore_after(watcher.pick_pause()):
+            async with curio.ignore_after(
+                watcher.pick_pause(self.idle_interval)
+            ):
                 await watcher.wanted.wait()
 
     def _note(self, watcher: Watcher) -> None:
--- a/deckdrum/keepers/core.py
+++ b/deckdrum/keepers/core.py
@@ -16,7 +16,11 @@
 from deckdrum.configuration import Document, Service
 from deckdrum.databases import Database, QueryAnswer
 from deckdrum.databases.pool import Pool
-from deckdrum.databases.watch import ServiceWatch
+from deckdrum.databases.watch import (
+    IDLE_INTERVAL,
+    STANDBY_INTERVAL,
+    ServiceWatch,
+)
 from deckdrum.fleet.channels import Channel
 from deckdrum.fleet.messages import Message, OpenChannel
 from deckdrum.keepers.routing import Route, Router
@@ -164,6 +168,12 @@
             await pool.queue.resize(slots, self._shares)
         return True
 
+    def be_standby(self, is_standby: bool) -> None:
+        """Probe seldom while another proxy keeps the service."""
+        is_quiet = is_standby and not self._sessions
+        interval = STANDBY_INTERVAL if is_quiet else IDLE_INTERVAL
+        self.watch.idle_interval = interval
+
     async def serve(
         self,
         channel: Channel,
--- a/deckdrum/proxy/keeping.py
+++ b/deckdrum/proxy/keeping.py
@@ -61,6 +61,7 @@
                 await self._ensure(service, document, now)
         for name, keeper in list(self.keepers.items()):
             keeper.router.leaving = self._membership.leaving_databases
+            keeper.be_standby(not self._is_first(name))
             await self._review(name, keeper, document, now)
 
     async def serve(self, channel: Channel, opened: OpenChannel) -> None:
@@ -149,6 +150,11 @@
         refusal = refuse(Code.NO_KEEPER, 'this proxy keeps no such service')
         await channel.send(BatchRefused(refusal.code.value, refusal.text))
 
+    def _is_first(self, service: str) -> bool:
+        """Tell whether this proxy is the service's keeper by its list."""
+        ranked = rank_keepers(service, self._membership.proxies)
+        return ranked[0] == self._membership.own.name
+
     def _should_watch(self, service: str) -> bool:
         proxies = self._membership.proxies
         ranked = rank_keepers(service, proxies)[:_WATCHING]
