Count silence from the last answer, and ask peers at the first failure

Change: silence begins with the last probe that was answered; peers are asked at the first failure. An early yes may rest on an answer from just before the loss and is asked for again; an early no counts.

--- a/deckdrum/bench/slopes.py
+++ b/deckdrum/bench/slopes.py
@@ -20,12 +20,14 @@
 
 from deckdrum.bench.client import Client
 from deckdrum.bench.deployment import Deployment, Layout
-from deckdrum.databases import Credentials
+from deckdrum.configuration import DatabaseEntry
+from deckdrum.databases import Credentials, PostgresDatabase
 from deckdrum.fleet.membership import rank_keepers
 from deckdrum.platform import Instance
 from deckdrum.utils import Address
 from deckdrum.utils.http import HttpClient, Request
 from deckdrum.utils.virtualtime import run_virtual
+from deckdrum.wire import tags
 
 _HOST: Final = '127.0.0.1'
 _FIRST_PORT: Final = 6700
@@ -40,6 +42,7 @@
 _SETTLE: Final = 0.7
 _READY_LIMIT: Final = 15.0
 _POLL: Final = 0.1
+_PROBES: Final = 4
 _PERCENT: Final = 100
 _OK: Final = 200
 _MICROSECONDS: Final = 1_000_000
@@ -301,6 +304,32 @@
     )
 
 
+async def measure_probe() -> Slope:
+    """Count the payload bytes of probes, both ways."""
+    deployment = await _start_backends((_SERVICE,))
+    entry = DatabaseEntry(
+        name='stalls-1',
+        data_centre='ba-hall',
+        address=str(deployment.databases['stalls-1'].address),
+    )
+    credentials = Credentials('deckdrum', 'standin', 'bench')
+    database = PostgresDatabase(entry, credentials)
+    link = await database.connect(_READY_LIMIT)
+    totals = [0]
+    for _ in range(_PROBES):
+        await link.send(database.state_request)
+        total = totals[-1] + len(database.state_request)
+        tag = b''
+        while tag != tags.READY:
+            frame = await link.read_frame()
+            tag = frame.tag
+            total += len(frame.raw)
+        totals.append(total)
+    await link.close()
+    await deployment.close()
+    return fit('payload of a probe', 'B', range(_PROBES + 1), totals)
+
+
 async def _measure_share(proxy: ProxyProcess) -> float:
     """Return the share of a core that a quiet proxy uses, in per cent."""
     await curio.sleep(_SETTLE)
@@ -325,6 +354,7 @@
 def measure_all() -> list[Slope]:
     """Measure every slope of the capacity page."""
     found: list[Slope] = curio.run(measure_processes)
+    found.append(run_virtual(measure_probe))
     calls = [run_virtual(count_store_calls, each) for each in _PROXY_COUNTS]
     found.append(
         fit('store calls of a proxy, quiet', '1/s', _PROXY_COUNTS, calls),
--- a/deckdrum/keepers/supervision.py
+++ b/deckdrum/keepers/supervision.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Mapping
 from functools import partial
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import curio
 
@@ -53,6 +53,8 @@
         self._silent_since: float | None = None
         self._hand_over_after: float = 0
         self._learned: FailoverReport | None = None
+        #: The peers' answer, asked for at the first failure.
+        self._opinion: Any = None
         #: Version of the record, and since when it is known.
         self._known: tuple[int, float] = (0, 0)
 
@@ -149,12 +151,18 @@
         state = self._keeper.watch.read_state(record.primary)
         if state is not None and watcher.sample is not None:
             self._silent_since = None
+            self._opinion = None
             # An answer from before the promotion says nothing against it.
             is_fresh = watcher.sample.started_at >= self._known[1]
             return _judge_answer(state, record.term) if is_fresh else ''
-        if self._silent_since is None:
-            self._silent_since = now if watcher.failures else None
+        if not watcher.failures:
             return ''
+        if self._silent_since is None:
+            # The silence began with the last probe that was answered.
+            sample = watcher.sample
+            last = sample.started_at if sample else now
+            self._silent_since = max(last, self._known[1])
+            await self._ask_early(record)
         is_long = now - self._silent_since >= DETECT_AFTER
         if not is_long or watcher.failures < DETECT_FAILURES:
             return ''
@@ -210,11 +218,7 @@
         report.phases['suspect'] = self._silent_since or await curio.clock()
         report.phases['detect'] = await curio.clock()
         if held.record.phase is Phase.SETTLED and self._silent_since:
-            is_reached = await self._around.ask_peers(
-                held.record.service,
-                held.record.primary,
-            )
-            if is_reached:
+            if await self._hear_peers(held.record):
                 # Only this proxy's link is bad: no reason to promote.
                 self._keeper.count('failover.vetoed')
                 await self._step_aside()
@@ -237,6 +241,28 @@
         self._learned = report
         return ROUND
 
+    async def _ask_early(self, record: GroupRecord) -> None:
+        """Ask peers at the first failure, so that their answer is there."""
+        self._opinion = await curio.spawn(
+            self._around.ask_peers,
+            record.service,
+            record.primary,
+            daemon=True,
+        )
+
+    async def _hear_peers(self, record: GroupRecord) -> bool:
+        """Tell whether a peer reaches the primary.
+
+        An early "no" counts; an early "yes" may rest on an answer from just
+        before the loss, so it is asked for again.
+        """
+        early = self._opinion
+        self._opinion = None
+        if early is not None and not await early.join():
+            return False
+        reached = await self._around.ask_peers(record.service, record.primary)
+        return bool(reached)
+
     async def _step_aside(self) -> None:
         """Leave the service to a proxy that reaches the primary."""
         now: float = await curio.clock()
