Pass over a keeper whose process is frozen

Cause: a frozen process keeps its connections open and accepts new ones, so an entry waited for its answer for ever. Change: after a second without a message the entry sends the keeper's process a heartbeat; without an answer it asks another keeper for a read that nobody has seen, and tells unknown for a change that was sent.

--- a/deckdrum/callers/execution.py
+++ b/deckdrum/callers/execution.py
@@ -23,6 +23,8 @@
 
 #: Keepers that a batch may be handed to, one after the other.
 _MAX_KEEPERS: Final = 3
+#: Silence of a keeper after which it is asked whether it runs, in seconds.
+_SILENCE: Final = 1.0
 _IDLE: Final = 'I'
 _FAILED: Final = 'E'
 #: Refusals by which a keeper says that another one should be asked.
@@ -136,7 +138,7 @@
         try:
             await opened.channel.send(message)
             while True:
-                answer = await opened.channel.receive()
+                answer = await self._receive(opened)
                 if not isinstance(answer, Rows):
                     return self._read_end(answer)
                 touched = True
@@ -151,6 +153,20 @@
             code = Code.CONNECTION_LOST if is_lost else Code.NO_KEEPER
             return refuse(code, f'keeper {opened.keeper}: {error}')
 
+    async def _receive(self, opened: OpenedChannel) -> Message:
+        """Return the keeper's next message; ask after it while it is silent.
+
+        Raises
+        ------
+        ConnectionError
+            If the channel is broken or the keeper's process does not run.
+        """
+        while True:
+            async with curio.ignore_after(_SILENCE):
+                return await opened.channel.receive()
+            if not await self._host.is_running(opened.keeper):
+                raise ConnectionResetError('its process does not answer')
+
     def _read_end(self, answer: Message) -> BatchEnd | Refusal:
         if isinstance(answer, BatchEnd):
             return answer
--- a/deckdrum/callers/host.py
+++ b/deckdrum/callers/host.py
@@ -73,6 +73,10 @@
     async def suspect(self, keeper: str) -> None:
         """Pass a keeper over for a while."""
 
+    @abstractmethod
+    async def is_running(self, keeper: str) -> bool:
+        """Tell whether a keeper's process runs, by a heartbeat."""
+
     @abstractmethod
     async def cancel_channel(self, opened: OpenedChannel) -> None:
         """Cancel what runs on a channel."""
--- /dev/null
+++ b/deckdrum/commands/tests/test_freeze.py
@@ -0,0 +1,71 @@
+"""A keeper's process is frozen under load, and wakes up again.
+
+Proxies are processes of their own, in real time; nothing is asserted about
+how long things take.
+"""
+
+import itertools
+import signal
+import tempfile
+from collections.abc import Iterator
+
+import curio
+
+from deckdrum.bench.client import Client
+from deckdrum.bench.deployment import Deployment, Layout
+from deckdrum.bench.history import History, Told, read_told
+from deckdrum.bench.slopes import ProxyProcess
+from deckdrum.bench.workload import read_rows
+from deckdrum.fleet.membership import rank_keepers
+
+SERVICE = 'stalls'
+
+
+async def write_until_done(
+    client: Client,
+    numbers: Iterator[int],
+    history: History,
+) -> None:
+    """Write rows until one is acknowledged."""
+    told = Told.UNKNOWN
+    while told is not Told.DONE:
+        number = next(numbers)
+        history.note_write(number, Told.UNKNOWN)
+        insert = f"INSERT INTO bookings VALUES ({number}, 'f')"
+        told = read_told(await client.run(insert))
+        history.note_write(number, told)
+
+
+async def freeze_keeper(folder: str) -> list[str]:
+    deployment = Deployment(Layout(services=(SERVICE,), proxies=0))
+    await deployment.start()
+    platform = deployment.platform.address
+    proxies = [ProxyProcess(number, platform, folder) for number in (5, 6, 7)]
+    history = History()
+    numbers = itertools.count(1)
+    try:
+        for proxy in proxies:
+            await proxy.start(deployment)
+        named = {proxy.name: proxy for proxy in proxies}
+        ranked = rank_keepers(SERVICE, named)
+        keeper, entry = named[ranked[0]], named[ranked[1]]
+        client = await entry.connect(SERVICE)
+        await client.run('CREATE TABLE bookings (id int, writer text)')
+        await write_until_done(client, numbers, history)
+        keeper.process.send_signal(signal.SIGSTOP)
+        for _ in range(3):
+            await write_until_done(client, numbers, history)
+        keeper.process.send_signal(signal.SIGCONT)
+        for _ in range(3):
+            await write_until_done(client, numbers, history)
+        await client.close()
+        return history.check_rows(read_rows(deployment, SERVICE))
+    finally:
+        for proxy in proxies:
+            proxy.stop()
+        await deployment.close()
+
+
+def test_a_frozen_keeper_is_passed_over_and_harms_nothing() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        assert not curio.run(freeze_keeper, folder)
--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -133,6 +133,11 @@
     reached: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Heartbeat(Message):
+    """Sent back as it came, to show that a proxy runs."""
+
+
 @dataclass(frozen=True, slots=True)
 class AskConfiguration(Message):
     """Ask a peer for its configuration if newer than `number`."""
@@ -162,6 +167,7 @@
     ProbeAnswer,
     AskConfiguration,
     ConfigurationAnswer,
+    Heartbeat,
 )
 _NUMBERS: Final = MappingProxyType(
     {message_type: number for number, message_type in enumerate(_TYPES)},
--- a/deckdrum/proxy/core.py
+++ b/deckdrum/proxy/core.py
@@ -196,6 +196,10 @@
         """Pass a keeper over for a while."""
         await self._opener.suspect(keeper)
 
+    async def is_running(self, keeper: str) -> bool:
+        """Tell whether a keeper's process runs, by a heartbeat."""
+        return await self._opener.is_running(keeper)
+
     async def cancel_channel(self, opened: OpenedChannel) -> None:
         """Cancel what runs on a channel."""
         await self.canceller.cancel_channel(opened)
--- a/deckdrum/proxy/opening.py
+++ b/deckdrum/proxy/opening.py
@@ -8,7 +8,7 @@
 from deckdrum.callers.host import OpenedChannel
 from deckdrum.fleet.channels import LocalChannel, StreamChannel
 from deckdrum.fleet.membership import Membership
-from deckdrum.fleet.messages import OpenChannel
+from deckdrum.fleet.messages import Heartbeat, OpenChannel
 from deckdrum.fleet.peers import Peers
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.platform import Instance
@@ -79,6 +79,20 @@
         else:
             await channel.close()
 
+    async def is_running(self, keeper: str) -> bool:
+        """Tell whether a keeper's process runs, by a heartbeat.
+
+        A frozen process keeps its connections open and accepts new ones, so
+        silence alone tells nothing.
+        """
+        if keeper == self._membership.own.name:
+            return True
+        instance = self._membership.proxies.get(keeper)
+        if instance is None:
+            return False
+        answer = await self._peers.ask(instance.endpoint, Heartbeat())
+        return answer is not None
+
     async def suspect(self, keeper: str) -> None:
         """Pass a keeper over for a while."""
         self._membership.suspect(keeper, await curio.clock())
--- a/deckdrum/proxy/visitors.py
+++ b/deckdrum/proxy/visitors.py
@@ -15,6 +15,7 @@
     CancelCaller,
     CancelChannel,
     ConfigurationAnswer,
+    Heartbeat,
     Message,
     MessageError,
     OpenChannel,
@@ -75,6 +76,10 @@
         body = view.configuration.encode()
         return ConfigurationAnswer(view.number, body, records)
 
+    async def answer_heartbeat(self, message: Heartbeat) -> Message:
+        """Show that this proxy runs."""
+        return message
+
     async def cancel_channel(self, message: CancelChannel) -> Message:
         """Cancel what runs on a channel."""
         await self._proxy.keeping.cancel(message.channel)
@@ -129,6 +134,7 @@
 _ANSWERS: Final[Mapping[Any, Any]] = MappingProxyType(
     {
         AskProbe: PeerDoor.answer_probe,
+        Heartbeat: PeerDoor.answer_heartbeat,
         AskConfiguration: PeerDoor.answer_configuration,
         CancelChannel: PeerDoor.cancel_channel,
         CancelCaller: PeerDoor.cancel_caller,
