--- a/deckdrum/bench/experiments/outages.py
+++ b/deckdrum/bench/experiments/outages.py
@@ -181,7 +181,9 @@
             delays.append(await self._wait_everywhere(deployment))
         findings.at_most('most winners of a race', max(winners), 1)
         findings.at_least('fewest winners of a race', min(winners), 1)
-        findings.at_most('in force everywhere after', max(delays), _IN_FORCE)
+        findings.at_most(
+            'in force everywhere after the answer', max(delays), _IN_FORCE
+        )
         numbers = {proxy.view.number for proxy in deployment.proxies.values()}
         findings.at_most('different numbers in force', len(numbers), 1)
         findings.at_least('number in force', min(numbers), _ROUNDS + 1)
