Keep streams for questions apart from streams for batches

Change: two pools of streams; one heartbeat serves all callers that wait for a keeper. Second opinions of peers were affected too.

--- a/deckdrum/fleet/peers.py
+++ b/deckdrum/fleet/peers.py
@@ -26,23 +26,11 @@
 _IDLE_STREAMS: Final = 8
 
 
-class Peers:
-    """Opens and keeps streams to other proxies.
-
-    Parameters
-    ----------
-    membership : Membership
-        Who is in the fleet.
-    randomness : random.Random
-        Chooses whom to ask.
-    """
+class StreamPool:
+    """Streams to peers on which nothing is under way."""
 
-    def __init__(self, membership: Membership, randomness: Random) -> None:
-        self._membership = membership
-        self._randomness = randomness
+    def __init__(self) -> None:
         self._idle: dict[Address, list[StreamChannel]] = {}
-        #: Messages sent on behalf of control, not of callers.
-        self.control_messages = 0
 
     async def open(self, address: Address) -> StreamChannel:
         """Return a stream to a peer, kept or new.
@@ -75,6 +63,33 @@
                 await channel.close()
         self._idle.clear()
 
+
+class Peers:
+    """Opens and keeps streams to other proxies.
+
+    Parameters
+    ----------
+    membership : Membership
+        Who is in the fleet.
+    randomness : random.Random
+        Chooses whom to ask.
+    """
+
+    def __init__(self, membership: Membership, randomness: Random) -> None:
+        self._membership = membership
+        self._randomness = randomness
+        #: Streams for callers' batches.  They have a pool of their own: a
+        #: keeper that serves a channel answers no questions on it.
+        self.channels = StreamPool()
+        self._questions = StreamPool()
+        #: Messages sent on behalf of control, not of callers.
+        self.control_messages = 0
+
+    async def close(self) -> None:
+        """Close the kept streams."""
+        await self.channels.close()
+        await self._questions.close()
+
     async def ask(self, address: Address, question: Message) -> Message | None:
         """Return a peer's answer, or None if none came."""
         self.control_messages += 1
@@ -114,12 +129,12 @@
         return answer if isinstance(answer, ConfigurationAnswer) else None
 
     async def _exchange(self, address: Address, question: Message) -> Message:
-        channel = await self.open(address)
+        channel = await self._questions.open(address)
         try:
             await channel.send(question)
             answer = await channel.receive()
         except (ConnectionError, curio.CancelledError):
             await channel.close()
             raise
-        await self.keep(address, channel)
+        await self._questions.keep(address, channel)
         return answer
--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -25,6 +25,7 @@
 )
 from deckdrum.keepers.routing import Route
 from deckdrum.outcomes import Code, Refusal, refuse
+from deckdrum.outcomes.errors import BrokenInvariantError
 from deckdrum.sessions import Position
 from deckdrum.wire import Frame, tags
 
@@ -39,6 +40,10 @@
 #: Idle time of a transaction on a lent connection that another group waits
 #: for, in seconds.
 _LENT_IDLE_LIMIT = 0.5
+#: Longest wait for settings to be replayed, in seconds.
+_SETTINGS_LIMIT = 1.0
+#: SQLSTATE of a database that takes no changes.
+_READ_ONLY = '25006'
 _IDLE = 'I'
 _FLUSH = Frame.build(tags.FLUSH).raw
 
@@ -180,16 +185,24 @@
         self._holding = holding
         link = holding.lease.link
         try:
-            complaint = await replay_settings(link, attempt.batch)
-        except ConnectionError:
+            async with curio.timeout_after(_SETTINGS_LIMIT):
+                complaint = await replay_settings(link, attempt.batch)
+        except (ConnectionError, curio.TaskTimeout):
             await self._drop()
-            return attempt
+            return None if await self._give_up(attempt) else attempt
         if complaint:
             await self._drop()
             await self._refuse(refuse(Code.BAD_SETTING, complaint))
             return None
         return await self._attempt(attempt)
 
+    async def _give_up(self, attempt: _Attempt) -> bool:
+        """Refuse a batch whose time is over before it was sent."""
+        is_over = await attempt.is_over()
+        if is_over:
+            await self._refuse(refuse(Code.QUEUE_TIMEOUT, 'no connection'))
+        return is_over
+
     async def _acquire(
         self,
         attempt: _Attempt,
@@ -229,12 +242,7 @@
             end = await self._guard(relay, holding.route)
         except ConnectionError as error:
             await self._drop()
-            is_read = attempt.access is not Access.WRITE
-            if is_read and not relay.is_touched and not await attempt.is_over():
-                self._keeper.count('read.retried')
-                return attempt
-            await self._refuse(refuse(Code.CONNECTION_LOST, str(error)))
-            return None
+            return await self._handle_loss(attempt, relay, error)
         except AnswerTooLargeError:
             await self._drop()
             await self._refuse(refuse(Code.ANSWER_TOO_LARGE))
@@ -244,6 +252,23 @@
         await self._finish(end, holding.route)
         return None
 
+    async def _handle_loss(
+        self,
+        attempt: _Attempt,
+        relay: Relay,
+        error: ConnectionError,
+    ) -> _Attempt | None:
+        """Act on a connection that broke while a batch ran on it."""
+        if not relay.is_sent:
+            await self._refuse(refuse(Code.PROTOCOL_VIOLATION, str(error)))
+            return None
+        is_read = attempt.access is not Access.WRITE
+        if is_read and not relay.is_touched and not await attempt.is_over():
+            self._keeper.count('read.retried')
+            return attempt
+        await self._refuse(refuse(Code.CONNECTION_LOST, str(error)))
+        return None
+
     async def _handle_rejection(
         self,
         attempt: _Attempt,
@@ -258,8 +283,11 @@
             await self._refuse(refuse(Code.PRIMARY_REFUSED, told))
             return None
         await curio.sleep(_RETRY_PAUSE)
-        # A read that turns out to write needs the primary.
-        return _Attempt(attempt.batch, Access.WRITE, attempt.deadline)
+        access = attempt.access
+        if end.rejected == _READ_ONLY:
+            # A read that turns out to write needs the primary.
+            access = Access.WRITE
+        return _Attempt(attempt.batch, access, attempt.deadline)
 
     async def _run_pinned(self, batch: RunBatch, access: Access) -> None:
         holding = self._require_holding()
@@ -387,7 +415,7 @@
 
     def _require_holding(self) -> _Holding:
         if self._holding is None:
-            raise RuntimeError('the channel holds no connection')
+            raise BrokenInvariantError('the channel holds no connection')
         return self._holding
 
 
--- a/deckdrum/proxy/admin.py
+++ b/deckdrum/proxy/admin.py
@@ -166,6 +166,7 @@
         'held': pool.queue.held,
         'waiting': pool.queue.waiting,
         'idle': pool.idle,
+        'probes': keeper.watch.watchers[name].probes,
     }
 
 
--- a/deckdrum/proxy/opening.py
+++ b/deckdrum/proxy/opening.py
@@ -1,7 +1,7 @@
 """Opening channels to the keepers of services."""
 
 import itertools
-from typing import Final
+from typing import Any, Final
 
 import curio
 
@@ -46,6 +46,8 @@
         self._peers = peers
         self._metrics = metrics
         self._numbers = itertools.count(1)
+        #: Heartbeats under way, by keeper.
+        self._beats: dict[str, Any] = {}
 
     async def open(self, service: str, group: str) -> OpenedChannel | Refusal:
         """Open a channel; nothing of a request has been sent yet.
@@ -75,7 +77,7 @@
         instance = self._membership.proxies.get(opened.keeper)
         channel = opened.channel
         if isinstance(channel, StreamChannel) and instance is not None:
-            await self._peers.keep(instance.endpoint, channel)
+            await self._peers.channels.keep(instance.endpoint, channel)
         else:
             await channel.close()
 
@@ -87,17 +89,26 @@
         """
         if keeper == self._membership.own.name:
             return True
-        instance = self._membership.proxies.get(keeper)
-        if instance is None:
-            return False
-        answer = await self._peers.ask(instance.endpoint, Heartbeat())
-        return answer is not None
+        beat = self._beats.get(keeper)
+        if beat is None or beat.terminated:
+            # One heartbeat serves every caller that waits for this keeper.
+            beat = await curio.spawn(self._send_heartbeat, keeper, daemon=True)
+            self._beats[keeper] = beat
+        await beat.wait()
+        return bool(beat.result)
 
     async def suspect(self, keeper: str) -> None:
         """Pass a keeper over for a while."""
         self._membership.suspect(keeper, await curio.clock())
         self._metrics.count('keeper.suspected')
 
+    async def _send_heartbeat(self, keeper: str) -> bool:
+        instance = self._membership.proxies.get(keeper)
+        if instance is None:
+            return False
+        answer = await self._peers.ask(instance.endpoint, Heartbeat())
+        return answer is not None
+
     async def _open_local(self, opening: OpenChannel) -> OpenedChannel:
         near, far = LocalChannel.open_pair()
         await curio.spawn(self._keeping.serve, far, opening, daemon=True)
@@ -109,7 +120,7 @@
         opening: OpenChannel,
     ) -> OpenedChannel | None:
         try:
-            channel = await self._peers.open(instance.endpoint)
+            channel = await self._peers.channels.open(instance.endpoint)
             await channel.send(opening)
         except ConnectionError:
             return None
--- a/deckdrum/testing/builders.py
+++ b/deckdrum/testing/builders.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from deckdrum.callers.login import make_verifier
-from deckdrum.configuration import DatabaseEntry, Service
+from deckdrum.configuration import DatabaseEntry
 from deckdrum.databases import DatabaseState, Role
 
 SALT = b'0123456789abcdef'
@@ -15,15 +15,6 @@
     return DatabaseEntry(name=name, **(defaults | fields))
 
 
-def build_service(databases: int = 3, **fields: Any) -> Service:
-    """Return a declared service."""
-    entries = [
-        build_entry(f'stalls-{slot + 1}', address=f'127.0.0.1:{slot + 1}')
-        for slot in range(databases)
-    ]
-    return Service(name='stalls', databases=entries, **fields)
-
-
 def build_state(**fields: Any) -> DatabaseState:
     """Return the state of a replica that takes part in term 1."""
     defaults: dict[str, Any] = {
--- a/deckdrum/wire/messages.py
+++ b/deckdrum/wire/messages.py
@@ -7,7 +7,6 @@
 from pygwire import messages as codec
 from pygwire.constants import MessageDirection, TransactionStatus
 from pygwire.messages import (
-    NEGOTIATION_REGISTRY,
     STANDARD_REGISTRY,
     STARTUP_REGISTRY,
 )
@@ -15,7 +14,6 @@
 from deckdrum.wire.frames import Frame, WireError
 
 __all__ = [
-    'NEGOTIATION_REGISTRY',
     'codec',
     'decode_backend',
     'decode_frontend',
