Replace a primary whose log reaches no majority; weigh a peer's yes

Now that peers' answers arrive, the keeper that is cut off with a primary, or that still reaches a primary whose links to the other databases are cut, vetoed every promotion: writes stayed unconfirmed for as long as the cut lasted. Change: a proxy that sees no majority does not say yes; a keeper that reaches a majority which has not advanced for 1.5 s behind the primary replaces it, and fences the others without it: what it holds beyond them is not confirmed.

--- a/deckdrum/failover/driver.py
+++ b/deckdrum/failover/driver.py
@@ -42,7 +42,10 @@
 
 @dataclass(slots=True)
 class FailoverReport:
-    """When each phase of a failover ended, in kernel seconds."""
+    """When each phase of a failover ended, in kernel seconds.
+
+    `excluded` names a database that must not lead next, if any.
+    """
 
     service: str
     term: int
@@ -51,6 +54,7 @@
     reason: str
     phases: dict[str, float] = field(default_factory=dict)
     promoted: str = ''
+    excluded: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,7 +155,7 @@
         if handover is not None:
             await self._hand_over(handover, report)
         unwanted = handover.unwanted if handover else frozenset()
-        fenced = await self._fence_majority(report.term, unwanted)
+        fenced = await self._fence_majority(report, unwanted)
         report.phases['fence'] = await curio.clock()
         leader = choose_leader(fenced, unwanted)
         chosen = await self._promote(leader, report.term)
@@ -217,20 +221,25 @@
 
     async def _fence_majority(
         self,
-        term: int,
+        report: FailoverReport,
         unwanted: frozenset[str],
     ) -> list[Fenced]:
-        """Fence until a majority has accepted.
+        """Fence until a majority has accepted, without the excluded one.
 
         One round waits for a database that is to stay, so that a planned
         change of primary does not end where it began.
         """
         majority = len(self._databases) // 2 + 1
+        asked = [
+            database
+            for name, database in self._databases.items()
+            if name != report.excluded
+        ]
         fenced: dict[str, Fenced] = {}
         while len(fenced) < majority:
             async with curio.TaskGroup() as tasks:
-                for database in self._databases.values():
-                    await tasks.spawn(_fence, database, term)
+                for database in asked:
+                    await tasks.spawn(_fence, database, report.term)
                 await _gather(tasks, fenced, majority, unwanted)
             if len(fenced) < majority:
                 await curio.sleep(STEP_PAUSE)
--- a/deckdrum/keepers/supervision.py
+++ b/deckdrum/keepers/supervision.py
@@ -30,6 +30,9 @@
 #: Pause between two tries to hand over from a leaving primary, in seconds.
 HAND_OVER_AGAIN: Final = 10.0
 _LEAVING: Final = 'the primary is leaving'
+#: Time without progress of a majority behind the primary, in seconds.
+STALLED_AFTER: Final = 1.5
+STALLED: Final = 'no majority receives its log'
 #: How long a keeper leaves its service to others, in seconds.
 UNFIT_TIME: Final = 3.0
 #: Reports kept for ``deckdrumctl explain``.
@@ -55,6 +58,9 @@
         self._learned: FailoverReport | None = None
         #: The peers' answer, asked for at the first failure.
         self._opinion: Any = None
+        #: Offset that a majority holds, and since when it is the same.
+        self._held: int | None = None
+        self._held_since: float = 0
         #: Version of the record, and since when it is known.
         self._known: tuple[int, float] = (0, 0)
 
@@ -153,8 +159,10 @@
             self._silent_since = None
             self._opinion = None
             # An answer from before the promotion says nothing against it.
-            is_fresh = watcher.sample.started_at >= self._known[1]
-            return _judge_answer(state, record.term) if is_fresh else ''
+            if watcher.sample.started_at < self._known[1]:
+                return ''
+            fault = _judge_answer(state, record.term)
+            return fault or self._judge_progress(record, state, now)
         if not watcher.failures:
             return ''
         if self._silent_since is None:
@@ -168,6 +176,34 @@
             return ''
         return 'the primary does not answer'
 
+    def _judge_progress(
+        self,
+        record: GroupRecord,
+        primary: DatabaseState,
+        now: float,
+    ) -> str:
+        """Return why a primary that answers gets nothing confirmed.
+
+        Its log no longer reaches a majority, although this proxy reaches
+        one: it is cut off from the other databases.
+        """
+        others = [
+            state
+            for name, state in self._read_states().items()
+            if name != record.primary and state.takes_part(record.term)
+        ]
+        needed = self._keeper.watch.majority - 1
+        ranked = sorted((state.received for state in others), reverse=True)
+        held = ranked[needed - 1] if 0 < needed <= len(ranked) else None
+        is_behind = held is not None and held < primary.received
+        if not is_behind or held != self._held:
+            self._held = held
+            self._held_since = now
+            return ''
+        can_go_on = len(others) >= self._keeper.watch.majority
+        is_stalled = now - self._held_since >= STALLED_AFTER
+        return STALLED if is_stalled and can_go_on else ''
+
     async def _should_hand_over(self, record: GroupRecord) -> bool:
         """Tell whether the primary leaves and another can take its place."""
         states = self._read_states()
@@ -231,6 +267,9 @@
             self._around.journal,
             self._around.randomness,
         )
+        if reason == STALLED:
+            # Whatever it holds beyond the others is not confirmed.
+            report.excluded = held.record.primary
         is_settled = await driver.drive(held, report, handover)
         self._keeper.adopt_record()
         if not is_settled:
--- a/deckdrum/proxy/visitors.py
+++ b/deckdrum/proxy/visitors.py
@@ -21,6 +21,7 @@
     OpenChannel,
     ProbeAnswer,
 )
+from deckdrum.keepers.core import FIT_LIMIT
 from deckdrum.utils import Address, Listener, Stream
 
 if TYPE_CHECKING:
@@ -60,8 +61,16 @@
         await self._listener.close()
 
     async def answer_probe(self, question: AskProbe) -> Message:
-        """Say whether this proxy reaches a database."""
+        """Say whether this proxy reaches a database, and its group.
+
+        A proxy that is cut off together with a primary reaches it, but sees
+        no majority: its word must not keep the others from a promotion.
+        """
         reached = await self._probe(question.service, question.database)
+        keeper = self._proxy.keeping.keepers.get(question.service)
+        if keeper is not None and reached:
+            now = await curio.clock()
+            reached = keeper.watch.sees_majority(now, FIT_LIMIT)
         return ProbeAnswer(reached)
 
     async def answer_configuration(self, question: AskConfiguration) -> Message:
