--- a/deckdrum/bench/demo.py
+++ b/deckdrum/bench/demo.py
@@ -106,7 +106,7 @@
     for report in reports:
         for phase, at in report.phases.items():
             passed = at - killed_at
-            account.tell(f'  {phase} ended {passed:.3f} s after the kill')
+            account.tell(f'  {phase}: {passed:+.3f} s from the kill')
 
 
 async def _is_writable(client: Client) -> bool:
--- a/deckdrum/bench/experiments/outages.py
+++ b/deckdrum/bench/experiments/outages.py
@@ -14,10 +14,10 @@
 from deckdrum.bench.workload import Load, Pace, create_table, read_rows
 from deckdrum.configuration.applying import (
     ApplyOutcome,
+    Base,
     apply_document,
     read_base,
 )
-from deckdrum.outcomes.errors import StoreError
 from deckdrum.platform.store import HttpObjectStore
 from deckdrum.proxy import Proxy
 
@@ -41,6 +41,12 @@
 _POLL: Final = 0.01
 
 
+async def _start(seed: int) -> Deployment:
+    deployment = Deployment(replace(MARKET, services=(_SERVICE,), seed=seed))
+    await deployment.start()
+    return deployment
+
+
 async def _load_for(deployment: Deployment, seed: int) -> list[str]:
     """Run a load for a while; return what was broken."""
     load = Load(deployment, _PACE, Random(seed))
@@ -69,10 +75,7 @@
     async def run(self, seed: int) -> Findings:
         """Run the experiment and return its figures."""
         findings = Findings()
-        deployment = Deployment(
-            replace(MARKET, services=(_SERVICE,), seed=seed),
-        )
-        await deployment.start()
+        deployment = await _start(seed)
         await create_table(deployment, _SERVICE)
         await self._pass_outage(deployment, seed, findings)
         await self._pass_slow(deployment, seed, findings)
@@ -86,6 +89,8 @@
         findings: Findings,
     ) -> None:
         platform = deployment.platform
+        store = HttpObjectStore(platform.address)
+        base = await read_base(store)
         platform.faults.down = True
         broken = await _load_for(deployment, seed)
         findings.at_most('down: refused or broken', len(broken), 0)
@@ -96,11 +101,8 @@
             await curio.sleep(_POLL)
         ready = await curio.clock() - began
         findings.at_most('down: a new proxy is ready after', ready, 5, 's')
-        findings.at_most(
-            'down: an apply is told as done',
-            await self._apply_in_vain(deployment),
-            0,
-        )
+        told = await self._apply_in_vain(deployment, store, base)
+        findings.at_least('down: an apply is told as unknown', told, 1)
         before = sum(platform.calls.values())
         await curio.sleep(_OUTAGE)
         calls = (sum(platform.calls.values()) - before) / _OUTAGE
@@ -108,15 +110,17 @@
         platform.faults.down = False
         await self._watch_return(deployment, findings)
 
-    async def _apply_in_vain(self, deployment: Deployment) -> int:
-        store = HttpObjectStore(deployment.platform.address)
-        try:
-            base = await read_base(store)
-        except StoreError:
-            return 0
-        finally:
-            await store.close()
-        return base.number
+    async def _apply_in_vain(
+        self,
+        deployment: Deployment,
+        store: HttpObjectStore,
+        base: Base,
+    ) -> int:
+        """Apply in the outage; return 1 if that is told as unknown."""
+        text = deployment.describe().replace('max_age: 5', 'max_age: 4')
+        report = await apply_document(store, text, base, 'x', 'in vain')
+        await store.close()
+        return int(report.outcome is ApplyOutcome.UNKNOWN)
 
     async def _watch_return(
         self,
@@ -164,10 +168,7 @@
     async def run(self, seed: int) -> Findings:
         """Run the experiment and return its figures."""
         findings = Findings()
-        deployment = Deployment(
-            replace(MARKET, services=(_SERVICE,), seed=seed),
-        )
-        await deployment.start()
+        deployment = await _start(seed)
         randomness = Random(seed)
         winners: list[int] = []
         delays: list[float] = []
--- a/deckdrum/commands/control.py
+++ b/deckdrum/commands/control.py
@@ -209,9 +209,9 @@
             f'  failover to term {report["term"]} by {report["driver"]}: '
             f'{report["lost"]} -> {report["promoted"]}, {report["reason"]}',
         )
-        start = report['phases'].get('suspect', 0)
+        start = report['phases'].get('last answer', 0)
         for phase, at in report['phases'].items():
-            say(f'    {phase} ended after {at - start:.3f} s')
+            say(f'    {phase}: {at - start:.3f} s after the last answer')
     for each in shown['decisions']:
         ago = shown['now'] - each['at']
         say(
--- a/deckdrum/commands/tests/test_commands.py
+++ b/deckdrum/commands/tests/test_commands.py
@@ -123,23 +123,21 @@
 
 
 def find_ports(thread: DeploymentThread) -> dict[str, Any]:
-    """Return settings with free ports, found by binding them once."""
-    import socket
-
+    """Return settings with ports that the system gives to nobody else."""
     assert thread.deployment is not None
-    sockets = [socket.create_server(('127.0.0.1', 0)) for _ in range(3)]
-    found = [f'127.0.0.1:{each.getsockname()[1]}' for each in sockets]
-    for each in sockets:
-        each.close()
-    names = ('listen', 'peer_listen', 'admin_listen')
-    platform = {'platform': str(thread.deployment.platform.address)}
-    return {**SETTINGS, **dict(zip(names, found, strict=True)), **platform}
+    ports = {
+        'listen': '127.0.0.1:6790',
+        'peer_listen': '127.0.0.1:6791',
+        'admin_listen': '127.0.0.1:6792',
+        'platform': str(thread.deployment.platform.address),
+    }
+    return SETTINGS | ports
 
 
 def wait_ready(url: str) -> None:
     import time
 
-    for _ in range(200):
+    for _ in range(600):
         try:
             with urllib.request.urlopen(url) as reply:
                 if reply.status == 200:
--- a/deckdrum/keepers/supervision.py
+++ b/deckdrum/keepers/supervision.py
@@ -251,7 +251,7 @@
             held.record.primary,
             reason,
         )
-        report.phases['suspect'] = self._silent_since or await curio.clock()
+        report.phases['last answer'] = self._silent_since or await curio.clock()
         report.phases['detect'] = await curio.clock()
         if held.record.phase is Phase.SETTLED and self._silent_since:
             if await self._hear_peers(held.record):
