Try a silent read on a third server; stand-ins of the users' platform

Cause: a read whose answer was lost was tried again on the same server, since only ended tries were passed over, and never on a third one. Change: a server is passed over from the start of a try; up to three servers work on one read.

--- a/deckdrum/platform/frontend.py
+++ b/deckdrum/platform/frontend.py
@@ -117,6 +117,11 @@
         self._connections: set[ClientConnection] = set()
         self._randomness = Random(node.settings.name)
 
+    @property
+    def address(self) -> Address:
+        """Where clients connect."""
+        return self._listener.address
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -41,6 +41,8 @@
 LONGEST_PAUSE: Final = 0.08
 #: Tries of one statement; more means that something is wrong beyond luck.
 MAX_TRIES: Final = 12
+#: Most servers that work on one read at a time.
+MAX_RUNNING: Final = 3
 #: Statements at a moment that may be tried again on account of failures,
 #: refilled by each success; keeps retries a small part of the load.
 RETRY_RESERVE: Final = 20.0
@@ -271,6 +273,8 @@
             return self._give_up(search)
         search.tries += 1
         search.running += 1
+        # A second try beside this one goes to another server.
+        search.passed_over.add(target.handle.id)
         if not target.is_primary:
             await curio.spawn(self._router.keep_sampled, route, daemon=True)
         attempt = Attempt(
@@ -368,7 +372,7 @@
         ]
         for handle in silent:
             self.runtime.report_trouble(handle)
-        if not search.is_read or search.running > 1:
+        if not search.is_read or search.running >= MAX_RUNNING:
             return False
         is_silent = bool(silent)
         half_time = (search.deadline - began) * LOST_ANSWER_PART
@@ -386,8 +390,6 @@
         if isinstance(end, Answer):
             raise BrokenInvariantError('a success is no failed try')
         search.last = end
-        name = ended.target.handle.id
-        search.passed_over.add(name)
         now = await curio.clock()
         if isinstance(end, Rejection):
             return await self._weigh_rejection(search, ended, end, now)
--- /dev/null
+++ b/deckdrum/serving/tests/test_statements.py
@@ -0,0 +1,272 @@
+"""Statements of callers through whole nodes, in virtual time."""
+
+from typing import Final
+
+import curio
+import pytest
+
+from deckdrum.testing.nodes import (
+    BOUNDED,
+    CURRENT,
+    OWN,
+    Deployment,
+    build_config,
+    play,
+)
+
+RED: Final = (('colour', 'red'),)
+BLUE: Final = (('colour', 'blue'),)
+
+
+def test_write_is_read_back_from_a_replica() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(OWN)
+        written = await client.ask('WRITE a 1')
+        assert written.is_done
+        await curio.sleep(0.1)
+        found = await client.ask('READ a')
+        assert found.rows == ['a-1']
+        reader = deployment.group.ran[-1].server
+        assert reader != deployment.group.primary.name
+
+    play(scenario, lag=0)
+
+
+def test_own_change_is_read_at_the_primary_while_replicas_lag() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(OWN)
+        await client.ask('WRITE a 1')
+        found = await client.ask('READ a')
+        assert found.rows == ['a-1']
+        assert deployment.group.ran[-1].server == deployment.group.primary.name
+
+    play(scenario, lag=1.0)
+
+
+def test_current_read_sees_the_change_of_another_node() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        writer = await deployment.connect(CURRENT, node=0)
+        reader = await deployment.connect(CURRENT, node=1)
+        for number in range(1, 6):
+            await writer.ask(f'WRITE a {number}')
+            found = await reader.ask('READ a')
+            assert found.rows == [f'a-{number}']
+
+    play(scenario, lag=0.5)
+
+
+def test_bounded_read_is_no_older_than_accepted() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        writer = await deployment.connect(CURRENT, node=0)
+        reader = await deployment.connect(BOUNDED, node=1)
+        await reader.ask('READ a')
+        for server in deployment.group.servers.values():
+            server.is_deaf = True
+        await writer.ask('WRITE a 1')
+        await curio.sleep(1.6)
+        found = await reader.ask('READ a')
+        assert found.rows == ['a-1']
+
+    play(scenario)
+
+
+def test_bounded_reads_go_to_replicas() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        reader = await deployment.connect(BOUNDED)
+        for _ in range(40):
+            assert (await reader.ask('READ a')).is_done
+            await curio.sleep(0.1)
+        servers = [ran.server for ran in deployment.group.ran]
+        replicas = [
+            name for name in servers if name != deployment.group.primary.name
+        ]
+        assert len(replicas) >= 38
+
+    play(scenario)
+
+
+def test_transaction_runs_on_one_connection_and_is_kept() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        assert (await client.ask('BEGIN')).state == 'T'
+        assert (await client.ask('WRITE a 1')).state == 'T'
+        assert (await client.ask('READ a')).state == 'T'
+        committed = await client.ask('COMMIT')
+        assert committed.is_done
+        assert committed.state == 'I'
+        assert committed.text != '-'
+        assert len(deployment.group.primary.log) == 1
+
+    play(scenario)
+
+
+def test_rolled_back_transaction_leaves_nothing() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('BEGIN')
+        await client.ask('WRITE a 1')
+        rolled_back = await client.ask('ROLLBACK')
+        assert rolled_back.state == 'I'
+        assert not deployment.group.primary.log
+
+    play(scenario)
+
+
+def test_client_that_leaves_midway_rolls_back() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('BEGIN')
+        await client.ask('WRITE a 1')
+        await client.close()
+        await curio.sleep(0.1)
+        other = await deployment.connect(CURRENT)
+        assert (await other.ask('WRITE b 1')).is_done
+        assert len(deployment.group.primary.log) == 1
+
+    play(scenario)
+
+
+def test_failed_transaction_only_rolls_back() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('BEGIN')
+        await client.ask('READ a')
+        deployment.group.primary.rejections.append('FAILED')
+        lost = await client.ask('WRITE a 1')
+        assert lost.text.startswith('ABORTED')
+        assert lost.state == 'E'
+        more = await client.ask('READ a')
+        assert more.text.startswith('MALFORMED')
+        assert more.state == 'E'
+        committed = await client.ask('COMMIT')
+        assert committed.text.startswith('ABORTED')
+        assert committed.state == 'I'
+        assert not deployment.group.primary.log
+
+    play(scenario)
+
+
+def test_prepared_names_of_two_callers_do_not_clash() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        first = await deployment.connect(OWN)
+        second = await deployment.connect(OWN)
+        await first.ask('PREPARE s1 WRITE q1')
+        await second.ask('PREPARE s1 READ q2')
+        assert (await first.ask('EXECUTE s1 a x')).is_done
+        found = await second.ask('EXECUTE s1 a')
+        assert found.rows
+        await first.ask('DEALLOCATE s1')
+        gone = await first.ask('EXECUTE s1 a x')
+        assert gone.text.startswith('NOSTMT')
+
+    play(scenario)
+
+
+def test_values_follow_their_session() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        plain = await deployment.connect(CURRENT)
+        dressed = await deployment.connect(CURRENT)
+        await dressed.ask('SET colour red')
+        for _ in range(3):
+            await dressed.ask('READ a')
+            assert deployment.group.ran[-1].values == RED
+            await plain.ask('READ a')
+            assert not deployment.group.ran[-1].values
+        await dressed.ask('BEGIN')
+        await dressed.ask('READ a')
+        await dressed.ask('SET colour blue')
+        await dressed.ask('READ a')
+        assert deployment.group.ran[-1].values == BLUE
+
+    play(scenario)
+
+
+def test_refused_writes_are_tried_until_the_primary_takes_them() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        deployment.group.primary.rejections.extend(('BUSY', 'BUSY', 'BUSY'))
+        assert (await client.ask('WRITE a 1')).is_done
+        assert len(deployment.group.primary.log) == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('word', ['BUSY', 'LAGGING', 'FAILED', 'TIMEOUT'])
+def test_refused_read_is_tried_on_another_server(word: str) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(BOUNDED)
+        await client.ask('READ a')
+        for server in deployment.group.servers.values():
+            if server is not deployment.group.primary:
+                server.rejections.append(word)
+        assert (await client.ask('READ a')).is_done
+
+    play(scenario)
+
+
+def test_write_whose_answer_is_lost_is_in_doubt_and_not_repeated() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        deployment.group.primary.lost_answers = 1
+        reply = await client.ask('WRITE a 1')
+        assert reply.text.startswith('TIMEOUT')
+        assert len(deployment.group.primary.log) == 1
+
+    play(scenario)
+
+
+def test_read_whose_answer_is_lost_is_answered_by_another_server() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(BOUNDED)
+        await client.ask('READ a')
+        for server in deployment.group.servers.values():
+            if server is not deployment.group.primary:
+                server.lost_answers = 1
+        began = await curio.clock()
+        assert (await client.ask('READ a')).is_done
+        assert await curio.clock() - began < 0.6
+
+    play(scenario)
+
+
+def test_transaction_that_rests_too_long_is_ended_and_told() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('BEGIN')
+        await client.ask('WRITE a 1')
+        await curio.sleep(3.6)
+        late = await client.ask('READ a')
+        assert late.text.startswith('ABORTED')
+        assert late.state == 'E'
+        assert (await client.ask('ROLLBACK')).state == 'I'
+
+    play(scenario)
+
+
+def test_dropped_route_is_refused_and_new_one_is_served() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(BOUNDED)
+        assert (await client.ask('READ a')).is_done
+        config = build_config(5)
+        config['routes'] = [
+            route for route in config['routes'] if route['host'] != BOUNDED
+        ]
+        await deployment.store.write('config', 'main', config)
+        await curio.sleep(0.5)
+        assert (await client.ask('READ a')).text.startswith('NODB')
+
+    play(scenario)
+
+
+def test_caller_statements_of_its_own_are_refused() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for text in ('STATUS', 'PAUSE 7', 'DEMOTE 9', 'AFTER 1.1 READ a'):
+            client = await deployment.connect(CURRENT)
+            reply = await client.ask(text)
+            assert reply.text.startswith('MALFORMED')
+        assert deployment.group.primary.role == 'primary'
+        assert not any(
+            server.held_term for server in deployment.group.servers.values()
+        )
+
+    play(scenario)
--- /dev/null
+++ b/deckdrum/testing/nodes.py
@@ -0,0 +1,278 @@
+"""Whole deployments of nodes on the users' platform, in virtual time."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from functools import partial
+from types import TracebackType
+from typing import Any, Final, Self
+
+import curio
+
+from deckdrum.node import Node, NodeSettings
+from deckdrum.platform.backends import PlatformBackend
+from deckdrum.platform.duties import PlatformDuty
+from deckdrum.platform.frontend import Frontend
+from deckdrum.platform.store import PlatformStore
+from deckdrum.standins.users import DatabaseGroup, StandinStore
+from deckdrum.utils import Address, Stream, dial
+from deckdrum.utils.counters import Counters
+from deckdrum.utils.journal import silent_journal
+from deckdrum.utils.virtualtime import run_virtual
+
+ZONES: Final = ('ba-hall', 'tt-hall', 'nr-hall')
+SERVICE: Final = 'stalls'
+#: Database names of the three kinds of route.
+CURRENT: Final = 'db-current'
+BOUNDED: Final = 'db-bounded'
+OWN: Final = 'db-own'
+BOUNDED_AGE_MS: Final = 1500
+OWN_AGE_MS: Final = 2500
+_HOST: Final = '127.0.0.1'
+_POLL: Final = 0.02
+_START_LIMIT: Final = 5.0
+_ANSWER_LIMIT: Final = 6.0
+
+
+def build_route(host: str, kind: str, **fields: Any) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    defaults: dict[str, Any] = {
+        'name': f'r-{host}',
+        'host': host,
+        'pathPrefix': '/',
+        'kind': kind,
+        'timeoutMs': 2000,
+        'objectiveMs': 250,
+        'priority': 2,
+        'service': SERVICE,
+        'maxAttempts': 2,
+    }
+    return defaults | fields
+
+
+def build_config(version: int = 1, **fields: Any) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    defaults: dict[str, Any] = {
+        'version': version,
+        'routes': [
+            build_route(CURRENT, 'primary'),
+            build_route(BOUNDED, 'bounded', maxStalenessMs=BOUNDED_AGE_MS),
+            build_route(OWN, 'own_writes', maxStalenessMs=OWN_AGE_MS),
+        ],
+        'services': [
+            {'name': SERVICE, 'maxConns': 23, 'syncReplicas': 0},
+        ],
+        'limits': {'txIdleMs': 3000},
+    }
+    return defaults | fields
+
+
+@dataclass(slots=True)
+class Reply:
+    """A whole answer: rows, the word and text of its end, and the state."""
+
+    rows: list[str] = field(default_factory=list)
+    end: str = ''
+    text: str = ''
+    state: str = ''
+
+    @property
+    def is_done(self) -> bool:
+        """Whether it is a success."""
+        return self.end == 'COMPLETE'
+
+
+class LineClient:
+    """A client of the platform's protocol."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self._buffer = b''
+        self._asked = 0
+
+    @classmethod
+    async def connect(cls, address: Address, database: str) -> 'LineClient':
+        """Open a session."""
+        client = cls(await dial(address, 1))
+        await client.send(f'STARTUP {database} test')
+        await client.read_reply()
+        return client
+
+    async def send(self, line: str) -> None:
+        """Send one message."""
+        await self.stream.send(f'{line}\r\n'.encode())
+
+    async def ask(self, text: str) -> Reply:
+        """Send a statement and return its whole answer."""
+        self._asked += 1
+        await self.send(f'QUERY {id(self):x}{self._asked:x} {text}')
+        return await self.read_reply()
+
+    async def read_reply(self) -> Reply:
+        """Return the next whole answer; without a state at the end."""
+        reply = Reply()
+        async with curio.timeout_after(_ANSWER_LIMIT):
+            while True:
+                line = await self._read_line()
+                if line is None:
+                    return reply
+                word, _, rest = line.partition(' ')
+                if word == 'READY':
+                    reply.state = rest.partition(' ')[0]
+                    return reply
+                if word == 'ROW':
+                    reply.rows.append(rest)
+                else:
+                    reply.end = word
+                    reply.text = rest
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self.stream.close()
+
+    async def _read_line(self) -> str | None:
+        while b'\r\n' not in self._buffer:
+            chunk = await self.stream.receive()
+            if not chunk:
+                return None
+            self._buffer += chunk
+        line, _, rest = self._buffer.partition(b'\r\n')
+        self._buffer = rest
+        return line.decode()
+
+
+@dataclass(slots=True)
+class RunningNode:
+    """A node and the address where clients reach it."""
+
+    node: Node
+    frontend: Frontend
+    store: PlatformStore
+
+
+class Deployment:
+    """Nodes, a store and one service of three databases.
+
+    Parameters
+    ----------
+    nodes : int
+        Number of nodes.
+    **group : object
+        Fields of the `DatabaseGroup`.
+    """
+
+    def __init__(self, nodes: int = 3, **group: Any) -> None:
+        self.store = StandinStore()
+        self.group = DatabaseGroup(SERVICE, self.store, **group)
+        self.nodes: list[RunningNode] = []
+        self._count = nodes
+        self._ports: dict[int, Address] = {}
+
+    async def __aenter__(self) -> Self:
+        await self.store.write('config', 'main', build_config())
+        await self.group.start(ZONES)
+        for number in range(self._count):
+            self.nodes.append(await self.start_node(number))
+        await self.wait_for(self._is_ready)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for running in self.nodes:
+            await self.stop_node(running)
+        await self.group.close()
+        await self.store.close()
+
+    async def start_node(self, number: int) -> RunningNode:
+        """Start a node."""
+        name = f'n{number}'
+        door = await self.store.open_door(name)
+        counters = Counters()
+        journal = silent_journal(name)
+        store = PlatformStore(door, journal, counters)
+        settings = NodeSettings(
+            name=name,
+            data_centre=ZONES[number % len(ZONES)],
+            peer_address=await find_free_address(),
+            seed=number + 1,
+        )
+        node = Node(
+            settings,
+            store,
+            PlatformDuty(self.group.calls_address),
+            partial(_make_backend, name),
+            journal,
+            counters,
+        )
+        frontend = Frontend(node, await find_free_address())
+        await node.start()
+        await frontend.start()
+        return RunningNode(node, frontend, store)
+
+    async def stop_node(self, running: RunningNode) -> None:
+        """Stop a node as its process ends."""
+        await running.node.close()
+        await running.frontend.close()
+        await running.store.close()
+
+    async def connect(self, database: str, node: int = 0) -> LineClient:
+        """Open a session at a node."""
+        address = self.nodes[node].frontend.address
+        return await LineClient.connect(address, database)
+
+    async def wait_for(
+        self,
+        check: Callable[[], bool],
+        limit: float = _START_LIMIT,
+    ) -> float:
+        """Wait until a check holds; return the time it took in seconds."""
+        began: float = await curio.clock()
+        async with curio.timeout_after(limit):
+            while not check():
+                await curio.sleep(_POLL)
+        ended: float = await curio.clock()
+        return ended - began
+
+    def _is_ready(self) -> bool:
+        return all(
+            running.node.is_ready and _has_primary(running.node)
+            for running in self.nodes
+        )
+
+
+def _has_primary(node: Node) -> bool:
+    runtime = node.services.get(SERVICE)
+    return runtime is not None and runtime.belief.has_primary
+
+
+def _make_backend(name: str, server: Any) -> PlatformBackend:
+    return PlatformBackend(server, name)
+
+
+async def find_free_address() -> Address:
+    """Return a loopback address whose port is free now."""
+    sock = curio.socket.socket()
+    sock.bind((_HOST, 0))
+    address = Address(*sock.getsockname())
+    await sock.close()
+    return address
+
+
+def play(
+    scenario: Callable[[Deployment], Awaitable[Any]],
+    nodes: int = 3,
+    **group: Any,
+) -> Any:
+    """Run a scenario on a fresh deployment in virtual time."""
+    return run_virtual(_play, scenario, Deployment(nodes, **group))
+
+
+async def _play(
+    scenario: Callable[[Deployment], Awaitable[Any]],
+    deployment: Deployment,
+) -> Any:
+    async with deployment:
+        return await scenario(deployment)
