Let a node that has just started change no primary alone

Cause: within its first moments a node knows no other node; one that could not reach the primary then asked nobody and promoted, although the others reached it (found by a test through whole nodes). Change: a node acts only when it has been registered for a second. Peers move to deckdrum/fleet, which breaks an import circle.

--- /dev/null
+++ b/deckdrum/control/tests/test_view.py
@@ -0,0 +1,155 @@
+"""The view of the store, through whole nodes in virtual time."""
+
+import curio
+import pytest
+
+from deckdrum.control import Kind
+from deckdrum.standins.users import StoreFault
+from deckdrum.testing.nodes import (
+    BOUNDED,
+    CURRENT,
+    SERVICE,
+    Deployment,
+    build_config,
+    build_route,
+    play,
+)
+
+#: Bound of the users for a configuration, in seconds.
+APPLY_LIMIT = 3.0
+
+
+def _count_in_force(deployment: Deployment, version: int) -> int:
+    return sum(
+        running.node.view.version >= version for running in deployment.nodes
+    )
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [StoreFault.BUSY, StoreFault.MANY, StoreFault.RESET, StoreFault.SILENT],
+)
+def test_configuration_reaches_a_node_that_is_turned_away(
+    fault: StoreFault,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.store.turned_away['n1'] = fault
+        # A watch from before the fault may still hear of it: drop it.
+        await deployment.nodes[1].store.close()
+        await deployment.store.write('config', 'main', build_config(9))
+        took = await deployment.wait_for(
+            lambda: _count_in_force(deployment, 9) == 3,
+        )
+        assert took < APPLY_LIMIT
+
+    play(scenario)
+
+
+def test_leaving_server_is_learnt_from_peers() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.store.turned_away['n1'] = StoreFault.SILENT
+        await deployment.nodes[1].store.close()
+        replica = next(
+            server
+            for server in deployment.group.servers.values()
+            if server.role == 'replica'
+        )
+        await replica.drain()
+        node = deployment.nodes[1].node
+        took = await deployment.wait_for(
+            lambda: node.view.servers[replica.name].is_draining,
+        )
+        assert took < APPLY_LIMIT
+        client = await deployment.connect(BOUNDED, node=1)
+        before = len(deployment.group.ran)
+        for _ in range(10):
+            await client.ask('READ a')
+        assert not any(
+            ran.server == replica.name for ran in deployment.group.ran[before:]
+        )
+
+    play(scenario)
+
+
+def test_configuration_never_goes_back() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await deployment.store.write('config', 'main', build_config(9))
+        await deployment.wait_for(lambda: _count_in_force(deployment, 9) == 3)
+        old = deployment.nodes[0].store.decode_configuration(
+            b'{"version": 3, "routes": [], "services": []}',
+        )
+        assert not await deployment.nodes[0].node.view.adopt_configuration(old)
+        assert deployment.nodes[0].node.view.version == 9
+
+    play(scenario)
+
+
+def test_serves_on_while_the_store_is_away() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        deployment.store.fault = StoreFault.SILENT
+        done = 0
+        for _ in range(100):
+            done += (await client.ask('WRITE a 1')).is_done
+            await curio.sleep(0.1)
+        assert done == 100
+
+    play(scenario)
+
+
+def test_lapsed_entries_are_used_on_for_a_while() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        names = list(deployment.group.servers)
+        for name in names:
+            await deployment.store.drop('servers', name)
+        await curio.sleep(1.0)
+        assert (await client.ask('WRITE a 1')).is_done
+        for server in deployment.group.servers.values():
+            await server.publish()
+        await curio.sleep(3.0)
+        assert (await client.ask('WRITE a 1')).is_done
+        node = deployment.nodes[0].node
+        assert set(node.view.servers) == set(names)
+
+    play(scenario)
+
+
+def test_forgotten_history_is_listed_again() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await deployment.store.forget_history()
+        routes = [build_route('db-new', 'primary')]
+        config = build_config(9, routes=routes)
+        deployment.store.page = 1
+        await deployment.store.write('config', 'main', config)
+        await deployment.store.forget_history()
+        await deployment.wait_for(lambda: _count_in_force(deployment, 9) == 3)
+        client = await deployment.connect('db-new')
+        assert (await client.ask('WRITE a 1')).is_done
+
+    play(scenario)
+
+
+def test_pages_of_a_list_are_put_together() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.store.page = 1
+        store = deployment.nodes[0].store
+        listing = await store.list_records(Kind.SERVERS)
+        assert {entry.name for entry in listing.entries} == set(
+            deployment.group.servers,
+        )
+        assert listing.revision == deployment.store.revision
+
+    play(scenario)
+
+
+def test_unreadable_record_leaves_the_others_in_force() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await deployment.store.write('servers', 'i-bad', {'service': 7})
+        await curio.sleep(0.5)
+        assert 'i-bad' not in deployment.nodes[0].node.view.servers
+        client = await deployment.connect(CURRENT)
+        assert (await client.ask('WRITE a 1')).is_done
+        assert deployment.nodes[0].node.services[SERVICE].servers
+
+    play(scenario)
--- a/deckdrum/node/peers.py
+++ b/deckdrum/fleet/nodes.py
@@ -43,7 +43,7 @@
 PeerAnswer = Message | ConnectionRefusedError | None
 
 
-class Peers:
+class NodePeers:
     """A node's connections to other nodes.
 
     Parameters
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -24,6 +24,7 @@
 
 from deckdrum.backends import ServerRole, ServerStatus
 from deckdrum.control import ControlStore, ControlView, Entry, Kind
+from deckdrum.fleet.nodes import NodePeers
 from deckdrum.fleet.questions import (
     EndTerm,
     TermEnded,
@@ -34,7 +35,6 @@
     PromotionOrder,
     PromotionOutcome,
 )
-from deckdrum.node.peers import Peers
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.service import ServiceRuntime
@@ -105,7 +105,7 @@
         Where the record lies.
     duty : PromotionDuty
         The platform's call.
-    peers : Peers
+    peers : NodePeers
         The other nodes.
     node : str
         Name of this node.
@@ -119,7 +119,7 @@
         view: ControlView,
         store: ControlStore,
         duty: PromotionDuty,
-        peers: Peers,
+        peers: NodePeers,
         node: str,
         randomness: Random,
     ) -> None:
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -12,6 +12,7 @@
 
 from deckdrum.backends import ServerRole
 from deckdrum.control import ControlStore, ControlView
+from deckdrum.fleet.nodes import NodePeers
 from deckdrum.fleet.questions import (
     AskServer,
     ServerAnswer,
@@ -22,7 +23,6 @@
     ChangeReport,
     Promotion,
 )
-from deckdrum.node.peers import Peers
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.store.records import GroupRecord, Phase
@@ -43,6 +43,9 @@
 RETRY_PAUSE: Final = 0.4
 #: How long a group may be without a known primary before it is given one.
 UNKNOWN_LIMIT: Final = 1.0
+#: How long a node has been registered before it changes a primary, in s.  A
+#: node that has just started does not know the others yet and would act alone.
+SETTLE_TIME: Final = 1.0
 #: How long after a change the servers are looked after, in seconds.
 MEND_TIME: Final = 6.0
 MEND_PAUSE: Final = 0.5
@@ -61,7 +64,7 @@
         Where claims are made.
     duty : PromotionDuty
         The platform's call.
-    peers : Peers
+    peers : NodePeers
         The other nodes.
     node : str
         Name of this node.
@@ -75,7 +78,7 @@
         view: ControlView,
         store: ControlStore,
         duty: PromotionDuty,
-        peers: Peers,
+        peers: NodePeers,
         node: str,
         randomness: Random,
     ) -> None:
@@ -91,6 +94,7 @@
         self._claim_seen: tuple[str, float] = ('', 0)
         self._mend_until = float('-inf')
         self._troubled: ServerHandle | None = None
+        self._registered_since: float | None = None
 
     def note_trouble(self, handle: ServerHandle) -> None:
         """Look at a server that has just failed, if it is the primary."""
@@ -104,7 +108,7 @@
 
     async def _look(self) -> float:
         """Look once; return the pause before the next look."""
-        if not self._runtime.servers:
+        if not self._runtime.servers or not await self._is_settled():
             return LOOK_PAUSE
         record = self._runtime.belief.record
         if record is not None and record.phase is Phase.FENCING:
@@ -123,6 +127,16 @@
             return MEND_PAUSE
         return LOOK_PAUSE
 
+    async def _is_settled(self) -> bool:
+        """Tell whether this node has had time to learn of the others."""
+        now: float = await curio.clock()
+        if self._view.find_member(self._node) is None:
+            self._registered_since = None
+            return False
+        if self._registered_since is None:
+            self._registered_since = now
+        return now - self._registered_since >= SETTLE_TIME
+
     async def _look_at_claim(self, record: GroupRecord) -> float:
         """Take a change over whose driver has not finished it."""
         now = await curio.clock()
--- /dev/null
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -0,0 +1,259 @@
+"""Changes of primary through whole nodes, in virtual time."""
+
+import curio
+import pytest
+
+from deckdrum.standins.users import StoreFault
+from deckdrum.testing.nodes import (
+    CURRENT,
+    OWN,
+    SERVICE,
+    Deployment,
+    LineClient,
+    play,
+)
+
+#: Longest gap between two acknowledged writes, in seconds; the mark that the
+#: users set for the 99th percentile is 4 s.
+GAP_LIMIT = 2.5
+
+
+async def _write_until_done(
+    client: LineClient,
+    limit: float = 8.0,
+) -> float:
+    """Write until it succeeds; return how long that took in seconds."""
+    began: float = await curio.clock()
+    async with curio.timeout_after(limit):
+        while not (await client.ask('WRITE a 1')).is_done:
+            await curio.sleep(0.05)
+    ended: float = await curio.clock()
+    return ended - began
+
+
+def test_dead_primary_is_replaced_once() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        await curio.sleep(0.1)
+        old = deployment.group.primary
+        await old.crash()
+        assert await _write_until_done(client) < GAP_LIMIT
+        await curio.sleep(2)
+        assert len(deployment.group.promotions) == 1
+        new = [
+            server
+            for server in deployment.group.servers.values()
+            if server.role == 'primary' and server is not old
+        ]
+        assert [len(server.log) for server in new] == [2]
+
+    play(scenario)
+
+
+def test_dark_primary_is_replaced() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        await curio.sleep(0.1)
+        deployment.group.primary.is_dark = True
+        assert await _write_until_done(client) < GAP_LIMIT + 1
+        assert len(deployment.group.promotions) == 1
+
+    play(scenario)
+
+
+def test_leaving_primary_hands_over_without_losing_a_change() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        old = deployment.group.primary
+        await old.drain()
+        done = 0
+        for _ in range(60):
+            done += (await client.ask('WRITE a 1')).is_done
+            await curio.sleep(0.05)
+        new = deployment.group.primary
+        assert new is not old
+        assert old.role == 'replica'
+        assert done == 60
+        assert len(new.log) == done
+
+    play(scenario)
+
+
+def test_furthest_replica_leads() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        old = deployment.group.primary
+        first, second = (
+            server
+            for server in deployment.group.servers.values()
+            if server is not old
+        )
+        first.is_deaf = True
+        await client.ask('WRITE a 1')
+        await curio.sleep(0.1)
+        await old.crash()
+        await _write_until_done(client)
+        assert deployment.group.promotions[0][0] == second.name
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('synchronous', [1])
+def test_synchronous_group_keeps_every_acknowledged_change(
+    synchronous: int,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        done = 0
+        for _ in range(5):
+            done += (await client.ask('WRITE a 1')).is_done
+        await deployment.group.primary.crash()
+        await _write_until_done(client)
+        assert len(deployment.group.primary.log) > done
+
+    play(scenario, synchronous=synchronous, lag=0.01)
+
+
+def test_promotion_whose_answer_is_lost_is_resolved() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        deployment.group.lost_promotions = 1
+        await deployment.group.primary.crash()
+        assert await _write_until_done(client) < GAP_LIMIT + 1
+        fences = [fence for _, _, fence in deployment.group.promotions]
+        assert fences == sorted(fences)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('settle', [0, 1.5])
+def test_no_promotion_while_another_node_reaches_the_primary(
+    settle: float,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        primary = deployment.group.primary
+        runtime = deployment.nodes[0].node.services[SERVICE]
+        handle = runtime.servers[primary.name]
+
+        async def refuse(limit: float) -> None:
+            raise ConnectionAbortedError(f'cut off for {limit} s')
+
+        handle.backend.connect = refuse  # type: ignore[method-assign, assignment]
+        await handle.pool.close_idle()
+        refused = await client.ask('WRITE a 2')
+        assert refused.text.startswith('BUSY')
+        await curio.sleep(2)
+        assert not deployment.group.promotions
+
+    play(scenario, settle=settle)
+
+
+def test_no_claim_and_no_promotion_without_the_store() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        deployment.store.fault = StoreFault.BUSY
+        await deployment.group.primary.crash()
+        await curio.sleep(3)
+        assert not deployment.group.promotions
+        deployment.store.fault = StoreFault.NONE
+        assert await _write_until_done(client) < GAP_LIMIT + 2
+
+    play(scenario)
+
+
+def test_claim_whose_answer_is_lost_is_read_back() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        deployment.store.fault = StoreFault.ANSWERS_LOST
+        await deployment.group.primary.crash()
+        assert await _write_until_done(client) < GAP_LIMIT + 2
+        holders = {holder for _, holder, _ in deployment.group.promotions}
+        assert len(holders) == 1
+
+    play(scenario)
+
+
+def test_change_of_a_dead_driver_is_taken_over() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        primary = deployment.group.primary.name
+        await deployment.store.write(
+            'deckdrum-leadership',
+            SERVICE,
+            {
+                'service': SERVICE,
+                'term': 2,
+                'primary': '',
+                'phase': 'fencing',
+                'operation': 'of a dead node',
+                'driver': 'n9',
+                'former': primary,
+            },
+        )
+        await curio.sleep(0.5)
+        refused = await client.ask('WRITE a 2')
+        assert not refused.is_done
+        assert await _write_until_done(client, 12) < 9
+        assert (
+            deployment.store.read('deckdrum-leadership', SERVICE)['phase']
+            == 'settled'
+        )
+
+    play(scenario)
+
+
+def test_old_primary_is_not_read_after_a_change() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        """A node that is cut off with the old primary stops in time."""
+        group = deployment.group
+        cut_off = await deployment.connect(CURRENT, node=2)
+        await cut_off.ask('WRITE a 1')
+        await curio.sleep(0.1)
+        old = group.primary
+        deployment.store.turned_away['n2'] = StoreFault.SILENT
+        await deployment.nodes[2].node.peers.close()
+        for number in (0, 1):
+            runtime = deployment.nodes[number].node.services[SERVICE]
+            handle = runtime.servers[old.name]
+            handle.backend.connect = _fail  # type: ignore[method-assign, assignment]
+            await handle.pool.close_idle()
+        writer = await deployment.connect(CURRENT, node=0)
+        await writer.ask('WRITE a 2')
+        await _write_until_done(writer)
+        ran_before = len(group.ran)
+        for _ in range(20):
+            await cut_off.ask('READ a')
+            await curio.sleep(0.05)
+        late = [
+            ran
+            for ran in group.ran[ran_before:]
+            if ran.server == old.name and ran.text.startswith('READ')
+        ]
+        assert not late
+
+    play(scenario)
+
+
+async def _fail(limit: float) -> None:
+    raise ConnectionAbortedError(f'cut off for {limit} s')
+
+
+def test_own_change_survives_in_the_reads_after_a_change() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(OWN)
+        await client.ask('WRITE a 1')
+        await curio.sleep(0.2)
+        await deployment.group.primary.crash()
+        await curio.sleep(3)
+        found = await client.ask('READ a')
+        assert found.rows == ['a-1']
+
+    play(scenario)
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -16,6 +16,7 @@
 from deckdrum.fleet.messages import (
     Heartbeat,
 )
+from deckdrum.fleet.nodes import NodePeers
 from deckdrum.fleet.questions import (
     AskServer,
     EndTerm,
@@ -23,7 +24,6 @@
 )
 from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.leadership.supervision import Supervisor, answer_server
-from deckdrum.node.peers import Peers
 from deckdrum.node.registration import Registration
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.execution import Execution
@@ -102,7 +102,7 @@
         self._randomness = Random(settings.seed or os.urandom(8))
         self.view = ControlView(store, journal, self._randomness)
         self.view.on_change.append(self._note_change)
-        self.peers = Peers(
+        self.peers = NodePeers(
             settings.name,
             settings.peer_address,
             settings.seeds,
--- /dev/null
+++ b/deckdrum/node/tests/test_life.py
@@ -0,0 +1,99 @@
+"""Start, stop, registration and peers of nodes, in virtual time."""
+
+import curio
+
+from deckdrum.serving.service import RESERVED_CONNECTIONS
+from deckdrum.standins.users import StoreFault
+from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
+
+
+def test_nodes_register_and_withdraw() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.nodes[0].node
+        await deployment.wait_for(lambda: len(node.view.members) == 3)
+        await deployment.stop_node(deployment.nodes.pop(2))
+        await deployment.wait_for(lambda: len(node.view.members) == 2)
+
+    play(scenario)
+
+
+def test_lost_registration_is_renewed() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.nodes[0].node
+        await deployment.wait_for(lambda: len(node.view.members) == 3)
+        await deployment.store.drop('deckdrum-members', 'n1')
+        await curio.sleep(2.5)
+        assert len(node.view.members) == 3
+
+    play(scenario)
+
+
+def test_connections_are_shared_between_nodes() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.nodes[0].node
+        await deployment.wait_for(lambda: len(node.view.members) == 6)
+        await curio.sleep(0.5)
+        slots = [
+            running.node.services[SERVICE].slots for running in deployment.nodes
+        ]
+        assert set(slots) == {3}
+        assert sum(slots) <= 23 - RESERVED_CONNECTIONS
+
+    play(scenario, nodes=6, max_connections=23)
+
+
+def test_stopping_node_is_not_ready_and_serves_on() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.nodes[0].node
+        client = await deployment.connect(CURRENT)
+        assert node.is_ready
+        await node.begin_stop()
+        assert not node.is_ready
+        assert (await client.ask('WRITE a 1')).is_done
+
+    play(scenario)
+
+
+def test_quiet_connections_are_closed_and_busy_ones_are_not() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        quiet = await deployment.connect(CURRENT)
+        busy = await deployment.connect(CURRENT)
+        await busy.ask('BEGIN')
+        await busy.ask('WRITE a 1')
+        frontend = deployment.nodes[0].frontend
+        await deployment.nodes[0].node.begin_stop()
+        await frontend.close_quiet(1.0)
+        assert await quiet.stream.receive() == b''
+        assert (await busy.ask('COMMIT')).is_done
+        assert frontend.connections == 1
+
+    play(scenario)
+
+
+def test_stop_ends_open_transactions_with_a_true_promise() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('BEGIN')
+        await client.ask('WRITE a 1')
+        await deployment.nodes[0].node.abandon_transactions('the node stops')
+        reply = await client.ask('COMMIT')
+        assert reply.text.startswith('ABORTED')
+        assert not deployment.group.primary.log
+
+    play(scenario)
+
+
+def test_node_starts_from_its_peers_while_the_store_is_away() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.store.turned_away['n3'] = StoreFault.BUSY
+        seeds = tuple(
+            running.node.settings.peer_address for running in deployment.nodes
+        )
+        running = await deployment.start_node(3, seeds)
+        deployment.nodes.append(running)
+        took = await deployment.wait_for(lambda: running.node.is_ready)
+        assert took < 2
+        client = await deployment.connect(CURRENT, node=3)
+        assert (await client.ask('WRITE a 1')).is_done
+
+    play(scenario)
--- a/deckdrum/standins/users/store.py
+++ b/deckdrum/standins/users/store.py
@@ -121,10 +121,12 @@
         stored = self._stored.get(kind, {}).get(name)
         return None if stored is None else stored['spec']
 
-    def forget_history(self) -> None:
-        """Answer watches from earlier revisions with 410."""
+    async def forget_history(self) -> None:
+        """Cut the watches, and answer those from earlier revisions by 410."""
         self._events.clear()
         self._history_from = self.revision
+        async with self._changed:
+            await self._changed.notify_all()
 
     async def _note(
         self,
@@ -192,8 +194,10 @@
             return Reply.from_text('history is gone', _GONE)
         async with curio.ignore_after(wait):
             async with self._changed:
-                while not self._find_events(kind, since):
+                while not self._has_news(kind, since):
                     await self._changed.wait()
+        if since < self._history_from:
+            return Reply.from_text('history is gone', _GONE)
         events = [
             {'removed': event.removed, 'object': event.stored}
             for event in self._find_events(kind, since)
@@ -202,6 +206,10 @@
             {'events': events, 'currentRev': self.revision},
         )
 
+    def _has_news(self, kind: str, since: int) -> bool:
+        is_cut = since < self._history_from
+        return is_cut or bool(self._find_events(kind, since))
+
     def _find_events(self, kind: str, since: int) -> list[_Event]:
         return [
             event
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -29,6 +29,8 @@
 OWN_AGE_MS: Final = 2500
 _HOST: Final = '127.0.0.1'
 _POLL: Final = 0.02
+#: Longer than a node needs to learn of the others, in seconds.
+SETTLE: Final = 1.5
 _START_LIMIT: Final = 5.0
 _ANSWER_LIMIT: Final = 6.0
 
@@ -156,16 +158,23 @@
     ----------
     nodes : int
         Number of nodes.
+    settle : float
+        Time that the nodes get before the scenario begins, in seconds.
     **group : object
         Fields of the `DatabaseGroup`.
     """
 
-    def __init__(self, nodes: int = 3, **group: Any) -> None:
+    def __init__(
+        self,
+        nodes: int = 3,
+        settle: float = SETTLE,
+        **group: Any,
+    ) -> None:
         self.store = StandinStore()
         self.group = DatabaseGroup(SERVICE, self.store, **group)
         self.nodes: list[RunningNode] = []
         self._count = nodes
-        self._ports: dict[int, Address] = {}
+        self._settle = settle
 
     async def __aenter__(self) -> Self:
         await self.store.write('config', 'main', build_config())
@@ -173,6 +182,7 @@
         for number in range(self._count):
             self.nodes.append(await self.start_node(number))
         await self.wait_for(self._is_ready)
+        await curio.sleep(self._settle)
         return self
 
     async def __aexit__(
@@ -186,7 +196,11 @@
         await self.group.close()
         await self.store.close()
 
-    async def start_node(self, number: int) -> RunningNode:
+    async def start_node(
+        self,
+        number: int,
+        seeds: tuple[Address, ...] = (),
+    ) -> RunningNode:
         """Start a node."""
         name = f'n{number}'
         door = await self.store.open_door(name)
@@ -197,6 +211,7 @@
             name=name,
             data_centre=ZONES[number % len(ZONES)],
             peer_address=await find_free_address(),
+            seeds=seeds,
             seed=number + 1,
         )
         node = Node(
