--- /dev/null
+++ b/deckdrum/leadership/tests/test_belief.py
@@ -0,0 +1,187 @@
+"""Belief in a primary: proof, its end, and changes."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import pytest
+
+from deckdrum.backends import ServerRole, ServerStatus
+from deckdrum.leadership.belief import VALIDITY, LeadershipBelief
+from deckdrum.sessions import Position
+from deckdrum.store.records import GroupRecord, Phase
+from deckdrum.utils.journal import silent_journal
+
+#: Servers of a group, proofs and holds needed.
+PROOFS_AND_HOLDS = (
+    (1, 0, 1),
+    (2, 1, 1),
+    (3, 1, 2),
+    (4, 2, 2),
+    (5, 2, 3),
+)
+
+
+def build_status(**fields: Any) -> ServerStatus:
+    """Return the state of a replica of term 1 that does not hold."""
+    defaults: dict[str, Any] = {
+        'role': ServerRole.REPLICA,
+        'term': 1,
+        'received': Position(1, 5),
+        'held_term': 0,
+    }
+    return ServerStatus(**(defaults | fields))
+
+
+def build_record(**fields: Any) -> GroupRecord:
+    """Return the record of a claimed change to term 2."""
+    defaults: dict[str, Any] = {
+        'service': 'stalls',
+        'term': 2,
+        'primary': '',
+        'phase': Phase.FENCING,
+        'operation': 'x',
+    }
+    return GroupRecord(**(defaults | fields))
+
+
+def run(scenario: Callable[[LeadershipBelief], Awaitable[None]]) -> None:
+    """Run a scenario on the belief of three servers led by 'a'."""
+
+    async def main() -> None:
+        belief = LeadershipBelief('stalls', silent_journal('n1'))
+        await belief.adopt_servers(('a', 'b', 'c'))
+        leading = build_status(role=ServerRole.PRIMARY)
+        await belief.note_status('a', leading, 10.0)
+        await scenario(belief)
+
+    curio.run(main)
+
+
+def test_primary_without_proof_is_not_used() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        assert belief.primary == 'a'
+        assert not belief.is_valid(10.0)
+
+    run(scenario)
+
+
+def test_proof_of_one_replica_is_good_for_a_while() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_status('b', build_status(), 10.0)
+        assert belief.is_valid(10.0 + VALIDITY - 0.01)
+        assert not belief.is_valid(10.0 + VALIDITY)
+
+    run(scenario)
+
+
+def test_holding_replica_gives_no_proof() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_status('b', build_status(held_term=2), 10.0)
+        assert not belief.is_valid(10.0)
+
+    run(scenario)
+
+
+def test_replica_that_begins_to_hold_withdraws_its_proof() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_status('b', build_status(), 10.0)
+        await belief.note_status('b', build_status(held_term=2), 10.1)
+        assert not belief.is_valid(10.1)
+
+    run(scenario)
+
+
+def test_claim_ends_the_use_and_settling_begins_the_next() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_status('b', build_status(), 10.0)
+        await belief.adopt_record(5, build_record())
+        assert not belief.is_valid(10.0)
+        assert belief.may_release(1, 10.0)
+        settled = build_record(primary='b', phase=Phase.SETTLED)
+        await belief.adopt_record(6, settled)
+        assert (belief.term, belief.primary) == (2, 'b')
+
+    run(scenario)
+
+
+def test_confirmed_end_releases_no_change() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_status('b', build_status(), 10.0)
+        await belief.end_term(1, 'a test')
+        belief.close_term(1)
+        assert not belief.may_release(1, 10.0)
+
+    run(scenario)
+
+
+def test_older_record_changes_nothing() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        settled = build_record(primary='b', phase=Phase.SETTLED)
+        await belief.adopt_record(6, settled)
+        await belief.adopt_record(5, build_record())
+        assert belief.has_primary
+
+    run(scenario)
+
+
+def test_old_primary_that_returns_is_not_believed() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        settled = build_record(primary='b', phase=Phase.SETTLED)
+        await belief.adopt_record(6, settled)
+        leading = build_status(role=ServerRole.PRIMARY)
+        await belief.note_status('a', leading, 11.0)
+        assert belief.primary == 'b'
+
+    run(scenario)
+
+
+def test_change_that_was_given_up_restores_the_term() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.adopt_record(5, build_record())
+        belief.close_term(1)
+        back = build_record(term=1, primary='a', phase=Phase.SETTLED)
+        await belief.adopt_record(6, back)
+        await belief.note_status('b', build_status(), 12.0)
+        assert belief.is_valid(12.0)
+        assert belief.may_release(1, 12.0)
+
+    run(scenario)
+
+
+def test_replica_of_a_later_term_ends_the_known_one() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_status('b', build_status(term=2), 11.0)
+        assert not belief.has_primary
+
+    run(scenario)
+
+
+def test_store_proves_when_replicas_cannot() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_store(0, None, 10.0)
+        assert belief.is_valid(10.5)
+        await belief.adopt_record(5, build_record())
+        assert not belief.is_valid(10.5)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('servers', 'proofs', 'holds'),
+    PROOFS_AND_HOLDS,
+)
+def test_proofs_and_holds_always_meet(
+    servers: int,
+    proofs: int,
+    holds: int,
+) -> None:
+    async def main() -> None:
+        belief = LeadershipBelief('stalls', silent_journal('n1'))
+        await belief.adopt_servers(map(str, range(servers)))
+        assert belief.proofs_needed == proofs
+        assert belief.holds_needed == holds
+        if servers > 1:
+            assert proofs + holds > servers - 1
+
+    curio.run(main)
--- /dev/null
+++ b/deckdrum/platform/tests/test_wire.py
@@ -0,0 +1,241 @@
+"""The line protocol: examples, golden sessions, and input that breaks it."""
+
+import string
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from deckdrum.operations import (
+    Answer,
+    Begin,
+    Commit,
+    Execute,
+    Operation,
+    Prepare,
+    RejectionCause,
+    Run,
+    Standing,
+)
+from deckdrum.outcomes import CODES, Code, Fate, refuse
+from deckdrum.platform.backends import decode_status
+from deckdrum.platform.lines import MAX_LINE_BYTES, LineError
+from deckdrum.platform.statements import decode_operation, encode_operation
+from deckdrum.platform.wire import (
+    decode_error,
+    decode_position,
+    decode_ready,
+    decode_request,
+    decode_startup,
+    encode_outcome,
+    encode_position,
+)
+from deckdrum.sessions import Position
+from deckdrum.testing.nodes import CURRENT, Deployment, LineClient, play
+from deckdrum.utils import dial
+
+#: Words by which the platform's clients are promised that nothing is kept.
+PROMISES = frozenset(
+    ('BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY'),
+)
+WORDS = st.text(string.ascii_letters + string.digits, min_size=1, max_size=12)
+TEXTS = st.one_of(
+    st.sampled_from(('BEGIN', 'BEGIN READ', 'COMMIT', 'ROLLBACK')),
+    WORDS.map('READ {}'.format),
+    st.tuples(WORDS, WORDS).map(lambda each: 'WRITE {} {}'.format(*each)),
+    st.tuples(WORDS, WORDS).map(lambda each: 'SET {} {}'.format(*each)),
+    st.tuples(WORDS, WORDS).map(
+        lambda each: 'PREPARE {} READ {}'.format(*each)
+    ),
+    st.tuples(WORDS, WORDS, WORDS).map(
+        lambda each: 'EXECUTE {} {} {}'.format(*each),
+    ),
+    WORDS.map('DEALLOCATE {}'.format),
+)
+
+
+@given(TEXTS)
+def test_statements_survive_decoding_unchanged(text: str) -> None:
+    assert encode_operation(decode_operation(text)) == text
+
+
+@given(st.text(max_size=60))
+@settings(max_examples=300)
+def test_any_text_is_an_operation_or_an_error(text: str) -> None:
+    try:
+        operation = decode_operation(text)
+    except LineError:
+        return
+    assert encode_operation(operation) == text
+
+
+@pytest.mark.parametrize(
+    ('text', 'operation'),
+    [
+        ('BEGIN READ', Begin(read_only=True)),
+        ('COMMIT', Commit()),
+        ('EXECUTE s1 1a4 xkqp', Execute('s1', '1a4 xkqp')),
+    ],
+)
+def test_statement_is_decoded(text: str, operation: Operation) -> None:
+    assert decode_operation(text) == operation
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        'QUERY',
+        'QUERY 1',
+        'QUERY 1 ',
+        'QUERY - STATUS',
+        'QUERY - READ a',
+        'QUERY 1 STATUS',
+        'QUERY 1 RESET',
+        'QUERY 1 PAUSE 4',
+        'QUERY 1 RESUME',
+        'QUERY 1 DEMOTE 4',
+        'QUERY 1 AFTER 3.1 READ a',
+        'QUERY 1 READ',
+        'QUERY 1 READ a b',
+        'QUERY 1 WRITE a',
+        'QUERY 1 BEGIN WRITE',
+        'QUERY 1 COMMIT now',
+        'QUERY 1 PREPARE s DROP q',
+        'STARTUP db who',
+        'HELLO',
+        '',
+    ],
+)
+def test_what_clients_do_not_send_is_refused(line: str) -> None:
+    with pytest.raises(LineError):
+        decode_request(line)
+
+
+@pytest.mark.parametrize('line', ['', 'STARTUP', 'STARTUP ', 'QUERY 1 READ a'])
+def test_other_first_messages_are_refused(line: str) -> None:
+    with pytest.raises(LineError):
+        decode_startup(line)
+
+
+@pytest.mark.parametrize('code', list(Code))
+def test_promises_are_given_only_where_nothing_has_run(code: Code) -> None:
+    line = encode_outcome(refuse(code), Standing.IDLE).decode()
+    word = line.split(' ')[1]
+    if word in PROMISES:
+        assert CODES[code].fate is Fate.NOT_RUN
+
+
+def test_refusal_tells_when_to_come_back() -> None:
+    line = encode_outcome(refuse(Code.NO_PRIMARY), Standing.IDLE).decode()
+    assert line.startswith('ERROR BUSY not run')
+    assert 'retry after 1000 ms' in line
+    assert line.endswith('READY I -\r\n')
+
+
+def test_answer_is_encoded_with_rows_signature_and_position() -> None:
+    answer = Answer(('x', 'y'), '7.1f', Standing.IDLE, Position(3, 1209))
+    assert encode_outcome(answer, Standing.IDLE) == (
+        b'ROW x\r\nROW y\r\nCOMPLETE 7.1f\r\nREADY I 3.1209\r\n'
+    )
+
+
+@given(st.integers(0, 10**9), st.integers(0, 10**12))
+def test_positions_survive(term: int, offset: int) -> None:
+    position = Position(term, offset)
+    assert decode_position(encode_position(position)) == position
+
+
+@pytest.mark.parametrize('text', ['', '3', '3.', '.4', 'a.b', '3.4.5', '-1.2'])
+def test_wrong_positions_are_refused(text: str) -> None:
+    with pytest.raises(LineError):
+        decode_position(text)
+
+
+@pytest.mark.parametrize('line', ['READY', 'READY I', 'READY X -', 'ROW a'])
+def test_wrong_ends_are_refused(line: str) -> None:
+    with pytest.raises(LineError):
+        decode_ready(line)
+
+
+def test_errors_of_databases_are_told_apart() -> None:
+    assert decode_error('BUSY i-1')[0].is_not_run
+    assert not decode_error('FAILED i-1')[0].is_not_run
+    assert decode_error('NEWWORD x')[0] is RejectionCause.OTHER
+
+
+@pytest.mark.parametrize(
+    'row', ['', 'primary', 'king 1 1.1 0', 'primary x 1.1 0']
+)
+def test_wrong_status_rows_are_refused(row: str) -> None:
+    with pytest.raises(LineError):
+        decode_status((row,))
+
+
+def test_prepared_statement_keeps_a_shape_with_blanks() -> None:
+    operation = decode_operation('PREPARE s1 WRITE a b c')
+    assert isinstance(operation, Prepare)
+    assert operation.shape == 'a b c'
+    assert not isinstance(operation, Run)
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [
+        b'QUERY 1 READ a\nQUERY 2 WRITE a 1\r\n',
+        b'QUERY 1 READ a\rWRITE b\r\n',
+        b'QUERY 1 READ a\x00\r\n',
+        b'QUERY 1 READ \xff\xfe\r\n',
+        b'QUERY 1 WRITE a ' + b'x' * (MAX_LINE_BYTES + 10) + b'\r\n',
+        b'GET / HTTP/1.1\r\n\r\n',
+    ],
+)
+def test_broken_message_ends_its_session_and_harms_no_other(
+    payload: bytes,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        other = await deployment.connect(CURRENT)
+        broken = await deployment.connect(CURRENT)
+        await broken.stream.send(payload)
+        reply = await broken.read_reply()
+        assert reply.text.startswith('MALFORMED')
+        assert await broken.stream.receive() == b''
+        assert not deployment.group.ran
+        assert (await other.ask('WRITE a 1')).is_done
+
+    play(scenario)
+
+
+def test_half_closed_connection_ends() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.stream.send(b'QUERY 1 REA')
+        await client.close()
+        await deployment.wait_for(
+            lambda: deployment.nodes[0].frontend.connections == 0,
+        )
+
+    play(scenario)
+
+
+def test_unknown_database_is_told_and_closed() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        stream = await dial(deployment.nodes[0].frontend.address, 1)
+        client = LineClient(stream)
+        await client.send('STARTUP nothing test')
+        reply = await client.read_reply()
+        assert reply.text.startswith('NODB')
+
+    play(scenario)
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.stream.send(
+            b'QUERY 1 WRITE a 1\r\nQUERY 2 WRITE b 2\r\nQUERY 3 READ b\r\n',
+        )
+        replies = [await client.read_reply() for _ in range(3)]
+        assert all(reply.is_done for reply in replies)
+        assert replies[2].rows == ['b-2']
+
+    play(scenario)
