Bound the volume of logs, and never wait for their reader

Cause: a refusal wrote a line each, without bound, through a blocking stream. Change: events that load can multiply have ten lines a second each, the rest is counted and told; lines that a slow reader does not take are kept up to 64 kB and then dropped. Figures: 1,000 refusals in a second write at most 20 lines and one summary; 20,000 lines to a pipe that nobody reads do not block (tests).

--- a/deckdrum/platform/program.py
+++ b/deckdrum/platform/program.py
@@ -19,9 +19,10 @@
     load_settings,
 )
 from deckdrum.platform.store import PlatformStore
-from deckdrum.utils import Journal, open_journal
+from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.http import HttpServer, Reply, Request
+from deckdrum.utils.journal import open_patient_journal
 
 #: How long after a request to stop new connections still come, in seconds:
 #: the platform asks each second and believes the second refusal.
@@ -142,7 +143,7 @@
 
 async def run_program(path: Path, settings: PlatformSettings) -> None:
     """Run a node until a signal asks to stop."""
-    journal = open_journal(settings.node_name, sys.stdout)
+    journal = open_patient_journal(settings.node_name, sys.stdout.fileno())
     program = Program(path, settings, journal)
     with catch_signals((*STOPPING, signal.SIGHUP)) as signals:
         await program.run(signals)
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -203,7 +203,7 @@
 
     def explain(self, refusal: Refusal, request: Request, search: str) -> None:
         """Log why a request got no success."""
-        self.runtime.journal.record(
+        self.runtime.journal.record_often(
             'request.refused',
             request=request.id,
             service=self.runtime.name,
