Reach a primary through a node that is not cut off from it

Cause: a node that was cut off from a primary, while others reached it, refused every change and current read for as long as the cut lasted (5 to 7 s). Change: such a node asks six others and connects through one that reaches the primary; that one passes bytes on and decides nothing. The straight way is tried again each second.

--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -15,8 +15,10 @@
 from deckdrum.fleet.questions import (
     AskNews,
     AskServer,
+    DetourOpened,
     EndTerm,
     News,
+    OpenDetour,
     ServerAnswer,
     TermEnded,
 )
@@ -178,6 +180,8 @@
     ServerAnswer,
     EndTerm,
     TermEnded,
+    OpenDetour,
+    DetourOpened,
 )
 _NUMBERS: Final = MappingProxyType(
     {message_type: number for number, message_type in enumerate(_TYPES)},
--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -5,7 +5,8 @@
 grows with their number.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -22,10 +23,12 @@
     Message,
 )
 from deckdrum.fleet.channels import StreamChannel
+from deckdrum.fleet.detours import DetourCarrier, DetourDialer
 from deckdrum.fleet.peers import StreamPool
 from deckdrum.fleet.questions import (
     AskNews,
     News,
+    OpenDetour,
 )
 from deckdrum.outcomes.errors import DocumentError
 from deckdrum.utils import Address, Journal, Listener, Stream
@@ -43,21 +46,44 @@
 PeerAnswer = Message | ConnectionRefusedError | None
 
 
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a node must know before it can ask anybody.
+
+    Attributes
+    ----------
+    name : str
+        Unique among the nodes.
+    data_centre : str
+        Where it runs.
+    peer_address : Address
+        Where it listens for other nodes.
+    seeds : tuple of Address
+        Nodes that may be asked first.
+    seed : int
+        Of its randomness; 0 takes a fresh one.
+    """
+
+    name: str
+    data_centre: str
+    peer_address: Address
+    seeds: tuple[Address, ...] = ()
+    seed: int = 0
+
+
 class NodePeers:
     """A node's connections to other nodes.
 
     Parameters
     ----------
-    name : str
-        This node.
-    address : Address
-        Where this node listens for others.
-    seeds : tuple of Address
-        Nodes asked while no member is known.
+    settings : NodeSettings
+        This node; its seeds are asked while no member is known.
     view : ControlView
         What this node knows.
     store : ControlStore
         Decodes configurations that peers hand over.
+    dialer : DetourDialer
+        Connects to servers for peers that are cut off from them.
     journal : Journal
         For changes of what is known.
     randomness : random.Random
@@ -66,26 +92,24 @@
 
     def __init__(
         self,
-        name: str,
-        address: Address,
-        seeds: tuple[Address, ...],
+        settings: NodeSettings,
         view: ControlView,
         store: ControlStore,
+        dialer: DetourDialer,
         journal: Journal,
         randomness: Random,
     ) -> None:
         #: Answers a message of another node; set by the node.
         self.answer: Callable[[Message], Awaitable[Message | None]] | None
         self.answer = None
-        self._name = name
-        self._address = address
-        self._seeds = seeds
+        self._settings = settings
         self._view = view
         self._store = store
         self._journal = journal
         self._randomness = randomness
         self._streams = StreamPool()
-        self._listener = Listener(address, self._serve)
+        self._carrier = DetourCarrier(view, dialer, journal)
+        self._listener = Listener(settings.peer_address, self._serve)
 
     @property
     def others(self) -> list[Member]:
@@ -93,7 +117,7 @@
         return [
             member
             for member in self._view.members.values()
-            if member.name != self._name
+            if member.name != self._settings.name
         ]
 
     async def start(self) -> None:
@@ -117,7 +141,9 @@
         """Ask a few peers for what this node does not know."""
         addresses = [member.endpoint for member in self.others]
         addresses = addresses or [
-            seed for seed in self._seeds if seed != self._address
+            seed
+            for seed in self._settings.seeds
+            if seed != self._settings.peer_address
         ]
         count = min(ASKED_PEERS, len(addresses))
         async with curio.TaskGroup() as asking:
@@ -147,22 +173,23 @@
             # The peer may be gone: its registration outlives it.
             return None
 
+    async def ask_some(
+        self,
+        question: Message,
+        count: int,
+    ) -> dict[str, PeerAnswer]:
+        """Ask a few other nodes, drawn at random; answers by name."""
+        others = self.others
+        drawn = self._randomness.sample(others, min(count, len(others)))
+        return await self._ask_each(drawn, question, ASK_LIMIT)
+
     async def ask_all(
         self,
         question: Message,
         limit: float = ASK_LIMIT,
     ) -> dict[str, PeerAnswer]:
         """Ask every other node at once; return the answers by name."""
-        tasks = {
-            member.name: await curio.spawn(
-                self.ask,
-                member.endpoint,
-                question,
-                limit,
-            )
-            for member in self.others
-        }
-        return {name: await task.join() for name, task in tasks.items()}
+        return await self._ask_each(self.others, question, limit)
 
     def tell_news(self, question: AskNews) -> News:
         """Return what this node knows beyond an asker's revisions."""
@@ -178,6 +205,23 @@
         }
         return News(encoded, listings)
 
+    async def _ask_each(
+        self,
+        members: Iterable[Member],
+        question: Message,
+        limit: float,
+    ) -> dict[str, PeerAnswer]:
+        tasks = {
+            member.name: await curio.spawn(
+                self.ask,
+                member.endpoint,
+                question,
+                limit,
+            )
+            for member in members
+        }
+        return {name: await task.join() for name, task in tasks.items()}
+
     async def _fetch_from(self, address: Address) -> None:
         revisions = {
             kind.value: self._view.read_revision(kind) for kind in SHARED_KINDS
@@ -217,6 +261,9 @@
         channel = StreamChannel(stream)
         while True:
             question = await channel.receive()
+            if isinstance(question, OpenDetour):
+                await self._carrier.carry(stream, question)
+                return
             answer = await self._find_answer(question)
             if answer is None:
                 return
--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -60,3 +60,20 @@
 
     service: str
     term: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenDetour(Message):
+    """Ask a peer to pass bytes on to a backend server, both ways.
+
+    After a `DetourOpened` that says so the stream carries nothing else.
+    """
+
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class DetourOpened(Message):
+    """Whether the peer has a connection to the server."""
+
+    is_open: bool
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -24,6 +24,7 @@
 
 from deckdrum.backends import ServerRole, ServerStatus
 from deckdrum.control import ControlStore, ControlView, Entry, Kind
+from deckdrum.fleet.detours import DetourDialer
 from deckdrum.fleet.nodes import NodePeers
 from deckdrum.fleet.questions import (
     EndTerm,
@@ -92,44 +93,51 @@
     sent_at: float
 
 
-class Promotion:
-    """Gives one group another primary.
+@dataclass(frozen=True, slots=True)
+class ChangeTools:
+    """What a node provides to those who watch and change its primaries.
 
-    Parameters
+    Attributes
     ----------
-    runtime : ServiceRuntime
-        The group.
+    node : str
+        Name of the node.
     view : ControlView
-        What the node knows of the store.
+        What it knows of the store.
     store : ControlStore
-        Where the record lies.
+        Where claims are made.
     duty : PromotionDuty
         The platform's call.
     peers : NodePeers
         The other nodes.
-    node : str
-        Name of this node.
+    dialer : DetourDialer
+        Takes the detours that are found.
     randomness : random.Random
         Source of operation ids.
     """
 
-    def __init__(
-        self,
-        runtime: ServiceRuntime,
-        view: ControlView,
-        store: ControlStore,
-        duty: PromotionDuty,
-        peers: NodePeers,
-        node: str,
-        randomness: Random,
-    ) -> None:
+    node: str
+    view: ControlView
+    store: ControlStore
+    duty: PromotionDuty
+    peers: NodePeers
+    dialer: DetourDialer
+    randomness: Random
+
+
+class Promotion:
+    """Gives one group another primary.
+
+    Parameters
+    ----------
+    runtime : ServiceRuntime
+        The group.
+    tools : ChangeTools
+        What the node provides.
+    """
+
+    def __init__(self, runtime: ServiceRuntime, tools: ChangeTools) -> None:
         self._runtime = runtime
-        self._view = view
-        self._store = store
-        self._duty = duty
-        self._peers = peers
-        self._node = node
-        self._randomness = randomness
+        self._tools = tools
 
     async def drive(self, report: ChangeReport) -> bool:
         """Change the primary; tell whether the group has one afterwards."""
@@ -173,20 +181,20 @@
 
     async def _claim(self, report: ChangeReport) -> Claim | None:
         """Claim the change of the group; None if another node was first."""
-        known = self._view.find_leadership(self._runtime.name)
+        known = self._tools.view.find_leadership(self._runtime.name)
         belief = self._runtime.belief
         sent_at = await curio.clock()
         term = max(belief.term, belief.ended_term) + 1
         if known is not None and known[1].phase is Phase.FENCING:
             term = max(term, known[1].term)
-        number = self._randomness.getrandbits(_OPERATION_BITS)
+        number = self._tools.randomness.getrandbits(_OPERATION_BITS)
         record = GroupRecord(
             service=self._runtime.name,
             term=term,
             primary='',
             phase=Phase.FENCING,
             operation=str(uuid.UUID(int=number)),
-            driver=self._node,
+            driver=self._tools.node,
             former=report.former,
         )
         revision = await self._put(record, known[0] if known else 0)
@@ -199,7 +207,7 @@
         """Store a record conditionally; return its new revision if done."""
         name = self._runtime.name
         try:
-            outcome = await self._store.put(
+            outcome = await self._tools.store.put(
                 Kind.LEADERSHIP,
                 name,
                 record,
@@ -215,19 +223,21 @@
         if not isinstance(outcome, Stored):
             return await self._read_back(record)
         entry = Entry(name, outcome.version, record)
-        await self._view.adopt_entry(Kind.LEADERSHIP, entry)
+        await self._tools.view.adopt_entry(Kind.LEADERSHIP, entry)
         return outcome.version
 
     async def _read_back(self, record: GroupRecord) -> int | None:
         """Tell whether an update without an answer took effect."""
         try:
-            entry = await self._store.fetch(Kind.LEADERSHIP, self._runtime.name)
+            entry = await self._tools.store.fetch(
+                Kind.LEADERSHIP, self._runtime.name
+            )
         except StoreError:
             # Whoever reads the store later sees what became of it.
             return None
         if entry is None:
             return None
-        await self._view.adopt_entry(Kind.LEADERSHIP, entry)
+        await self._tools.view.adopt_entry(Kind.LEADERSHIP, entry)
         return entry.revision if entry.record == record else None
 
     async def _prepare(
@@ -269,7 +279,7 @@
         """Tell every node to stop; return whether all have."""
         await self._runtime.belief.end_term(term, 'this node changes it')
         question = EndTerm(self._runtime.name, term)
-        answers = await self._peers.ask_all(question, END_TERM_LIMIT)
+        answers = await self._tools.peers.ask_all(question, END_TERM_LIMIT)
         await self._runtime.close_term(term)
         silent = [
             name
@@ -284,7 +294,7 @@
                 nodes=silent[:8],
                 count=len(silent),
             )
-        return not silent and self._view.is_fed
+        return not silent and self._tools.view.is_fed
 
     async def _catch_up(self, final: Position | None, former: str) -> None:
         """Wait until a successor has received all that was acknowledged."""
@@ -366,7 +376,7 @@
             order = PromotionOrder(
                 self._runtime.name,
                 handle.id,
-                self._node,
+                self._tools.node,
                 claim.fence,
             )
             if await self._order(order, claim, handle):
@@ -388,7 +398,7 @@
                 return False
             if self._is_overtaken(claim):
                 return False
-            outcome = await self._duty.promote(order, ORDER_LIMIT)
+            outcome = await self._tools.duty.promote(order, ORDER_LIMIT)
             self._runtime.journal.record(
                 'leadership.ordered',
                 service=order.service,
@@ -410,7 +420,7 @@
                 return False
 
     def _is_overtaken(self, claim: Claim) -> bool:
-        known = self._view.find_leadership(self._runtime.name)
+        known = self._tools.view.find_leadership(self._runtime.name)
         return known is not None and known[0] > claim.fence
 
     async def _await_lead(
@@ -440,7 +450,7 @@
             primary=primary,
             phase=Phase.SETTLED,
             operation=claim.record.operation,
-            driver=self._node,
+            driver=self._tools.node,
             former=report.former,
         )
         await self._put(record, claim.fence)
@@ -457,7 +467,7 @@
                 primary=report.former,
                 phase=Phase.SETTLED,
                 operation=claim.record.operation,
-                driver=self._node,
+                driver=self._tools.node,
             )
             await self._put(record, claim.fence)
         self._log('leadership.change_given_up', report, report.reason)
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -5,22 +5,20 @@
 """
 
 import hashlib
-from random import Random
 from typing import Final
 
 import curio
 
 from deckdrum.backends import ServerRole
-from deckdrum.control import ControlStore, ControlView
-from deckdrum.fleet.nodes import NodePeers
+from deckdrum.control import Member
 from deckdrum.fleet.questions import (
     AskServer,
     ServerAnswer,
 )
-from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.leadership.promotion import (
     TAKE_OVER_AFTER,
     ChangeReport,
+    ChangeTools,
     Promotion,
 )
 from deckdrum.serving.servers import ServerHandle
@@ -39,6 +37,10 @@
 RANK_PAUSE: Final = 0.25
 #: The same for a change that is no emergency.
 PLANNED_RANK_PAUSE: Final = 0.8
+#: Nodes asked for a detour at a time.
+DETOUR_QUESTIONS: Final = 6
+#: How long a detour is taken before the straight way is tried, in seconds.
+DETOUR_TIME: Final = 1.0
 #: Pause after a change that failed or that the peers refused, in seconds.
 RETRY_PAUSE: Final = 0.4
 #: How long a group may be without a known primary before it is given one.
@@ -58,42 +60,19 @@
     ----------
     runtime : ServiceRuntime
         The group.
-    view : ControlView
-        What the node knows of the store.
-    store : ControlStore
-        Where claims are made.
-    duty : PromotionDuty
-        The platform's call.
-    peers : NodePeers
-        The other nodes.
-    node : str
-        Name of this node.
-    randomness : random.Random
-        Source of operation ids.
+    tools : ChangeTools
+        What the node provides.
     """
 
-    def __init__(
-        self,
-        runtime: ServiceRuntime,
-        view: ControlView,
-        store: ControlStore,
-        duty: PromotionDuty,
-        peers: NodePeers,
-        node: str,
-        randomness: Random,
-    ) -> None:
+    def __init__(self, runtime: ServiceRuntime, tools: ChangeTools) -> None:
         self._runtime = runtime
-        self._view = view
-        self._peers = peers
-        self._node = node
-        self._promotion = Promotion(
-            runtime, view, store, duty, peers, node, randomness
-        )
-        self._trouble = curio.Event()
+        self._tools = tools
+        self._promotion = Promotion(runtime, tools)
         self._without_since: float | None = None
         self._claim_seen: tuple[str, float] = ('', 0)
         self._mend_until = float('-inf')
         self._troubled: ServerHandle | None = None
+        self._detour_until = float('-inf')
         self._registered_since: float | None = None
 
     def note_trouble(self, handle: ServerHandle) -> None:
@@ -122,6 +101,8 @@
         if self._troubled is primary:
             self._troubled = None
             return await self._look_at_trouble(primary)
+        if primary.id in self._tools.dialer.detours:
+            return await self._look_at_detour(primary)
         if await curio.clock() < self._mend_until:
             await self._promotion.mend()
             return MEND_PAUSE
@@ -130,7 +111,7 @@
     async def _is_settled(self) -> bool:
         """Tell whether this node has had time to learn of the others."""
         now: float = await curio.clock()
-        if self._view.find_member(self._node) is None:
+        if self._tools.view.find_member(self._tools.node) is None:
             self._registered_since = None
             return False
         if self._registered_since is None:
@@ -143,7 +124,7 @@
         if self._claim_seen[0] != record.operation:
             self._claim_seen = (record.operation, now)
         wait = TAKE_OVER_AFTER + self._rank() * RANK_PAUSE
-        if record.driver == self._node:
+        if record.driver == self._tools.node:
             wait = 0
         if now - self._claim_seen[1] < wait:
             return LOOK_PAUSE
@@ -187,6 +168,8 @@
             status = await primary.ask_status(LOSS_LIMIT)
             if status is not None:
                 return LOOK_PAUSE
+        if await self._find_detour(primary):
+            return LOOK_PAUSE
         rank = self._rank()
         if rank:
             await curio.sleep(rank * RANK_PAUSE)
@@ -200,10 +183,63 @@
             return LOOK_PAUSE
         return await self._change(primary.id, 'the primary does not answer')
 
+    async def _find_detour(self, primary: ServerHandle) -> bool:
+        """Reach a primary through a node that is not cut off from it."""
+        self._tools.dialer.detours.pop(primary.id, None)
+        question = AskServer(self._runtime.name, primary.id)
+        answers = await self._tools.peers.ask_some(question, DETOUR_QUESTIONS)
+        members = self._tools.view.members
+        for name, answer in answers.items():
+            is_reaching = isinstance(answer, ServerAnswer) and answer.reached
+            if is_reaching and name in members:
+                return await self._take_detour(primary, members[name])
+        return False
+
+    async def _take_detour(
+        self,
+        primary: ServerHandle,
+        member: Member,
+    ) -> bool:
+        self._tools.dialer.detours[primary.id] = member.endpoint
+        self._detour_until = await curio.clock() + DETOUR_TIME
+        # The connections of before hang as long as the cut lasts.
+        await primary.pool.close_idle()
+        self._runtime.journal.record(
+            'detour.taken',
+            service=self._runtime.name,
+            server=primary.id,
+            through=member.name,
+        )
+        self._runtime.counters.count('detours_taken')
+        return True
+
+    async def _look_at_detour(self, primary: ServerHandle) -> float:
+        """Go straight again as soon as the server can be reached."""
+        now = await curio.clock()
+        if now < self._detour_until:
+            return LOOK_PAUSE
+        self._detour_until = now + DETOUR_TIME
+        try:
+            stream = await self._tools.dialer.dial_straight(
+                primary.server.address,
+                LOSS_LIMIT,
+            )
+        except ConnectionError:
+            return LOOK_PAUSE
+        await stream.close()
+        self._tools.dialer.detours.pop(primary.id, None)
+        await primary.pool.close_idle()
+        self._runtime.journal.record(
+            'detour.ended',
+            service=self._runtime.name,
+            server=primary.id,
+        )
+        return LOOK_PAUSE
+
     async def _is_led_elsewhere(self, former: str) -> bool:
         """Tell whether another node reaches a primary."""
         question = AskServer(self._runtime.name, former)
-        answers = await self._peers.ask_all(question)
+        answers = await self._tools.peers.ask_all(question)
         reaching = [
             name
             for name, answer in answers.items()
@@ -244,8 +280,8 @@
     def _rank(self) -> int:
         """Return how many nodes act before this one."""
         record = self._runtime.belief.record
-        names = {member.name for member in self._peers.others}
-        names.add(self._node)
+        names = {member.name for member in self._tools.peers.others}
+        names.add(self._tools.node)
         preferred = '' if record is None else record.driver
         ranked = sorted(
             names,
@@ -254,7 +290,7 @@
                 _weigh(self._runtime.name, name),
             ),
         )
-        return ranked.index(self._node)
+        return ranked.index(self._tools.node)
 
 
 async def answer_server(
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -2,27 +2,29 @@
 
 import os
 from collections.abc import Callable
-from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any, Final
 
 import curio
 
-from deckdrum.backends import Backend, BackendServer
+from deckdrum.backends import Backend
 from deckdrum.control import ControlStore, ControlView, Kind, Route
 from deckdrum.fleet.base import (
     Message,
 )
+from deckdrum.fleet.detours import DetourDialer, Dial
 from deckdrum.fleet.messages import (
     Heartbeat,
 )
-from deckdrum.fleet.nodes import NodePeers
+from deckdrum.fleet.nodes import NodePeers, NodeSettings
 from deckdrum.fleet.questions import (
     AskServer,
     EndTerm,
     TermEnded,
 )
 from deckdrum.leadership.duty import PromotionDuty
+from deckdrum.leadership.promotion import ChangeTools
 from deckdrum.leadership.supervision import Supervisor, answer_server
 from deckdrum.node.registration import Registration
 from deckdrum.outcomes import Refusal
@@ -31,38 +33,14 @@
 from deckdrum.serving.routing import Router
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.session import CallerSession
-from deckdrum.utils import Address, Journal
+from deckdrum.utils import Journal, dial
 from deckdrum.utils.counters import Counters
 
+BackendMaker = Callable[..., Backend]
 #: Pause between two rounds of upkeep, in seconds.
 UPKEEP_PAUSE: Final = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class NodeSettings:
-    """What a node must know before it can ask anybody.
-
-    Attributes
-    ----------
-    name : str
-        Unique among the nodes.
-    data_centre : str
-        Where it runs.
-    peer_address : Address
-        Where it listens for other nodes.
-    seeds : tuple of Address
-        Nodes that may be asked first.
-    seed : int
-        Of its randomness; 0 takes a fresh one.
-    """
-
-    name: str
-    data_centre: str
-    peer_address: Address
-    seeds: tuple[Address, ...] = ()
-    seed: int = 0
-
-
 class Node(SessionHost):
     """One node of the product, whatever protocols it speaks.
 
@@ -75,11 +53,14 @@
     duty : PromotionDuty
         Promotes servers.
     make_backend : callable
-        Makes the border object of a server.
+        Makes the border object of a server; takes the server and, as `dial`,
+        what opens connections to it.
     journal : Journal
         For logs.
     counters : Counters
         For metrics.
+    dial_straight : callable
+        Connects to servers' addresses; tests cut links there.
     """
 
     def __init__(
@@ -87,9 +68,10 @@
         settings: NodeSettings,
         store: ControlStore,
         duty: PromotionDuty,
-        make_backend: Callable[[BackendServer], Backend],
+        make_backend: BackendMaker,
         journal: Journal,
         counters: Counters,
+        dial_straight: Dial = dial,
     ) -> None:
         self.settings = settings
         self.journal = journal
@@ -97,22 +79,30 @@
         self.is_stopping = False
         self.services: dict[str, ServiceRuntime] = {}
         self._store = store
-        self._duty = duty
-        self._make_backend = make_backend
+        self._dialer = DetourDialer(dial_straight)
+        self._make_backend = partial(make_backend, dial=self._dialer.dial)
         self._randomness = Random(settings.seed or os.urandom(8))
         self.view = ControlView(store, journal, self._randomness)
         self.view.on_change.append(self._note_change)
         self.peers = NodePeers(
-            settings.name,
-            settings.peer_address,
-            settings.seeds,
+            settings,
             self.view,
             store,
+            self._dialer,
             journal,
             self._randomness,
         )
         self.peers.answer = self._answer_peer
         self._registration = Registration(settings, self.view, store, journal)
+        self._tools = ChangeTools(
+            settings.name,
+            self.view,
+            store,
+            duty,
+            self.peers,
+            self._dialer,
+            self._randomness,
+        )
         self._executions: dict[str, Execution] = {}
         self._supervisors: dict[str, Any] = {}
         self._sessions: set[CallerSession] = set()
@@ -272,15 +262,7 @@
             self.journal,
             self.counters,
         )
-        supervisor = Supervisor(
-            runtime,
-            self.view,
-            self._store,
-            self._duty,
-            self.peers,
-            self.settings.name,
-            self._randomness,
-        )
+        supervisor = Supervisor(runtime, self._tools)
         runtime.on_trouble = supervisor.note_trouble
         router = Router(runtime, self.settings.data_centre)
         self.services[name] = runtime
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -1,18 +1,16 @@
 """Registering a node among the others, and forgetting those that are gone."""
 
 import uuid
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 import curio
 
 from deckdrum.control import ControlStore, ControlView, Entry, Kind, Member
+from deckdrum.fleet.nodes import NodeSettings
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.store.objects import Stored
 from deckdrum.utils import Journal
 
-if TYPE_CHECKING:
-    from deckdrum.node.core import NodeSettings
-
 #: Pause between two looks at the own registration, in seconds.
 LOOK_PAUSE: Final = 1.0
 #: Longest wait for the store when a node leaves, in seconds.
@@ -36,7 +34,7 @@
 
     def __init__(
         self,
-        settings: 'NodeSettings',
+        settings: NodeSettings,
         view: ControlView,
         store: ControlStore,
         journal: Journal,
--- a/deckdrum/platform/backends.py
+++ b/deckdrum/platform/backends.py
@@ -1,5 +1,6 @@
 """Connections to the platform's databases."""
 
+from collections.abc import Awaitable, Callable
 from types import MappingProxyType
 from typing import Final
 
@@ -27,7 +28,7 @@
     encode_position,
 )
 from deckdrum.sessions.position import NOWHERE
-from deckdrum.utils import Stream, dial
+from deckdrum.utils import Stream
 
 _ROLES: Final = MappingProxyType(
     {'primary': ServerRole.PRIMARY, 'replica': ServerRole.REPLICA},
@@ -144,15 +145,23 @@
         Its entry in the directory.
     node : str
         This node's name, told to the database.
+    dial : callable
+        Opens the connection within a limit in seconds.
     """
 
-    def __init__(self, server: BackendServer, node: str) -> None:
+    def __init__(
+        self,
+        server: BackendServer,
+        node: str,
+        dial: Callable[[BackendServer, float], Awaitable[Stream]],
+    ) -> None:
         super().__init__(server)
         self._node = node
+        self._dial = dial
 
     async def connect(self, limit: float) -> BackendLink:
         """Open a connection within `limit` seconds."""
-        stream = await dial(self.server.address, limit)
+        stream = await self._dial(self.server, limit)
         reader = LineReader(stream)
         try:
             async with curio.timeout_after(limit):
--- a/deckdrum/platform/program.py
+++ b/deckdrum/platform/program.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 from typing import Any, Final
 
@@ -71,7 +72,7 @@
             node_settings,
             store,
             PlatformDuty(settings.duties_address),
-            lambda server: PlatformBackend(server, node_settings.name),
+            partial(PlatformBackend, node=node_settings.name),
             journal,
             counters,
         )
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -175,6 +175,8 @@
         self.nodes: list[RunningNode] = []
         self._count = nodes
         self._settle = settle
+        #: Databases that a node does not reach, by the node's number.
+        self._cuts: dict[int, set[str]] = {}
 
     async def __aenter__(self) -> Self:
         await self.store.write('config', 'main', build_config())
@@ -218,9 +220,10 @@
             settings,
             store,
             PlatformDuty(self.group.calls_address),
-            partial(_make_backend, name),
+            partial(PlatformBackend, node=name),
             journal,
             counters,
+            partial(self._dial, number),
         )
         frontend = Frontend(node, await find_free_address())
         await node.start()
@@ -233,6 +236,17 @@
         await running.frontend.close()
         await running.store.close()
 
+    async def cut_off(self, number: int, server: str) -> None:
+        """Cut a node off from a database; what is open hangs."""
+        node = self.nodes[number].node
+        self._cuts.setdefault(number, set()).add(server)
+        handle = node.services[SERVICE].servers[server]
+        await handle.pool.close_idle()
+
+    async def mend(self, number: int) -> None:
+        """End the cuts of a node."""
+        self._cuts.pop(number, None)
+
     async def connect(self, database: str, node: int = 0) -> LineClient:
         """Open a session at a node."""
         address = self.nodes[node].frontend.address
@@ -251,6 +265,21 @@
         ended: float = await curio.clock()
         return ended - began
 
+    async def _dial(
+        self,
+        number: int,
+        address: Address,
+        limit: float,
+    ) -> Stream:
+        """Connect to a database, or wait in vain where the link is cut."""
+        servers = [
+            self.group.servers[name] for name in self._cuts.get(number, ())
+        ]
+        if any(server.address == address for server in servers):
+            await curio.sleep(limit)
+            raise ConnectionAbortedError(f'node {number} is cut off')
+        return await dial(address, limit)
+
     def _is_ready(self) -> bool:
         return all(
             running.node.is_ready and _has_primary(running.node)
@@ -263,10 +292,6 @@
     return runtime is not None and runtime.belief.has_primary
 
 
-def _make_backend(name: str, server: Any) -> PlatformBackend:
-    return PlatformBackend(server, name)
-
-
 async def find_free_address() -> Address:
     """Return a loopback address whose port is free now."""
     sock = curio.socket.socket()
