--- a/deckdrum/commands/control.py
+++ b/deckdrum/commands/control.py
@@ -30,7 +30,15 @@
     apply_document,
     read_base,
 )
-from deckdrum.outcomes.errors import DocumentError, StoreError
+from deckdrum.outcomes.errors import (
+    DocumentError,
+    SettingsError,
+    StoreError,
+)
+from deckdrum.platform.settings import (
+    load_settings as load_platform_settings,
+)
+from deckdrum.settings import load_settings
 from deckdrum.store.objects import HttpObjectStore
 from deckdrum.utils import Address
 from deckdrum.utils.http import HttpClient, Request
@@ -57,15 +65,43 @@
 
 
 async def validate(options: argparse.Namespace) -> int:
-    """Check a document and say what it declares."""
-    document = parse_document(options.file.read_text(), str(options.file))
-    say(
-        f'{options.file}: valid: {len(document.groups)} groups, '
-        f'{len(document.users)} users, {len(document.services)} services',
-    )
+    """Check a file and say what it holds."""
+    say(f'{options.file}: valid: {_CHECKS[options.kind](options.file)}')
     return EXIT_OK
 
 
+def _check_document(path: Path) -> str:
+    document = parse_document(path.read_text(), str(path))
+    return (
+        f'{len(document.groups)} groups, {len(document.users)} users, '
+        f'{len(document.services)} services'
+    )
+
+
+def _check_settings(path: Path) -> str:
+    settings = load_settings(path)
+    return f'proxy {settings.name} in {settings.data_centre}'
+
+
+def _check_platform(path: Path) -> str:
+    settings = load_platform_settings(path).make_node_settings()
+    return (
+        f'node {settings.name} in {settings.data_centre}, '
+        f'peers at {settings.peer_address}'
+    )
+
+
+_Check = Callable[[Path], str]
+#: What `validate` checks, by the kind of file.
+_CHECKS: Final[Mapping[str, _Check]] = MappingProxyType(
+    {
+        'document': _check_document,
+        'settings': _check_settings,
+        'platform': _check_platform,
+    },
+)
+
+
 async def diff(options: argparse.Namespace) -> int:
     """Show what applying a document would change."""
     document = parse_document(options.file.read_text(), str(options.file))
@@ -247,6 +283,14 @@
         _add_places(command, name)
         if name == 'apply':
             _add_apply(command)
+        elif name == 'validate':
+            command.add_argument(
+                '--kind',
+                choices=sorted(_CHECKS),
+                default='document',
+                help="a configuration document, a proxy's settings or the "
+                "settings that the users' platform gives a node",
+            )
         elif name == 'explain':
             command.add_argument('service', help='name of the service')
         elif name == 'status':
@@ -256,7 +300,7 @@
 
 def _add_places(command: argparse.ArgumentParser, name: str) -> None:
     if name in _WITH_FILE:
-        command.add_argument('file', type=Path, help='YAML document')
+        command.add_argument('file', type=Path, help='the file')
     if name in _WITH_PLATFORM:
         command.add_argument(
             '--platform',
@@ -293,7 +337,7 @@
     step = _STEPS[options.command]
     try:
         exit_code: int = curio.run(step, options)
-    except (DocumentError, OSError) as error:
+    except (DocumentError, SettingsError, OSError) as error:
         sys.stderr.write(f'{error}\n')
         return EXIT_USAGE
     except StoreError as error:
--- a/deckdrum/commands/tests/test_commands.py
+++ b/deckdrum/commands/tests/test_commands.py
@@ -14,7 +14,7 @@
 
 from deckdrum.bench.deployment import Layout
 from deckdrum.commands import control, proxy
-from deckdrum.testing.builders import build_document
+from deckdrum.testing.builders import build_document, build_platform_settings
 from deckdrum.testing.threads import DeploymentThread, run_deployment
 
 SETTINGS = {
@@ -47,6 +47,23 @@
     assert 'standin' not in told
 
 
+def test_validate_settings_of_both_kinds(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    good = tmp_path / 'node.json'
+    good.write_bytes(build_platform_settings())
+    wrong = tmp_path / 'wrong.json'
+    wrong.write_bytes(build_platform_settings(zone=7))
+    validate = ['validate', '--kind', 'platform']
+    assert control.main([*validate, str(good)]) == 0
+    assert 'node n1 in ba-hall' in capsys.readouterr().out
+    assert control.main([*validate, str(wrong)]) == 2
+    assert '$.zone' in capsys.readouterr().err
+    assert control.main(['validate', '--kind', 'settings', str(good)]) == 2
+    assert 'node.json' in capsys.readouterr().err
+
+
 def test_validate(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     good = write(tmp_path / 'good.yaml', build_document())
     assert control.main(['validate', good]) == 0
--- a/deckdrum/platform/tests/test_settings.py
+++ b/deckdrum/platform/tests/test_settings.py
@@ -1,6 +1,5 @@
 """The settings file of the platform."""
 
-import json
 from pathlib import Path
 from typing import Any
 
@@ -13,33 +12,12 @@
     find_settings,
     load_settings,
 )
+from deckdrum.testing.builders import build_platform_settings
 from deckdrum.utils import Address
 
 
-def build_settings(**replaced: Any) -> bytes:
-    """Return a settings file; None takes a field out."""
-    fields: dict[str, Any] = {
-        'nodeName': 'n1',
-        'ip': '10.1.0.8',
-        'zone': 'ba-hall',
-        'listen': {
-            'frontend': '10.1.0.8:8784',
-            'readiness': '10.1.0.8:8785',
-        },
-        'portRange': [7440, 7455],
-        'seeds': ['10.1.0.9:8782'],
-        'bounds': {'graceS': 6, 'newBound': True},
-        'platform': {'address': '10.200.1.7:8783', 'form': 'objects'},
-        'cloudApi': {'address': '10.200.0.160:8783'},
-        'aNewField': {'with': ['anything']},
-    }
-    fields.update(replaced)
-    kept = {name: each for name, each in fields.items() if each is not None}
-    return json.dumps(kept).encode()
-
-
 def test_settings_are_read_and_new_fields_passed_over() -> None:
-    settings = decode_settings(build_settings(), 'node.json')
+    settings = decode_settings(build_platform_settings(), 'node.json')
     node = settings.make_node_settings()
     assert node.name == 'n1'
     assert node.data_centre == 'ba-hall'
@@ -64,7 +42,7 @@
     told: str,
 ) -> None:
     with pytest.raises(SettingsError) as raised:
-        decode_settings(build_settings(**replaced), 'node.json')
+        decode_settings(build_platform_settings(**replaced), 'node.json')
     assert told in str(raised.value)
     assert 'node.json' in str(raised.value)
 
--- a/deckdrum/testing/builders.py
+++ b/deckdrum/testing/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+import json
 from typing import Any
 
 from deckdrum.callers.login import make_verifier
@@ -51,3 +52,25 @@
         'read_kinds': [{'name': 'browse', 'max_age': 5}],
     }
     return document | replaced
+
+
+def build_platform_settings(**replaced: Any) -> bytes:
+    """Return a settings file of the platform; None takes a field out."""
+    fields: dict[str, Any] = {
+        'nodeName': 'n1',
+        'ip': '10.1.0.8',
+        'zone': 'ba-hall',
+        'listen': {
+            'frontend': '10.1.0.8:8784',
+            'readiness': '10.1.0.8:8785',
+        },
+        'portRange': [7440, 7455],
+        'seeds': ['10.1.0.9:8782'],
+        'bounds': {'graceS': 6, 'newBound': True},
+        'platform': {'address': '10.200.1.7:8783', 'form': 'objects'},
+        'cloudApi': {'address': '10.200.0.160:8783'},
+        'aNewField': {'with': ['anything']},
+    }
+    fields.update(replaced)
+    kept = {name: each for name, each in fields.items() if each is not None}
+    return json.dumps(kept).encode()
