Share a server's connections through a bounded set of nodes; log bytes that clash

Cause: 71 nodes and 53 connections: one each is too many. Change: connections are dealt (serving.dealing); nodes that hold none borrow from nodes that do (fleet.borrowing, node.lending). Log lines are written as one mapping, so that any field name will do.

--- a/deckdrum/backends/base.py
+++ b/deckdrum/backends/base.py
@@ -10,13 +10,14 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from deckdrum.backends.pool import Connectable, PooledLink
 from deckdrum.operations import Answer, Operation, Rejection
 from deckdrum.sessions import Position
-from deckdrum.utils import Address
+from deckdrum.utils import Address, ByteStream
 
 
 class ConnectionLimitError(ConnectionError):
@@ -123,8 +124,21 @@
     what was sent before may have run.
     """
 
+    #: The bytes below it.
+    stream: ByteStream
+
     def __init__(self) -> None:
         self.state = LinkState()
+        #: Returns the connection to the node that lent it, if one did.
+        self.on_hand_back: Callable[[BackendLink], Awaitable[None]] | None
+        self.on_hand_back = None
+
+    async def hand_back(self) -> None:
+        """Return a clean connection to its lender, or close it."""
+        if self.on_hand_back is None:
+            await self.close()
+        else:
+            await self.on_hand_back(self)
 
     @abstractmethod
     async def run(self, call: Call) -> Answer | Rejection:
@@ -167,3 +181,7 @@
     def name(self) -> str:
         """Id of the server."""
         return self.server.id
+
+    @abstractmethod
+    def wrap(self, stream: ByteStream) -> BackendLink:
+        """Return the link over a connection that has been started."""
--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -28,6 +28,10 @@
     async def close(self) -> None:
         """Close the connection; a second call does nothing."""
 
+    async def hand_back(self) -> None:
+        """Part from a clean connection that this node does not keep."""
+        await self.close()
+
 
 LinkT = TypeVar('LinkT', bound=PooledLink)
 
@@ -45,6 +49,15 @@
             If it cannot be had.
         """
 
+    @property
+    def keeps_links(self) -> bool:
+        """Whether idle connections stay open here."""
+        return True
+
+    async def connect_for(self, group: str, limit: float) -> LinkT:
+        """Open a connection on behalf of a member group."""
+        return await self.connect(limit)
+
 
 ServerT = TypeVar('ServerT', bound=Connectable[Any])
 
@@ -113,7 +126,7 @@
         if isinstance(permit, Refusal):
             return permit
         try:
-            link = await self._take_link(fits)
+            link = await self._take_link(group, fits)
         except (ConnectionError, curio.CancelledError):
             await self.queue.release(permit)
             raise
@@ -134,10 +147,12 @@
             Whether the whole answer has arrived and no transaction is open.
             Otherwise the connection is closed, never lent again.
         """
-        if is_clean and lease.link.is_usable:
+        if not is_clean or not lease.link.is_usable:
+            await lease.link.close()
+        elif self.database.keeps_links:
             self._idle.append(lease.link)
         else:
-            await lease.link.close()
+            await lease.link.hand_back()
         await self.queue.release(lease.permit)
 
     async def warm(self) -> None:
@@ -163,6 +178,7 @@
 
     async def _take_link(
         self,
+        group: str,
         fits: Callable[[LinkT], bool] | None,
     ) -> LinkT:
         while self._idle:
@@ -171,8 +187,8 @@
                 return link
             await link.close()
         self.opened += 1
-        link = await self.database.connect(CONNECT_LIMIT)
-        return link
+        opened: LinkT = await self.database.connect_for(group, CONNECT_LIMIT)
+        return opened
 
     def _pick_idle(self, fits: Callable[[LinkT], bool] | None) -> LinkT:
         """Take the latest idle connection, of those that fit if any does."""
--- a/deckdrum/control/records.py
+++ b/deckdrum/control/records.py
@@ -99,13 +99,14 @@
     """One node of the product, as it registers itself.
 
     `peer_address` is where other nodes connect; `run` tells two lives of
-    the same node apart.
+    the same node apart; a node that is leaving serves on for a while.
     """
 
     name: str
     peer_address: str
     data_centre: str
     run: str
+    is_leaving: bool = False
 
     @property
     def endpoint(self) -> Address:
--- /dev/null
+++ b/deckdrum/fleet/borrowing.py
@@ -0,0 +1,238 @@
+"""Borrowing connections to servers from the nodes that hold them."""
+
+from collections.abc import Mapping, Sequence
+from functools import partial
+from typing import Final
+
+import curio
+
+from deckdrum.backends.base import (
+    Backend,
+    BackendLink,
+    ConnectionLimitError,
+    LinkState,
+)
+from deckdrum.control import Member
+from deckdrum.fleet.channels import StreamChannel
+from deckdrum.fleet.peers import StreamPool
+from deckdrum.fleet.questions import (
+    BorrowLink,
+    Carried,
+    LinkLent,
+    LinkReturned,
+    ReturnLink,
+)
+from deckdrum.outcomes.errors import BrokenInvariantError
+from deckdrum.utils import ByteStream
+
+#: Longest wait for a lender's answer beyond the wait that it is asked to
+#: bear, in seconds.
+LENDER_SLACK: Final = 0.15
+#: Longest wait of a request for a lender's free connection, in seconds; then
+#: another lender is asked.
+LENDER_WAIT: Final = 0.25
+#: How long a lender that gave no answer is passed over, in seconds.
+AVOIDANCE: Final = 1.0
+#: Lenders asked for one connection.
+LENDERS_ASKED: Final = 3
+
+Prepared = dict[tuple[str, str], str]
+
+
+class BorrowedStream(ByteStream):
+    """Bytes of a borrowed connection, carried by its lender.
+
+    Parameters
+    ----------
+    channel : StreamChannel
+        To the lender.
+    """
+
+    def __init__(self, channel: StreamChannel) -> None:
+        self.channel = channel
+        self._is_closed = False
+
+    def is_quiet(self) -> bool:
+        """Tell whether the stream is open and has nothing to receive."""
+        return not self._is_closed and self.channel.is_usable
+
+    async def receive(self) -> bytes:
+        """Return the next bytes, or ``b''`` once the lender has closed."""
+        if self._is_closed:
+            return b''
+        try:
+            message = await self.channel.receive()
+        except ConnectionError:
+            return b''
+        return message.payload if isinstance(message, Carried) else b''
+
+    async def send(self, payload: bytes) -> None:
+        """Send all of `payload`."""
+        if self._is_closed:
+            raise ConnectionResetError('the connection was given back')
+        await self.channel.send(Carried(payload))
+
+    async def close(self) -> None:
+        """Close the stream: the lender closes the connection."""
+        if not self._is_closed:
+            self._is_closed = True
+            await self.channel.close()
+
+    def detach(self) -> None:
+        """End the use of the channel without closing it."""
+        self._is_closed = True
+
+
+class SharedBackend(Backend):
+    """A server whose connections are dealt among the nodes.
+
+    A node that holds some connects by itself; another borrows from a holder,
+    and connects by itself only if no holder answers.
+
+    Parameters
+    ----------
+    direct : Backend
+        Connects to the server.
+    streams : StreamPool
+        Streams to other nodes.
+    """
+
+    def __init__(self, direct: Backend, streams: StreamPool) -> None:
+        super().__init__(direct.server)
+        self._direct = direct
+        self._streams = streams
+        self._avoided: dict[str, float] = {}
+        #: Nodes to borrow from, the nearest first; empty if this one holds.
+        self.lenders: list[Member] = []
+
+    @property
+    def keeps_links(self) -> bool:
+        """Whether idle connections stay open here."""
+        return not self.lenders
+
+    async def connect(self, limit: float) -> BackendLink:
+        """Open a connection within `limit` seconds."""
+        return await self.connect_for('', limit)
+
+    async def connect_for(self, group: str, limit: float) -> BackendLink:
+        """Open a connection on behalf of a member group, or borrow one."""
+        self._direct.server = self.server
+        if not self.lenders:
+            return await self._direct.connect(limit)
+        now = await curio.clock()
+        ready = [
+            lender
+            for lender in self.lenders
+            if self._avoided.get(lender.name, 0) <= now
+        ]
+        for lender in ready[:LENDERS_ASKED]:
+            link = await self._borrow(lender, group, limit)
+            if link is not None:
+                return link
+        return await self._direct.connect(limit)
+
+    def wrap(self, stream: ByteStream) -> BackendLink:
+        """Return the link over a connection that has been started."""
+        return self._direct.wrap(stream)
+
+    async def _borrow(
+        self,
+        lender: Member,
+        group: str,
+        limit: float,
+    ) -> BackendLink | None:
+        """Borrow from one node; None if it does not answer."""
+        wait = min(limit, LENDER_WAIT)
+        question = BorrowLink(
+            self.server.service, self.server.id, group, wait, {}
+        )
+        try:
+            async with curio.timeout_after(wait + LENDER_SLACK):
+                channel = await self._streams.open(lender.endpoint)
+                answer = await _ask(channel, question)
+        except (ConnectionError, curio.TaskTimeout):
+            # Another lender is asked; this one is left alone for a while.
+            self._avoided[lender.name] = await curio.clock() + AVOIDANCE
+            return None
+        if not answer.is_lent:
+            await self._streams.keep(lender.endpoint, channel)
+            if answer.is_full:
+                raise ConnectionLimitError(f'{lender.name} has none to lend')
+            return None
+        link = self._direct.wrap(BorrowedStream(channel))
+        link.state = decode_state(answer.values, answer.prepared)
+        link.on_hand_back = partial(_hand_back, self._streams, lender)
+        return link
+
+
+async def _ask(channel: StreamChannel, question: BorrowLink) -> LinkLent:
+    is_whole = False
+    try:
+        await channel.send(question)
+        answer = await channel.receive()
+        is_whole = isinstance(answer, LinkLent)
+    finally:
+        if not is_whole:
+            await channel.close()
+    if not isinstance(answer, LinkLent):
+        raise ConnectionAbortedError(f'{type(answer).__name__} to a borrower')
+    return answer
+
+
+async def _hand_back(
+    streams: StreamPool,
+    lender: Member,
+    link: BackendLink,
+) -> None:
+    """Give a connection back to its lender."""
+    stream = link.stream
+    if not isinstance(stream, BorrowedStream):
+        raise BrokenInvariantError('this connection was not borrowed')
+    stream.detach()
+    returned = ReturnLink(link.state.values, encode_prepared(link.state))
+    try:
+        await stream.channel.send(returned)
+    except ConnectionError:
+        await stream.channel.close()
+        return
+    await curio.spawn(
+        _await_return,
+        streams,
+        lender,
+        stream.channel,
+        daemon=True,
+    )
+
+
+async def _await_return(
+    streams: StreamPool,
+    lender: Member,
+    channel: StreamChannel,
+) -> None:
+    """Keep the stream for the next loan once the lender is done with it."""
+    try:
+        async with curio.timeout_after(LENDER_WAIT):
+            answer = await channel.receive()
+    except (ConnectionError, curio.TaskTimeout):
+        await channel.close()
+        return
+    if isinstance(answer, LinkReturned):
+        await streams.keep(lender.endpoint, channel)
+    else:
+        await channel.close()
+
+
+def encode_prepared(state: LinkState) -> list[list[str]]:
+    """Return prepared statements as they stand in messages."""
+    return [[*key, name] for key, name in state.prepared.items()]
+
+
+def decode_state(
+    values: Mapping[str, str],
+    prepared: Sequence[Sequence[str]],
+) -> LinkState:
+    """Return the state of a connection from a message."""
+    names: Prepared = {
+        (effect, shape): name for effect, shape, name in prepared
+    }
+    return LinkState(dict(values), names)
--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -15,10 +15,15 @@
 from deckdrum.fleet.questions import (
     AskNews,
     AskServer,
+    BorrowLink,
+    Carried,
     DetourOpened,
     EndTerm,
+    LinkLent,
+    LinkReturned,
     News,
     OpenDetour,
+    ReturnLink,
     ServerAnswer,
     TermEnded,
 )
@@ -182,6 +187,11 @@
     TermEnded,
     OpenDetour,
     DetourOpened,
+    BorrowLink,
+    LinkLent,
+    Carried,
+    ReturnLink,
+    LinkReturned,
 )
 _NUMBERS: Final = MappingProxyType(
     {message_type: number for number, message_type in enumerate(_TYPES)},
--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -27,6 +27,7 @@
 from deckdrum.fleet.peers import StreamPool
 from deckdrum.fleet.questions import (
     AskNews,
+    BorrowLink,
     News,
     OpenDetour,
 )
@@ -43,6 +44,7 @@
 #: Longest wait for a peer's answer, in seconds.
 ASK_LIMIT: Final = 0.6
 
+Lend = Callable[[StreamChannel, BorrowLink], Awaitable[None]]
 PeerAnswer = Message | ConnectionRefusedError | None
 
 
@@ -107,6 +109,10 @@
         self._store = store
         self._journal = journal
         self._randomness = randomness
+        #: Lends connections of this node; set by the node.
+        self.lend: Lend | None = None
+        #: Streams on which connections are borrowed.
+        self.loans = StreamPool()
         self._streams = StreamPool()
         self._carrier = DetourCarrier(view, dialer, journal)
         self._listener = Listener(settings.peer_address, self._serve)
@@ -128,6 +134,7 @@
         """Close every connection."""
         await self._listener.close()
         await self._streams.close()
+        await self.loans.close()
 
     async def run(self) -> None:
         """Ask for news for ever."""
@@ -264,6 +271,9 @@
             if isinstance(question, OpenDetour):
                 await self._carrier.carry(stream, question)
                 return
+            if isinstance(question, BorrowLink) and self.lend is not None:
+                await self.lend(channel, question)
+                continue
             answer = await self._find_answer(question)
             if answer is None:
                 return
--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -1,6 +1,6 @@
 """Questions between nodes on the platform, and their answers."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from deckdrum.fleet.base import Message
@@ -77,3 +77,66 @@
     """Whether the peer has a connection to the server."""
 
     is_open: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BorrowLink(Message):
+    """Ask a node that holds connections to a server to lend one.
+
+    After a `LinkLent` that says so both ends send `Carried` until the
+    borrower sends `ReturnLink`.
+
+    Attributes
+    ----------
+    service, server : str
+        The database group and the server's id.
+    group : str
+        The member group on whose behalf it is borrowed.
+    limit : float
+        Longest wait for a free connection in seconds.
+    values : mapping of str to str
+        Session values that the connection should have.
+    """
+
+    service: str
+    server: str
+    group: str
+    limit: float
+    values: Mapping[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkLent(Message):
+    """The answer: whether a connection is lent, and its state.
+
+    `is_full` tells that the lender has none to lend, but reaches the server.
+    `prepared` has the effect, shape and name of each prepared statement.
+    """
+
+    is_lent: bool
+    is_full: bool
+    values: Mapping[str, str]
+    prepared: Sequence[Sequence[str]]
+
+
+@dataclass(frozen=True, slots=True)
+class Carried(Message):
+    """Bytes to or from the server."""
+
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnLink(Message):
+    """The borrower is done; the whole answer has arrived.
+
+    A borrower that is not sure closes the stream instead.
+    """
+
+    values: Mapping[str, str]
+    prepared: Sequence[Sequence[str]]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkReturned(Message):
+    """The lender carries nothing more."""
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -4,7 +4,6 @@
 lost asks the other nodes before it acts; ranks by name make one act first.
 """
 
-import hashlib
 from typing import Final
 
 import curio
@@ -21,6 +20,7 @@
     ChangeTools,
     Promotion,
 )
+from deckdrum.serving.dealing import weigh
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.store.records import GroupRecord, Phase
@@ -287,7 +287,7 @@
             names,
             key=lambda name: (
                 name != preferred,
-                _weigh(self._runtime.name, name),
+                weigh(self._runtime.name, name),
             ),
         )
         return ranked.index(self._tools.node)
@@ -305,8 +305,3 @@
     if status is None or status.role is not ServerRole.PRIMARY:
         return ServerAnswer(reached=False, leads_term=0)
     return ServerAnswer(reached=True, leads_term=status.term)
-
-
-def _weigh(service: str, name: str) -> bytes:
-    """Return a node's place for a service, the same on every node."""
-    return hashlib.sha256(f'{service}/{name}'.encode()).digest()
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -1,7 +1,7 @@
 """Assembling a node, and its life from start to stop."""
 
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from random import Random
 from typing import Any, Final
@@ -25,12 +25,13 @@
 )
 from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.leadership.promotion import ChangeTools
-from deckdrum.leadership.supervision import Supervisor, answer_server
+from deckdrum.leadership.supervision import answer_server
+from deckdrum.node.lending import Lender
 from deckdrum.node.registration import Registration
+from deckdrum.node.services import ServiceBook
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.execution import Execution
 from deckdrum.serving.host import Outcome, SessionHost
-from deckdrum.serving.routing import Router
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.session import CallerSession
 from deckdrum.utils import Journal, dial
@@ -77,10 +78,8 @@
         self.journal = journal
         self.counters = counters
         self.is_stopping = False
-        self.services: dict[str, ServiceRuntime] = {}
         self._store = store
         self._dialer = DetourDialer(dial_straight)
-        self._make_backend = partial(make_backend, dial=self._dialer.dial)
         self._randomness = Random(settings.seed or os.urandom(8))
         self.view = ControlView(store, journal, self._randomness)
         self.view.on_change.append(self._note_change)
@@ -94,7 +93,7 @@
         )
         self.peers.answer = self._answer_peer
         self._registration = Registration(settings, self.view, store, journal)
-        self._tools = ChangeTools(
+        tools = ChangeTools(
             settings.name,
             self.view,
             store,
@@ -103,12 +102,23 @@
             self._dialer,
             self._randomness,
         )
-        self._executions: dict[str, Execution] = {}
-        self._supervisors: dict[str, Any] = {}
+        self._book = ServiceBook(
+            tools,
+            partial(make_backend, dial=self._dialer.dial),
+            journal,
+            counters,
+        )
+        self.lender = Lender(self.services, counters)
+        self.peers.lend = self.lender.lend
         self._sessions: set[CallerSession] = set()
         self._changed = curio.Event()
         self._tasks: list[Any] = []
 
+    @property
+    def services(self) -> Mapping[str, ServiceRuntime]:
+        """Database groups by name."""
+        return self._book.services
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
@@ -121,6 +131,11 @@
         """Number of open sessions."""
         return len(self._sessions)
 
+    @property
+    def lent(self) -> int:
+        """Connections that other nodes use now."""
+        return self.lender.lent
+
     @property
     def open_transactions(self) -> int:
         """Number of sessions inside a request or a transaction."""
@@ -156,6 +171,7 @@
         """Call for no more callers; what is under way goes on."""
         if not self.is_stopping:
             self.is_stopping = True
+            await self._registration.announce_leave()
             self.journal.record(
                 'node.stopping',
                 sessions=self.sessions,
@@ -165,10 +181,9 @@
     async def close(self) -> None:
         """Leave the other nodes and stop."""
         await self._registration.withdraw()
-        for task in (*self._tasks, *self._supervisors.values()):
+        for task in self._tasks:
             await task.cancel(blocking=False)
-        for runtime in self.services.values():
-            await runtime.close()
+        await self._book.close()
         await self.peers.close()
         self.journal.record('node.stopped', sessions=self.sessions)
 
@@ -204,7 +219,7 @@
 
     def find_execution(self, service: str) -> Execution | None:
         """Return what runs statements of a group."""
-        return self._executions.get(service)
+        return self._book.find_execution(service)
 
     def note_outcome(
         self,
@@ -226,49 +241,7 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            await self._adopt_view()
-
-    async def _adopt_view(self) -> None:
-        configuration = self.view.configuration
-        if configuration is None:
-            return
-        nodes = max(1, len(self.view.members))
-        servers = self.view.servers
-        for name, declaration in configuration.services.items():
-            runtime = self.services.get(name)
-            if runtime is None:
-                runtime = await self._open_service(name)
-            if runtime is None:
-                continue
-            await runtime.adopt_declaration(declaration, nodes)
-            listed = {
-                server.id: server
-                for server in servers.values()
-                if server.service == name
-            }
-            await runtime.adopt_servers(listed)
-            known = self.view.find_leadership(name)
-            if known is not None:
-                await runtime.belief.adopt_record(*known)
-
-    async def _open_service(self, name: str) -> ServiceRuntime | None:
-        configuration = self.view.configuration
-        if configuration is None:
-            return None
-        runtime = ServiceRuntime(
-            configuration.services[name],
-            self._make_backend,
-            self._store,
-            self.journal,
-            self.counters,
-        )
-        supervisor = Supervisor(runtime, self._tools)
-        runtime.on_trouble = supervisor.note_trouble
-        router = Router(runtime, self.settings.data_centre)
-        self.services[name] = runtime
-        self._executions[name] = Execution(runtime, router)
-        self._supervisors[name] = await curio.spawn(supervisor.run, daemon=True)
-        return runtime
+            await self._book.adopt(self._registration.member)
 
     async def _run_upkeep(self) -> None:
         """End transactions that rest too long; forget removed servers."""
--- /dev/null
+++ b/deckdrum/node/lending.py
@@ -0,0 +1,140 @@
+"""Lending connections to nodes that hold none."""
+
+from collections.abc import Mapping
+
+import curio
+
+from deckdrum.fleet.borrowing import decode_state, encode_prepared
+from deckdrum.fleet.channels import StreamChannel
+from deckdrum.fleet.questions import (
+    BorrowLink,
+    Carried,
+    LinkLent,
+    LinkReturned,
+    ReturnLink,
+)
+from deckdrum.outcomes import Refusal
+from deckdrum.serving.servers import ServerHandle, ServerLease
+from deckdrum.serving.service import ServiceRuntime
+from deckdrum.utils import ByteStream
+from deckdrum.utils.counters import Counters
+
+_NOT_LENT = LinkLent(is_lent=False, is_full=False, values={}, prepared=())
+_FULL = LinkLent(is_lent=False, is_full=True, values={}, prepared=())
+
+
+class Lender:
+    """Lends this node's connections.
+
+    Parameters
+    ----------
+    services : mapping of str to ServiceRuntime
+        The groups whose connections this node holds.
+    counters : Counters
+        For metrics.
+    """
+
+    def __init__(
+        self,
+        services: Mapping[str, ServiceRuntime],
+        counters: Counters,
+    ) -> None:
+        #: Connections that are lent now.
+        self.lent = 0
+        self._services = services
+        self._counters = counters
+
+    async def lend(
+        self,
+        channel: StreamChannel,
+        question: BorrowLink,
+    ) -> None:
+        """Lend a connection and carry its bytes until it is returned.
+
+        Raises
+        ------
+        ConnectionError
+            If the borrower is gone; the connection is closed then.
+        """
+        handle = self._find(question)
+        if handle is None or not handle.backend.keeps_links:
+            await channel.send(_NOT_LENT)
+            return
+        try:
+            lease = await handle.acquire(
+                question.group,
+                question.limit,
+                question.values,
+            )
+        except ConnectionError:
+            await channel.send(_NOT_LENT)
+            return
+        if isinstance(lease, Refusal):
+            self._counters.count('loans_refused')
+            await channel.send(_FULL)
+            return
+        self._counters.count('loans')
+        self.lent += 1
+        try:
+            await self._carry(channel, handle, lease)
+        finally:
+            self.lent -= 1
+
+    def _find(self, question: BorrowLink) -> ServerHandle | None:
+        runtime = self._services.get(question.service)
+        return runtime.servers.get(question.server) if runtime else None
+
+    async def _carry(
+        self,
+        channel: StreamChannel,
+        handle: ServerHandle,
+        lease: ServerLease,
+    ) -> None:
+        state = lease.link.state
+        stream = lease.link.stream
+        is_clean = False
+        try:
+            await channel.send(
+                LinkLent(
+                    is_lent=True,
+                    is_full=False,
+                    values=state.values,
+                    prepared=encode_prepared(state),
+                ),
+            )
+            returned = await _carry_both(channel, stream)
+            lease.link.state = decode_state(returned.values, returned.prepared)
+            is_clean = True
+        finally:
+            await handle.pool.release(lease, is_clean)
+        await channel.send(LinkReturned())
+
+
+async def _carry_both(
+    channel: StreamChannel,
+    stream: ByteStream,
+) -> ReturnLink:
+    """Carry bytes both ways until the borrower returns the connection."""
+    answering = await curio.spawn(_carry_answers, channel, stream)
+    try:
+        while True:
+            message = await channel.receive()
+            if isinstance(message, ReturnLink):
+                return message
+            if not isinstance(message, Carried):
+                name = type(message).__name__
+                raise ConnectionAbortedError(f'{name} on a lent connection')
+            await stream.send(message.payload)
+    finally:
+        await answering.cancel()
+
+
+async def _carry_answers(channel: StreamChannel, stream: ByteStream) -> None:
+    while chunk := await stream.receive():
+        try:
+            await channel.send(Carried(chunk))
+        except ConnectionError:
+            # The borrower is gone; the other direction sees it too.
+            return
+    # The server has closed: so must the borrower's end.
+    await channel.close()
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import curio
+from msgspec.structs import replace
 
 from deckdrum.control import ControlStore, ControlView, Entry, Kind, Member
 from deckdrum.fleet.nodes import NodeSettings
@@ -61,6 +62,17 @@
                 await self._register(entry)
             await curio.sleep(LOOK_PAUSE if is_known else LOOK_PAUSE / 10)
 
+    @property
+    def member(self) -> Member:
+        """The node, as it registers itself."""
+        return self._member
+
+    async def announce_leave(self) -> None:
+        """Tell the others that this node is to leave."""
+        self._member = replace(self._member, is_leaving=True)
+        async with curio.ignore_after(WITHDRAW_LIMIT):
+            await self._register(self._view.find_member(self._settings.name))
+
     async def withdraw(self) -> None:
         """Take the entry away."""
         self._is_leaving = True
--- /dev/null
+++ b/deckdrum/node/services.py
@@ -0,0 +1,114 @@
+"""The database groups of a node, kept in step with its view of the store."""
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+
+from deckdrum.backends import Backend, BackendServer
+from deckdrum.control import Member, ServiceDeclaration
+from deckdrum.fleet.borrowing import SharedBackend
+from deckdrum.leadership.promotion import ChangeTools
+from deckdrum.leadership.supervision import Supervisor
+from deckdrum.serving.execution import Execution
+from deckdrum.serving.routing import Router
+from deckdrum.serving.service import ServiceRuntime
+from deckdrum.utils import Journal
+from deckdrum.utils.counters import Counters
+
+
+class ServiceBook:
+    """Opens the groups that the configuration declares.
+
+    Parameters
+    ----------
+    tools : ChangeTools
+        What the node provides.
+    make_direct : callable
+        Makes what connects to a server.
+    journal : Journal
+        For logs.
+    counters : Counters
+        For metrics.
+    """
+
+    def __init__(
+        self,
+        tools: ChangeTools,
+        make_direct: Callable[[BackendServer], Backend],
+        journal: Journal,
+        counters: Counters,
+    ) -> None:
+        self.services: dict[str, ServiceRuntime] = {}
+        self._tools = tools
+        self._make_direct = make_direct
+        self._journal = journal
+        self._counters = counters
+        self._executions: dict[str, Execution] = {}
+        self._supervisors: list[Any] = []
+
+    def find_execution(self, service: str) -> Execution | None:
+        """Return what runs statements of a group."""
+        return self._executions.get(service)
+
+    async def adopt(self, own: Member) -> None:
+        """Take over the view: groups, servers, leadership and members."""
+        configuration = self._tools.view.configuration
+        if configuration is None:
+            return
+        for declaration in configuration.services.values():
+            await self._adopt_service(declaration, own)
+
+    async def close(self) -> None:
+        """Stop to watch the groups, and close idle connections."""
+        for task in self._supervisors:
+            await task.cancel(blocking=False)
+        for runtime in self.services.values():
+            await runtime.close()
+
+    async def _adopt_service(
+        self,
+        declaration: ServiceDeclaration,
+        own: Member,
+    ) -> None:
+        view = self._tools.view
+        name = declaration.name
+        runtime = self.services.get(name)
+        if runtime is None:
+            runtime = await self._open(declaration, own)
+        listed = {
+            server.id: server
+            for server in view.servers.values()
+            if server.service == name
+        }
+        await runtime.adopt_servers(listed)
+        await runtime.deal(declaration, own, view.members)
+        known = view.find_leadership(name)
+        if known is not None:
+            await runtime.belief.adopt_record(*known)
+
+    async def _open(
+        self,
+        declaration: ServiceDeclaration,
+        own: Member,
+    ) -> ServiceRuntime:
+        runtime = ServiceRuntime(
+            declaration,
+            self._share_backend,
+            self._tools.store,
+            self._journal,
+            self._counters,
+        )
+        supervisor = Supervisor(runtime, self._tools)
+        runtime.on_trouble = supervisor.note_trouble
+        router = Router(runtime, own.data_centre)
+        self.services[declaration.name] = runtime
+        self._executions[declaration.name] = Execution(runtime, router)
+        self._supervisors.append(
+            await curio.spawn(supervisor.run, daemon=True),
+        )
+        return runtime
+
+    def _share_backend(self, server: BackendServer) -> SharedBackend:
+        direct = self._make_direct(server)
+        return SharedBackend(direct, self._tools.peers.loans)
--- a/deckdrum/node/tests/test_life.py
+++ b/deckdrum/node/tests/test_life.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from deckdrum.serving.service import RESERVED_CONNECTIONS
+from deckdrum.serving.dealing import RESERVED_CONNECTIONS
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
 
@@ -34,10 +34,12 @@
         await deployment.wait_for(lambda: len(node.view.members) == 6)
         await curio.sleep(0.5)
         slots = [
-            running.node.services[SERVICE].slots for running in deployment.nodes
+            handle.pool.queue.slots
+            for running in deployment.nodes
+            for handle in running.node.services[SERVICE].servers.values()
         ]
         assert set(slots) == {3}
-        assert sum(slots) <= 23 - RESERVED_CONNECTIONS
+        assert sum(slots) <= 3 * (23 - RESERVED_CONNECTIONS)
 
     play(scenario, nodes=6, max_connections=23)
 
--- a/deckdrum/platform/backends.py
+++ b/deckdrum/platform/backends.py
@@ -28,7 +28,7 @@
     encode_position,
 )
 from deckdrum.sessions.position import NOWHERE
-from deckdrum.utils import Stream
+from deckdrum.utils import ByteStream, Stream
 
 _ROLES: Final = MappingProxyType(
     {'primary': ServerRole.PRIMARY, 'replica': ServerRole.REPLICA},
@@ -44,21 +44,19 @@
 
     Parameters
     ----------
-    stream : Stream
+    stream : ByteStream
         The connection, after its start.
-    reader : LineReader
-        Reads from it.
     """
 
-    def __init__(self, stream: Stream, reader: LineReader) -> None:
+    def __init__(self, stream: ByteStream) -> None:
         super().__init__()
-        self._stream = stream
-        self._reader = reader
+        self.stream = stream
+        self._reader = LineReader(stream)
 
     @property
     def is_usable(self) -> bool:
         """Whether the connection is open and nothing unread has arrived."""
-        return self._stream.is_quiet() and not self._reader.has_unread
+        return self.stream.is_quiet() and not self._reader.has_unread
 
     async def run(self, call: Call) -> Answer | Rejection:
         """Run one operation and return the whole answer."""
@@ -94,7 +92,7 @@
 
     async def close(self) -> None:
         """Close the connection."""
-        await self._stream.close()
+        await self.stream.close()
 
     async def _ask_status(self, text: str) -> ServerStatus | Rejection:
         reply = await self._ask(OWN_ID, text)
@@ -106,7 +104,7 @@
             raise ConnectionAbortedError(str(error)) from error
 
     async def _ask(self, request_id: str, text: str) -> Answer | Rejection:
-        await self._stream.send(encode_line('QUERY', request_id, text))
+        await self.stream.send(encode_line('QUERY', request_id, text))
         try:
             return await self._read_answer()
         except LineError as error:
@@ -174,7 +172,11 @@
         except (ConnectionError, curio.CancelledError):
             await stream.close()
             raise
-        return PlatformLink(stream, reader)
+        return self.wrap(stream)
+
+    def wrap(self, stream: ByteStream) -> BackendLink:
+        """Return the link over a connection that has been started."""
+        return PlatformLink(stream)
 
     async def _start(self, stream: Stream, reader: LineReader) -> None:
         # The id makes sure that no other server has taken the address.
--- a/deckdrum/platform/lines.py
+++ b/deckdrum/platform/lines.py
@@ -7,7 +7,7 @@
 import re
 from typing import Final
 
-from deckdrum.utils import Stream
+from deckdrum.utils import ByteStream
 
 #: Largest message, in bytes.
 MAX_LINE_BYTES: Final = 1024 * 1024
@@ -27,11 +27,11 @@
 
     Parameters
     ----------
-    stream : Stream
+    stream : ByteStream
         The connection.
     """
 
-    def __init__(self, stream: Stream) -> None:
+    def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
         self._buffer = bytearray()
         self._searched = 0
--- a/deckdrum/platform/program.py
+++ b/deckdrum/platform/program.py
@@ -112,7 +112,7 @@
                 await self.node.abandon_transactions('the node stops')
             if elapsed >= min(STILL_SENT, grace / 2):
                 await self.frontend.close_quiet(CLOSED_SHARE)
-                if not self.frontend.connections:
+                if not self.frontend.connections and not self.node.lent:
                     break
             await curio.sleep(STOP_POLL)
         await self.node.close()
--- /dev/null
+++ b/deckdrum/serving/dealing.py
@@ -0,0 +1,97 @@
+"""Dealing a server's few connections among the nodes.
+
+Where there are enough, every node holds some: no request takes a second hop,
+and a frozen or cut neighbour costs nothing.  Otherwise a bounded set of nodes
+holds them, spread over the data centres, and the others borrow.
+"""
+
+import hashlib
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import partial
+from typing import Final
+
+#: Connections of each server kept for newcomers, questions of the product's
+#: own, and connections of killed nodes, which linger for up to 3 s.
+RESERVED_CONNECTIONS: Final = 4
+#: Fewest connections of a node for which it is worth to hold any: one may
+#: rest in a transaction while another works.
+USEFUL_CONNECTIONS: Final = 2
+#: Most connections of one node where every node holds some.  A server works
+#: on few requests at a time.
+MOST_CONNECTIONS: Final = 4
+#: Connections of a holder where few nodes hold them: they serve several
+#: nodes, and more of them together wait less than the same number apart.
+HOLDER_CONNECTIONS: Final = 6
+#: Holders in each data centre at least, so that one may go.
+HOLDERS_PER_CENTRE: Final = 2
+#: Connections that a node borrows of one server at a time.
+BORROWED_CONNECTIONS: Final = 6
+
+
+@dataclass(frozen=True, slots=True)
+class Deal:
+    """How a server's connections are dealt.
+
+    Attributes
+    ----------
+    holders : tuple of str
+        Nodes that hold connections.
+    slots : int
+        Connections of each holder.
+    """
+
+    holders: tuple[str, ...]
+    slots: int
+
+
+def deal_connections(
+    server: str,
+    nodes: Mapping[str, str],
+    max_connections: int,
+) -> Deal:
+    """Return who holds a server's connections.
+
+    Parameters
+    ----------
+    server : str
+        The server's id.
+    nodes : mapping of str to str
+        Data centres by the names of the nodes.
+    max_connections : int
+        Connections that the server accepts.
+
+    Examples
+    --------
+    >>> nodes = {'n1': 'a', 'n2': 'b', 'n3': 'a'}
+    >>> deal_connections('i-1', nodes, max_connections=11).slots
+    2
+    """
+    shared = max(1, max_connections - RESERVED_CONNECTIONS)
+    count = len(nodes)
+    if shared >= count * USEFUL_CONNECTIONS:
+        return Deal(tuple(nodes), min(MOST_CONNECTIONS, shared // count))
+    centres = len(set(nodes.values()))
+    wanted = max(
+        shared // HOLDER_CONNECTIONS,
+        min(centres * HOLDERS_PER_CENTRE, shared),
+    )
+    holders = _spread(server, nodes)[: min(wanted, count)]
+    return Deal(tuple(holders), max(1, shared // max(1, len(holders))))
+
+
+def weigh(*parts: str) -> bytes:
+    """Return a place by rendezvous hashing, the same on every node."""
+    return hashlib.sha256('/'.join(parts).encode()).digest()
+
+
+def _spread(server: str, nodes: Mapping[str, str]) -> list[str]:
+    """Return the nodes by rank, each data centre in its turn."""
+    by_centre: defaultdict[str, list[str]] = defaultdict(list)
+    ranks: dict[str, tuple[int, bytes]] = {}
+    for name in sorted(nodes, key=partial(weigh, server)):
+        centre = nodes[name]
+        ranks[name] = (len(by_centre[centre]), weigh(server, centre))
+        by_centre[centre].append(name)
+    return sorted(nodes, key=lambda each: (ranks[each], each))
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -92,6 +92,7 @@
     state: SessionState
     begin: Begin | None
     is_read: bool
+    began: float
     deadline: float
     tries: int = 0
     pause: float = FIRST_PAUSE
@@ -225,7 +226,7 @@
         await self.runtime.admit_group(route)
         now = await curio.clock()
         limit = route.statement_limit - ANSWER_MARGIN
-        return _Search(request, state, begin, is_read, now + limit)
+        return _Search(request, state, begin, is_read, now, now + limit)
 
     async def _search_to_end(
         self,
@@ -255,7 +256,7 @@
             if ended is None:
                 continue
             if isinstance(ended.end, Answer):
-                self._note_success(search, ended)
+                await self._note_success(search, ended)
                 return ended, ended.end
             refusal = await self._weigh(search, ended)
             if refusal is not None:
@@ -460,11 +461,26 @@
             return refuse(Code.NO_PRIMARY, f'service {self.runtime.name}')
         return refuse(Code.READ_NOT_POSSIBLE, 'no server took it in time')
 
-    def _note_success(self, search: _Search, ended: _Ended) -> None:
+    async def _note_success(self, search: _Search, ended: _Ended) -> None:
         self._budget.note_success()
-        role = 'primary' if ended.target.is_primary else 'replica'
+        target = ended.target
+        role = 'primary' if target.is_primary else 'replica'
         kind = 'read' if search.is_read else 'change'
         self.runtime.counters.count_served(search.state.database, kind, role)
+        now = await curio.clock()
+        self.runtime.journal.record_often(
+            'request.served',
+            request=search.request.id,
+            database=search.state.database,
+            kind=kind,
+            server=target.handle.id,
+            role=role,
+            term=target.term,
+            floor=str(target.floor),
+            proof_left=round(self.runtime.belief.read_valid_until() - now, 3),
+            tries=search.tries,
+            seconds=round(now - search.began, 3),
+        )
 
 
 def _describe(search: _Search) -> str:
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -6,7 +6,6 @@
 import curio
 
 from deckdrum.backends import (
-    Backend,
     BackendLink,
     BackendServer,
     ConnectionLimitError,
@@ -14,6 +13,8 @@
     Pool,
     ServerStatus,
 )
+from deckdrum.control import Member
+from deckdrum.fleet.borrowing import SharedBackend
 from deckdrum.members import GroupShare
 from deckdrum.operations import Rejection
 from deckdrum.outcomes import Refusal
@@ -38,7 +39,7 @@
 _CONTROL_GROUP: Final = ''
 _LEARN_RATE: Final = 0.2
 
-ServerLease = Lease[Backend, BackendLink]
+ServerLease = Lease[SharedBackend, BackendLink]
 
 
 class ServerHandle:
@@ -46,7 +47,7 @@
 
     Parameters
     ----------
-    backend : Backend
+    backend : SharedBackend
         Where to connect.
     slots : int
         Most connections that this node opens.
@@ -56,12 +57,16 @@
 
     def __init__(
         self,
-        backend: Backend,
+        backend: SharedBackend,
         slots: int,
         shares: Mapping[str, GroupShare],
     ) -> None:
         self.backend = backend
-        self.pool: Pool[Backend, BackendLink] = Pool(backend, slots, shares)
+        self.pool: Pool[SharedBackend, BackendLink] = Pool(
+            backend, slots, shares
+        )
+        #: Why it last left a question without an answer.
+        self.fault = ''
         #: When the server last answered anything, in kernel seconds.
         self.answered_at = float('-inf')
         #: When a question was last left without an answer.
@@ -95,6 +100,18 @@
         """Take over a new entry of the same server."""
         self.backend.server = server
 
+    async def adopt_deal(
+        self,
+        lenders: list[Member],
+        slots: int,
+        shares: Mapping[str, GroupShare],
+    ) -> None:
+        """Hold up to `slots` connections, or borrow if there are lenders."""
+        self.backend.lenders = lenders
+        if lenders:
+            await self.pool.close_idle()
+        await self.pool.queue.resize(slots, shares)
+
     def is_avoided(self, now: float) -> bool:
         """Tell whether requests should go elsewhere if they can."""
         return now < self._avoided_until
@@ -189,9 +206,16 @@
             async with curio.timeout_after(limit):
                 reply = await self._call_step(step, arguments)
         except curio.TaskTimeout:
+            queue = self.pool.queue
+            self.fault = (
+                f'no answer to {step} within {limit} s, connections: '
+                f'{queue.held} of {queue.slots} in use, '
+                f'{queue.waiting} waiting, {self.pool.idle} idle'
+            )
             self.note_silence(await curio.clock())
             return None
         except ConnectionError as error:
+            self.fault = f'{step}: {error!r}'
             self.note_failure(await curio.clock(), error)
             return None
         self.note_answer(await curio.clock())
@@ -204,11 +228,7 @@
     ) -> ServerStatus | Rejection:
         """Use an idle connection, or one beyond the pool if all are busy."""
         if self.pool.queue.is_busy:
-            link = await self.backend.connect(QUESTION_LIMIT)
-            try:
-                return await _invoke(link, step, arguments)
-            finally:
-                await link.close()
+            return await self._call_apart(step, arguments)
         lease = await self.pool.acquire(_CONTROL_GROUP, QUESTION_LIMIT)
         if isinstance(lease, Refusal):
             raise ConnectionAbortedError(lease.text)
@@ -220,6 +240,22 @@
             await self.pool.release(lease, is_clean)
         return reply
 
+    async def _call_apart(
+        self,
+        step: str,
+        arguments: tuple[int, ...],
+    ) -> ServerStatus | Rejection:
+        link = await self.backend.connect(QUESTION_LIMIT)
+        is_whole = False
+        try:
+            reply = await _invoke(link, step, arguments)
+            is_whole = True
+        finally:
+            if not is_whole:
+                await link.close()
+        await link.hand_back()
+        return reply
+
     def _avoid(self, now: float) -> None:
         self._avoided_until = now + self._avoidance
         self._avoidance = min(self._avoidance * 2, LONGEST_AVOIDANCE)
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -1,16 +1,30 @@
 """One database group as a node serves it."""
 
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any, Final
 
 import curio
 
-from deckdrum.backends import Backend, BackendServer, ServerStatus
+from deckdrum.backends import BackendServer, ServerStatus
 from deckdrum.backends.history import History
-from deckdrum.control import ControlStore, Kind, Route, ServiceDeclaration
+from deckdrum.control import (
+    ControlStore,
+    Kind,
+    Member,
+    Route,
+    ServiceDeclaration,
+)
+from deckdrum.fleet.borrowing import SharedBackend
 from deckdrum.leadership.belief import RENEW_BELOW, LeadershipBelief
 from deckdrum.members import GroupShare
 from deckdrum.outcomes.errors import StoreError
+from deckdrum.serving.dealing import (
+    BORROWED_CONNECTIONS,
+    USEFUL_CONNECTIONS,
+    deal_connections,
+    weigh,
+)
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.sessions import Position
 from deckdrum.store.records import GroupRecord
@@ -28,12 +42,6 @@
 #: statements take 6 to 60 ms.
 FINISH_LIMIT: Final = 0.12
 _FINISH_POLL: Final = 0.005
-#: Connections of each server kept for probes, changes of primary, newcomers
-#: and connections of killed nodes that linger.
-RESERVED_CONNECTIONS: Final = 4
-#: Most connections of one node to one server.  A server works on few
-#: requests at a time, and open transactions rest on theirs.
-MOST_CONNECTIONS: Final = 4
 
 
 class ServiceRuntime:
@@ -56,7 +64,7 @@
     def __init__(
         self,
         declaration: ServiceDeclaration,
-        make_backend: Callable[[BackendServer], Backend],
+        make_backend: Callable[[BackendServer], SharedBackend],
         store: ControlStore,
         journal: Journal,
         counters: Counters,
@@ -67,8 +75,6 @@
         self.history = History()
         self.journal = journal
         self.counters = counters
-        #: Nodes that share the servers' connections.
-        self.nodes = 1
         #: Called with a server that has just failed.
         self.on_trouble: Callable[[ServerHandle], None] | None = None
         #: Statements at the primary that have no answer yet.
@@ -100,21 +106,14 @@
             if name != self.belief.primary
         ]
 
-    @property
-    def slots(self) -> int:
-        """Connections of this node to each server."""
-        shared = self.declaration.max_connections - RESERVED_CONNECTIONS
-        return max(1, min(MOST_CONNECTIONS, shared // max(1, self.nodes)))
-
     async def adopt_servers(self, listed: Mapping[str, BackendServer]) -> None:
         """Take over the servers of this group from the directory."""
         for name, server in listed.items():
             handle = self.servers.get(name)
             if handle is None:
-                backend = self._make_backend(server)
                 self.servers[name] = ServerHandle(
-                    backend,
-                    self.slots,
+                    self._make_backend(server),
+                    USEFUL_CONNECTIONS,
                     self._shares,
                 )
             else:
@@ -124,25 +123,47 @@
             await handle.pool.close_idle()
         await self.belief.adopt_servers(self.servers)
 
-    async def adopt_declaration(
+    async def deal(
         self,
         declaration: ServiceDeclaration,
-        nodes: int,
+        own: Member,
+        members: Mapping[str, Member],
     ) -> None:
-        """Take over limits and the number of nodes that share them."""
-        before = self.slots
+        """Deal the servers' connections among the nodes that stay."""
         self.declaration = declaration
-        self.nodes = nodes
-        if self.slots != before:
-            await self._resize()
+        staying = {
+            name: member.data_centre
+            for name, member in members.items()
+            if not member.is_leaving
+        }
+        staying[own.name] = own.data_centre
+        for name, handle in self.servers.items():
+            deal = deal_connections(name, staying, declaration.max_connections)
+            lenders = [
+                members[holder]
+                for holder in deal.holders
+                if holder != own.name and holder in members
+            ]
+            if own.name in deal.holders:
+                await handle.adopt_deal([], deal.slots, self._shares)
+            else:
+                lenders.sort(key=partial(_rank_lender, own))
+                await handle.adopt_deal(
+                    lenders,
+                    BORROWED_CONNECTIONS,
+                    self._shares,
+                )
 
     async def admit_group(self, route: Route) -> None:
         """Give the callers of a route their share of the connections."""
         place = min(route.priority, len(PRIORITY_WEIGHTS) - 1)
         share = GroupShare(PRIORITY_WEIGHTS[max(0, place)], MAX_WAITING)
-        if self._shares.get(route.database) != share:
-            self._shares[route.database] = share
-            await self._resize()
+        if self._shares.get(route.database) == share:
+            return
+        self._shares[route.database] = share
+        for handle in self.servers.values():
+            queue = handle.pool.queue
+            await queue.resize(queue.slots, self._shares)
 
     def note_position(self, position: Position, started_at: float) -> None:
         """Note where the primary's log stood after `started_at`."""
@@ -184,6 +205,12 @@
         self.counters.count('status_questions')
         status = await handle.ask_status()
         if status is None:
+            self.journal.record_often(
+                'server.unanswered',
+                service=self.name,
+                server=handle.id,
+                reason=handle.fault,
+            )
             self.report_trouble(handle)
             return None
         await self.belief.note_status(handle.id, status, asked_at)
@@ -306,6 +333,8 @@
             revision = 0 if entry is None else entry.revision
             await self.belief.note_store(revision, record, asked_at)
 
-    async def _resize(self) -> None:
-        for handle in self.servers.values():
-            await handle.pool.queue.resize(self.slots, self._shares)
+
+def _rank_lender(own: Member, lender: Member) -> tuple[bool, bytes]:
+    """Return a lender's place for a node: the nearest first, then spread."""
+    is_far = lender.data_centre != own.data_centre
+    return is_far, weigh(own.name, lender.name)
--- a/deckdrum/utils/journal.py
+++ b/deckdrum/utils/journal.py
@@ -154,7 +154,8 @@
             name: _HIDDEN if name in SECRET_FIELDS else field
             for name, field in fields.items()
         }
-        self._logger.info(event, extra={'source': self._source, **shown})
+        # As one mapping: names such as "name" would clash as extra fields.
+        self._logger.info({'event': event, 'source': self._source, **shown})
 
     def record_often(self, event: str, **fields: Any) -> None:
         """Write an event that load can multiply, within its budget."""
@@ -204,8 +205,8 @@
 def _build_journal(source: str, sink: logging.Handler) -> Journal:
     sink.setFormatter(
         JsonFormatter(
-            '%(asctime)s %(message)s',
-            rename_fields={'asctime': 'time', 'message': 'event'},
+            '%(asctime)s',
+            rename_fields={'asctime': 'time'},
         ),
     )
     logger = logging.Logger(f'deckdrum.{source}', logging.INFO)
--- a/deckdrum/utils/streams.py
+++ b/deckdrum/utils/streams.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 import struct
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -54,7 +55,33 @@
         return cls(host, int(port))
 
 
-class Stream:
+class ByteStream(ABC):
+    """A two-way sequence of bytes."""
+
+    @abstractmethod
+    def is_quiet(self) -> bool:
+        """Tell whether the stream is open and has nothing to receive."""
+
+    @abstractmethod
+    async def receive(self) -> bytes:
+        """Return the next bytes, or ``b''`` once the peer has closed."""
+
+    @abstractmethod
+    async def send(self, payload: bytes) -> None:
+        """Send all of `payload`.
+
+        Raises
+        ------
+        ConnectionError
+            If the stream is closed.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the stream; a second call does nothing."""
+
+
+class Stream(ByteStream):
     """One TCP connection.
 
     Parameters
--- a/deckdrum/utils/tests/test_journal.py
+++ b/deckdrum/utils/tests/test_journal.py
@@ -69,3 +69,10 @@
     assert json.loads(first)['event'] == 'node.started'
     os.close(receiving)
     os.close(sending)
+
+
+def test_any_field_name_can_be_written() -> None:
+    lines = io.StringIO()
+    journal = open_journal('n1', lines)
+    journal.record('server.removed', name='i-1', message='gone', args=(1,))
+    assert _read_events(lines)[0]['name'] == 'i-1'
