Prove a term by the agreement of all nodes; borrow where a server is full

After the loss of power at the end the servers were full of connections that lingered for 3 s; nodes asked again without pause (3,880 connections over the cap), and questions of the product's own opened connections beyond the pool. Change: a third source of proof, the agreement of every registered node; a change needs the consent of most nodes, so the two always meet. Sources are asked one after the other while the one before is silent. A server that was full is left alone for a quarter of a second, and a connection is borrowed from a node that has one; borrowed ones are handed back, never kept. A task that fails is logged and begun again.

--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -19,6 +19,9 @@
 class PooledLink(ABC):
     """A connection that a pool can keep."""
 
+    #: Whether it may stay open in the pool while nobody uses it.
+    is_kept = True
+
     @property
     @abstractmethod
     def is_usable(self) -> bool:
@@ -49,11 +52,6 @@
             If it cannot be had.
         """
 
-    @property
-    def keeps_links(self) -> bool:
-        """Whether idle connections stay open here."""
-        return True
-
     async def connect_for(self, group: str, limit: float) -> LinkT:
         """Open a connection on behalf of a member group."""
         return await self.connect(limit)
@@ -149,7 +147,7 @@
         """
         if not is_clean or not lease.link.is_usable:
             await lease.link.close()
-        elif self.database.keeps_links:
+        elif lease.link.is_kept:
             self._idle.append(lease.link)
         else:
             await lease.link.hand_back()
--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -33,6 +33,12 @@
 LENDER_WAIT: Final = 0.25
 #: How long a lender that gave no answer is passed over, in seconds.
 AVOIDANCE: Final = 1.0
+#: Pause after the server has refused a connection for want of room, in s.
+#: Connections of a node that lost power linger for 3 s.
+FULL_PAUSE: Final = 0.25
+#: Begins the name of a group that borrows; such a request is never served
+#: with a connection that is borrowed itself.
+LOAN_PREFIX: Final = 'loan:'
 #: Lenders asked for one connection.
 LENDERS_ASKED: Final = 3
 
@@ -104,10 +110,14 @@
         self._avoided: dict[str, float] = {}
         #: Nodes to borrow from, the nearest first; empty if this one holds.
         self.lenders: list[Member] = []
+        #: Nodes that may have a connection where this one gets none.
+        self.helpers: list[Member] = []
+        #: Until when the server is not asked for more connections.
+        self.full_until = float('-inf')
 
     @property
-    def keeps_links(self) -> bool:
-        """Whether idle connections stay open here."""
+    def is_holder(self) -> bool:
+        """Whether this node holds connections to the server."""
         return not self.lenders
 
     async def connect(self, limit: float) -> BackendLink:
@@ -116,24 +126,57 @@
 
     async def connect_for(self, group: str, limit: float) -> BackendLink:
         """Open a connection on behalf of a member group, or borrow one."""
+        if group.startswith(LOAN_PREFIX):
+            # What is lent on is a connection of this node's own.
+            return await self._connect_direct(limit)
+        if self.lenders:
+            borrowed = await self._borrow_from(self.lenders, group, limit)
+            if borrowed is not None:
+                return borrowed
+        try:
+            link = await self._connect_direct(limit)
+        except ConnectionLimitError:
+            helped = await self._borrow_from(self.helpers, group, limit)
+            if helped is None:
+                raise
+            return helped
+        link.is_kept = self.is_holder
+        return link
+
+    def wrap(self, stream: ByteStream) -> BackendLink:
+        """Return the link over a connection that has been started."""
+        return self._direct.wrap(stream)
+
+    async def _connect_direct(self, limit: float) -> BackendLink:
+        """Connect, unless the server has just been found full."""
+        now = await curio.clock()
+        if now < self.full_until:
+            raise ConnectionLimitError(f'{self.name} was full a moment ago')
         self._direct.server = self.server
-        if not self.lenders:
+        try:
             return await self._direct.connect(limit)
+        except ConnectionLimitError:
+            self.full_until = now + FULL_PAUSE
+            raise
+
+    async def _borrow_from(
+        self,
+        lenders: Sequence[Member],
+        group: str,
+        limit: float,
+    ) -> BackendLink | None:
+        """Borrow from the first lender that has a connection."""
         now = await curio.clock()
         ready = [
             lender
-            for lender in self.lenders
+            for lender in lenders
             if self._avoided.get(lender.name, 0) <= now
         ]
         for lender in ready[:LENDERS_ASKED]:
             link = await self._borrow(lender, group, limit)
             if link is not None:
                 return link
-        return await self._direct.connect(limit)
-
-    def wrap(self, stream: ByteStream) -> BackendLink:
-        """Return the link over a connection that has been started."""
-        return self._direct.wrap(stream)
+        return None
 
     async def _borrow(
         self,
@@ -156,11 +199,10 @@
             return None
         if not answer.is_lent:
             await self._streams.keep(lender.endpoint, channel)
-            if answer.is_full:
-                raise ConnectionLimitError(f'{lender.name} has none to lend')
             return None
         link = self._direct.wrap(BorrowedStream(channel))
         link.state = decode_state(answer.values, answer.prepared)
+        link.is_kept = False
         link.on_hand_back = partial(_hand_back, self._streams, lender)
         return link
 
--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -11,22 +11,8 @@
 
 import msgpack
 
+from deckdrum.fleet import questions
 from deckdrum.fleet.base import Message
-from deckdrum.fleet.questions import (
-    AskNews,
-    AskServer,
-    BorrowLink,
-    Carried,
-    DetourOpened,
-    EndTerm,
-    LinkLent,
-    LinkReturned,
-    News,
-    OpenDetour,
-    ReturnLink,
-    ServerAnswer,
-    TermEnded,
-)
 
 #: Largest message accepted from a peer, in bytes.
 MAX_MESSAGE_BYTES: Final = 64_000_000
@@ -179,19 +165,21 @@
     AskConfiguration,
     ConfigurationAnswer,
     Heartbeat,
-    AskNews,
-    News,
-    AskServer,
-    ServerAnswer,
-    EndTerm,
-    TermEnded,
-    OpenDetour,
-    DetourOpened,
-    BorrowLink,
-    LinkLent,
-    Carried,
-    ReturnLink,
-    LinkReturned,
+    questions.AskNews,
+    questions.News,
+    questions.AskServer,
+    questions.ServerAnswer,
+    questions.EndTerm,
+    questions.TermEnded,
+    questions.OpenDetour,
+    questions.DetourOpened,
+    questions.BorrowLink,
+    questions.LinkLent,
+    questions.Carried,
+    questions.ReturnLink,
+    questions.LinkReturned,
+    questions.AskTerm,
+    questions.TermAnswer,
 )
 _NUMBERS: Final = MappingProxyType(
     {message_type: number for number, message_type in enumerate(_TYPES)},
--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -27,9 +27,11 @@
 from deckdrum.fleet.peers import StreamPool
 from deckdrum.fleet.questions import (
     AskNews,
+    AskTerm,
     BorrowLink,
     News,
     OpenDetour,
+    TermAnswer,
 )
 from deckdrum.outcomes.errors import DocumentError
 from deckdrum.utils import Address, Journal, Listener, Stream
@@ -44,6 +46,9 @@
 #: Longest wait for a peer's answer, in seconds.
 ASK_LIMIT: Final = 0.6
 
+#: Longest wait for the answers of all nodes on a term, in seconds.
+AGREEMENT_LIMIT: Final = 0.4
+
 Lend = Callable[[StreamChannel, BorrowLink], Awaitable[None]]
 PeerAnswer = Message | ConnectionRefusedError | None
 
@@ -198,6 +203,26 @@
         """Ask every other node at once; return the answers by name."""
         return await self._ask_each(self.others, question, limit)
 
+    async def ask_agreement(self, service: str, term: int) -> bool:
+        """Ask every other node whether a term goes on; tell if all say so.
+
+        A node whose process does not run has no say.  Without others there
+        is nobody to agree with.
+        """
+        answers = await self.ask_all(AskTerm(service, term), AGREEMENT_LIMIT)
+        agreeing = [
+            answer
+            for answer in answers.values()
+            if isinstance(answer, TermAnswer) and answer.is_open
+        ]
+        dead = [
+            answer
+            for answer in answers.values()
+            if isinstance(answer, ConnectionRefusedError)
+        ]
+        is_unanimous = len(agreeing) + len(dead) == len(answers)
+        return bool(agreeing) and is_unanimous
+
     def tell_news(self, question: AskNews) -> News:
         """Return what this node knows beyond an asker's revisions."""
         configuration = self._view.configuration
--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -140,3 +140,18 @@
 @dataclass(frozen=True, slots=True)
 class LinkReturned(Message):
     """The lender carries nothing more."""
+
+
+@dataclass(frozen=True, slots=True)
+class AskTerm(Message):
+    """Ask a peer whether it knows of a change that ends a term."""
+
+    service: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class TermAnswer(Message):
+    """Whether the peer knows of no such change."""
+
+    is_open: bool
--- a/deckdrum/leadership/belief.py
+++ b/deckdrum/leadership/belief.py
@@ -51,8 +51,9 @@
         self._record: GroupRecord | None = None
         #: When each replica was last asked and did not hold.
         self._proofs: dict[str, float] = {}
-        #: When the store was last asked and knew of no later term.
-        self._store_proof = float('-inf')
+        #: When the store, or every other node, was last asked and knew of
+        #: no later term.
+        self._agreed_proof = float('-inf')
         self._servers: frozenset[str] = frozenset()
 
     @property
@@ -92,7 +93,7 @@
             reverse=True,
         )
         proven = times[needed - 1] if len(times) >= needed else float('-inf')
-        return max(proven, self._store_proof) + VALIDITY
+        return max(proven, self._agreed_proof) + VALIDITY
 
     def is_valid(self, now: float) -> bool:
         """Tell whether the primary may be used at `now`."""
@@ -155,7 +156,7 @@
             await self.adopt_record(revision, record)
         if record is None or record.phase is Phase.SETTLED:
             if record is None or record.term <= self.term:
-                self._store_proof = max(self._store_proof, asked_at)
+                self._agreed_proof = max(self._agreed_proof, asked_at)
 
     async def adopt_record(self, revision: int, record: GroupRecord) -> None:
         """Take over the record in the store if it is newer."""
@@ -174,6 +175,15 @@
             self.closed_term = min(self.closed_term, self.ended_term)
             await self._adopt(record.term, record.primary, 'change given up')
 
+    def note_agreement(self, term: int, asked_at: float) -> None:
+        """Take over that every node, asked at `asked_at`, knew of no change.
+
+        A change is made only with the consent of most nodes, so one of those
+        that were asked would have known of it.
+        """
+        if term == self.term and self.has_primary:
+            self._agreed_proof = max(self._agreed_proof, asked_at)
+
     async def end_term(self, term: int, reason: str) -> None:
         """Stop using the primary of `term` and of earlier terms."""
         if term <= self.ended_term:
@@ -181,7 +191,7 @@
         had_primary = self.has_primary
         self.ended_term = term
         if had_primary and not self.has_primary:
-            self._store_proof = float('-inf')
+            self._agreed_proof = float('-inf')
             self._journal.record(
                 'leadership.ended',
                 service=self.service,
@@ -224,7 +234,7 @@
             reason=reason,
         )
         if term != self.term:
-            self._store_proof = float('-inf')
+            self._agreed_proof = float('-inf')
         self.term = term
         self.primary = name
         self._proofs.pop(name, None)
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -80,6 +80,18 @@
     phases: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Consent:
+    """Which nodes have stopped to use a term; dead processes count.
+
+    Without most of them nothing is changed: nodes that all agree that a
+    term goes on must include one that has consented to its end.
+    """
+
+    has_most: bool
+    is_unanimous: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Claim:
     """The right to change a group's primary.
@@ -247,8 +259,11 @@
     ) -> list[ServerHandle] | None:
         """End the old term safely; return who may lead, the best first."""
         term = claim.record.term
-        all_ended = await self._end_term(term - 1)
+        consent = await self._end_term(term - 1)
         await self._note(report, 'end term')
+        if not consent.has_most:
+            return None
+        all_ended = consent.is_unanimous
         final = None
         former = self._runtime.servers.get(report.former)
         if former is not None and report.is_planned:
@@ -275,8 +290,8 @@
         )
         return rank_successors(self._runtime, held, report.former)
 
-    async def _end_term(self, term: int) -> bool:
-        """Tell every node to stop; return whether all have."""
+    async def _end_term(self, term: int) -> Consent:
+        """Tell every node to stop; return how many have."""
         await self._runtime.belief.end_term(term, 'this node changes it')
         question = EndTerm(self._runtime.name, term)
         answers = await self._tools.peers.ask_all(question, END_TERM_LIMIT)
@@ -294,7 +309,11 @@
                 nodes=silent[:8],
                 count=len(silent),
             )
-        return not silent and self._tools.view.is_fed
+        # This node counts as one that has stopped.
+        stopped = len(answers) - len(silent) + 1
+        has_most = stopped * 2 > len(answers) + 1
+        is_unanimous = not silent and self._tools.view.is_fed
+        return Consent(has_most, is_unanimous)
 
     async def _catch_up(self, final: Position | None, former: str) -> None:
         """Wait until a successor has received all that was acknowledged."""
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -8,7 +8,6 @@
 
 import curio
 
-from deckdrum.backends import ServerRole
 from deckdrum.control import Member
 from deckdrum.fleet.questions import (
     AskServer,
@@ -291,17 +290,3 @@
             ),
         )
         return ranked.index(self._tools.node)
-
-
-async def answer_server(
-    runtime: ServiceRuntime | None,
-    question: AskServer,
-) -> ServerAnswer:
-    """Answer a peer that asks whether a primary can be reached from here."""
-    handle = runtime.servers.get(question.server) if runtime else None
-    if handle is None:
-        return ServerAnswer(reached=False, leads_term=0)
-    status = await handle.ask_status(LOSS_LIMIT)
-    if status is None or status.role is not ServerRole.PRIMARY:
-        return ServerAnswer(reached=False, leads_term=0)
-    return ServerAnswer(reached=True, leads_term=status.term)
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -262,3 +262,60 @@
         assert found.rows == ['a-1']
 
     play(scenario)
+
+
+def test_nodes_that_agree_serve_without_replicas_and_store() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        """The primary and all nodes are cut from replicas and store."""
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        for server in deployment.group.servers.values():
+            server.is_dark = server is not deployment.group.primary
+        deployment.store.fault = StoreFault.SILENT
+        await curio.sleep(2)
+        done = 0
+        for _ in range(20):
+            done += (await client.ask('WRITE a 1')).is_done
+            await curio.sleep(0.1)
+        assert done >= 18
+        assert not deployment.group.promotions
+
+    play(scenario)
+
+
+async def _stay_silent(_: object) -> None:
+    await curio.sleep(60)
+
+
+def test_one_silent_node_takes_the_agreement_away() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.nodes[0].node
+        assert await node.peers.ask_agreement(SERVICE, 1)
+        deployment.nodes[1].node.peers.answer = _stay_silent
+        assert not await node.peers.ask_agreement(SERVICE, 1)
+
+    play(scenario)
+
+
+def test_ended_term_takes_the_agreement_away() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        other = deployment.nodes[1].node.services[SERVICE]
+        await other.close_term(1)
+        node = deployment.nodes[0].node
+        assert not await node.peers.ask_agreement(SERVICE, 1)
+
+    play(scenario)
+
+
+def test_minority_of_nodes_changes_nothing() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        for number in (1, 2):
+            deployment.nodes[number].node.peers.answer = _stay_silent
+        await deployment.group.primary.crash()
+        await curio.sleep(4)
+        holders = {holder for _, holder, _ in deployment.group.promotions}
+        assert 'n0' not in holders
+
+    play(scenario)
--- /dev/null
+++ b/deckdrum/node/answering.py
@@ -0,0 +1,70 @@
+"""Answering the questions of other nodes about primaries."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from deckdrum.backends import ServerRole
+from deckdrum.fleet.base import Message
+from deckdrum.fleet.questions import (
+    AskServer,
+    AskTerm,
+    EndTerm,
+    ServerAnswer,
+    TermAnswer,
+    TermEnded,
+)
+from deckdrum.serving.service import ServiceRuntime
+
+#: Longest wait for a server that a peer asks about, in seconds.
+SERVER_LIMIT: Final = 0.4
+
+
+class Answerer:
+    """Answers questions from what this node knows and reaches.
+
+    Parameters
+    ----------
+    services : mapping of str to ServiceRuntime
+        The node's database groups.
+    """
+
+    def __init__(self, services: Mapping[str, ServiceRuntime]) -> None:
+        self._services = services
+
+    async def answer(self, question: Message) -> Message | None:
+        """Return the answer to a question; None if it is no question."""
+        reply = _REPLIES.get(type(question))
+        return None if reply is None else await reply(self, question)
+
+    async def _tell_server(self, question: AskServer) -> Message:
+        runtime = self._services.get(question.service)
+        handle = runtime.servers.get(question.server) if runtime else None
+        if handle is None:
+            return ServerAnswer(reached=False, leads_term=0)
+        status = await handle.ask_status(SERVER_LIMIT)
+        if status is None or status.role is not ServerRole.PRIMARY:
+            return ServerAnswer(reached=False, leads_term=0)
+        return ServerAnswer(reached=True, leads_term=status.term)
+
+    async def _tell_term(self, question: AskTerm) -> Message:
+        runtime = self._services.get(question.service)
+        ended = 0 if runtime is None else runtime.belief.ended_term
+        return TermAnswer(is_open=ended < question.term)
+
+    async def _end_term(self, question: EndTerm) -> Message:
+        runtime = self._services.get(question.service)
+        if runtime is not None:
+            await runtime.close_term(question.term)
+        return TermEnded(question.service, question.term)
+
+
+_Reply = Callable[[Answerer, Any], Awaitable[Message]]
+_Replies = MappingProxyType[type[Message], _Reply]
+_REPLIES: Final[_Replies] = MappingProxyType(
+    {
+        AskServer: Answerer._tell_server,
+        AskTerm: Answerer._tell_term,
+        EndTerm: Answerer._end_term,
+    },
+)
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -1,7 +1,7 @@
 """Assembling a node, and its life from start to stop."""
 
 import os
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 from random import Random
 from typing import Any, Final
@@ -10,22 +10,11 @@
 
 from deckdrum.backends import Backend
 from deckdrum.control import ControlStore, ControlView, Kind, Route
-from deckdrum.fleet.base import (
-    Message,
-)
 from deckdrum.fleet.detours import DetourDialer, Dial
-from deckdrum.fleet.messages import (
-    Heartbeat,
-)
 from deckdrum.fleet.nodes import NodePeers, NodeSettings
-from deckdrum.fleet.questions import (
-    AskServer,
-    EndTerm,
-    TermEnded,
-)
 from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.leadership.promotion import ChangeTools
-from deckdrum.leadership.supervision import answer_server
+from deckdrum.node.answering import Answerer
 from deckdrum.node.lending import Lender
 from deckdrum.node.registration import Registration
 from deckdrum.node.services import ServiceBook
@@ -36,6 +25,7 @@
 from deckdrum.serving.session import CallerSession
 from deckdrum.utils import Journal, dial
 from deckdrum.utils.counters import Counters
+from deckdrum.utils.tasks import keep_running
 
 BackendMaker = Callable[..., Backend]
 #: Pause between two rounds of upkeep, in seconds.
@@ -91,7 +81,6 @@
             journal,
             self._randomness,
         )
-        self.peers.answer = self._answer_peer
         self._registration = Registration(settings, self.view, store, journal)
         tools = ChangeTools(
             settings.name,
@@ -110,6 +99,7 @@
         )
         self.lender = Lender(self.services, counters)
         self.peers.lend = self.lender.lend
+        self.peers.answer = Answerer(self.services).answer
         self._sessions: set[CallerSession] = set()
         self._changed = curio.Event()
         self._tasks: list[Any] = []
@@ -150,16 +140,15 @@
             peer_address=str(self.settings.peer_address),
         )
         await self.peers.start()
-        jobs = [(self.view.run, kind) for kind in Kind]
-        for job, kind in jobs:
-            self._tasks.append(await curio.spawn(job, kind, daemon=True))
+        for kind in Kind:
+            await self._keep_running(self.view.run, kind)
         for run in (
             self._follow_changes,
             self._run_upkeep,
             self.peers.run,
             self._registration.run,
         ):
-            self._tasks.append(await curio.spawn(run, daemon=True))
+            await self._keep_running(run)
         self.counters.gauges.update(
             sessions=lambda: self.sessions,
             open_transactions=lambda: self.open_transactions,
@@ -233,6 +222,20 @@
         fate = outcome.code if isinstance(outcome, Refusal) else 'done'
         self.counters.note_latency(guarantee, fate, seconds)
 
+    async def _keep_running(
+        self,
+        work: Callable[..., Awaitable[None]],
+        *arguments: Any,
+    ) -> None:
+        task = await curio.spawn(
+            keep_running,
+            self.journal,
+            work,
+            *arguments,
+            daemon=True,
+        )
+        self._tasks.append(task)
+
     async def _note_change(self, _: Kind) -> None:
         """Have a change of the view taken over."""
         await self._changed.set()
@@ -258,16 +261,3 @@
                 if is_resting and session.rested_at < oldest:
                     self.counters.count('idle_transactions')
                     await session.abandon_transaction('it rested too long')
-
-    async def _answer_peer(self, question: Message) -> Message | None:
-        if isinstance(question, Heartbeat):
-            return question
-        if isinstance(question, AskServer):
-            runtime = self.services.get(question.service)
-            return await answer_server(runtime, question)
-        if isinstance(question, EndTerm):
-            runtime = self.services.get(question.service)
-            if runtime is not None:
-                await runtime.close_term(question.term)
-            return TermEnded(question.service, question.term)
-        return None
--- a/deckdrum/node/lending.py
+++ b/deckdrum/node/lending.py
@@ -4,7 +4,11 @@
 
 import curio
 
-from deckdrum.fleet.borrowing import decode_state, encode_prepared
+from deckdrum.fleet.borrowing import (
+    LOAN_PREFIX,
+    decode_state,
+    encode_prepared,
+)
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.questions import (
     BorrowLink,
@@ -57,12 +61,12 @@
             If the borrower is gone; the connection is closed then.
         """
         handle = self._find(question)
-        if handle is None or not handle.backend.keeps_links:
+        if handle is None or not await self._can_lend(handle):
             await channel.send(_NOT_LENT)
             return
         try:
             lease = await handle.acquire(
-                question.group,
+                f'{LOAN_PREFIX}{question.group}',
                 question.limit,
                 question.values,
             )
@@ -80,6 +84,12 @@
         finally:
             self.lent -= 1
 
+    async def _can_lend(self, handle: ServerHandle) -> bool:
+        """Tell whether this node has, or may open, a connection itself."""
+        backend = handle.backend
+        is_full = await curio.clock() < backend.full_until
+        return backend.is_holder and (handle.pool.idle > 0 or not is_full)
+
     def _find(self, question: BorrowLink) -> ServerHandle | None:
         runtime = self._services.get(question.service)
         return runtime.servers.get(question.server) if runtime else None
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -15,6 +15,7 @@
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
+from deckdrum.utils.tasks import keep_running
 
 
 class ServiceBook:
@@ -96,6 +97,7 @@
             declaration,
             self._share_backend,
             self._tools.store,
+            self._tools.peers.ask_agreement,
             self._journal,
             self._counters,
         )
@@ -105,7 +107,12 @@
         self.services[declaration.name] = runtime
         self._executions[declaration.name] = Execution(runtime, router)
         self._supervisors.append(
-            await curio.spawn(supervisor.run, daemon=True),
+            await curio.spawn(
+                keep_running,
+                self._journal,
+                supervisor.run,
+                daemon=True,
+            ),
         )
         return runtime
 
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -35,6 +35,9 @@
 #: Longest wait for the answer to a question of the product's own, in seconds;
 #: far above the round trip (5 ms) and a full queue of short statements.
 QUESTION_LIMIT: Final = 0.4
+#: Longest wait of such a question for a pooled connection, in seconds; then
+#: one beyond the pool is opened, since all may rest in transactions.
+CONTROL_WAIT: Final = 0.1
 #: Group under which the product's own questions wait for a connection.
 _CONTROL_GROUP: Final = ''
 _LEARN_RATE: Final = 0.2
@@ -102,13 +105,16 @@
 
     async def adopt_deal(
         self,
-        lenders: list[Member],
+        members: list[Member],
         slots: int,
         shares: Mapping[str, GroupShare],
+        *,
+        is_holder: bool,
     ) -> None:
-        """Hold up to `slots` connections, or borrow if there are lenders."""
-        self.backend.lenders = lenders
-        if lenders:
+        """Hold up to `slots` connections, or borrow from `members`."""
+        self.backend.helpers = members
+        self.backend.lenders = [] if is_holder else members
+        if not is_holder:
             await self.pool.close_idle()
         await self.pool.queue.resize(slots, shares)
 
@@ -226,12 +232,10 @@
         step: str,
         arguments: tuple[int, ...],
     ) -> ServerStatus | Rejection:
-        """Use an idle connection, or one beyond the pool if all are busy."""
-        if self.pool.queue.is_busy:
-            return await self._call_apart(step, arguments)
-        lease = await self.pool.acquire(_CONTROL_GROUP, QUESTION_LIMIT)
+        """Use a pooled connection, or one beyond if all stay busy."""
+        lease = await self.pool.acquire(_CONTROL_GROUP, CONTROL_WAIT)
         if isinstance(lease, Refusal):
-            raise ConnectionAbortedError(lease.text)
+            return await self._call_apart(step, arguments)
         is_clean = False
         try:
             reply = await _invoke(lease.link, step, arguments)
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -1,6 +1,6 @@
 """One database group as a node serves it."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 from typing import Any, Final
 
@@ -31,6 +31,7 @@
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 
+_Source = Callable[[], Awaitable[object]]
 #: Weight of a group of callers by the priority of its route; 0 is the most
 #: urgent.  Twice the weight gets twice the connections when all wait.
 PRIORITY_WEIGHTS: Final = (4.0, 2.0, 1.0)
@@ -38,6 +39,11 @@
 MAX_WAITING: Final = 64
 #: Pause between two rounds of questions to all servers, in seconds.
 DISCOVERY_PAUSE: Final = 0.05
+#: Silence of one source of proof after which the next is asked, in seconds;
+#: several round trips.
+SOURCE_PAUSE: Final = 0.08
+#: Longest wait for proof once every source was asked, in seconds.
+PROOF_LIMIT: Final = 0.3
 #: Longest wait for statements under way when a term ends, in seconds; most
 #: statements take 6 to 60 ms.
 FINISH_LIMIT: Final = 0.12
@@ -55,6 +61,8 @@
         Makes the border object of a server.
     store : ControlStore
         Asked for proof when the replicas give none.
+    agree : callable
+        Asks every other node whether a term of a group goes on.
     journal : Journal
         For decisions and changes of belief.
     counters : Counters
@@ -66,6 +74,7 @@
         declaration: ServiceDeclaration,
         make_backend: Callable[[BackendServer], SharedBackend],
         store: ControlStore,
+        agree: Callable[[str, int], Awaitable[bool]],
         journal: Journal,
         counters: Counters,
     ) -> None:
@@ -81,6 +90,7 @@
         self.in_flight = 0
         self._make_backend = make_backend
         self._store = store
+        self._agree = agree
         self._shares: dict[str, GroupShare] = {}
         self._renewing: Any = None
         self._discovered_at = float('-inf')
@@ -144,15 +154,14 @@
                 for holder in deal.holders
                 if holder != own.name and holder in members
             ]
-            if own.name in deal.holders:
-                await handle.adopt_deal([], deal.slots, self._shares)
-            else:
-                lenders.sort(key=partial(_rank_lender, own))
-                await handle.adopt_deal(
-                    lenders,
-                    BORROWED_CONNECTIONS,
-                    self._shares,
-                )
+            lenders.sort(key=partial(_rank_lender, own))
+            is_holder = own.name in deal.holders
+            await handle.adopt_deal(
+                lenders,
+                deal.slots if is_holder else BORROWED_CONNECTIONS,
+                self._shares,
+                is_holder=is_holder,
+            )
 
     async def admit_group(self, route: Route) -> None:
         """Give the callers of a route their share of the connections."""
@@ -296,26 +305,39 @@
             self._renewing = await curio.spawn(self._prove, daemon=True)
 
     async def _prove(self) -> None:
-        """Ask replicas one after the other, then the store."""
-        try:
-            await self._prove_by_replicas()
-            until = self.belief.read_valid_until()
-            if until - await curio.clock() < RENEW_BELOW:
-                await self._prove_by_store()
-        finally:
-            self._renewing = None
+        """Ask replicas, then the store and the nodes, until one has proof.
 
-    async def _prove_by_replicas(self) -> None:
+        The next source is asked while the one before is silent.
+        """
         ranked = sorted(
             self.replicas,
             key=lambda handle: (handle.silent_at, handle.load),
         )
-        started_at = await curio.clock()
-        for handle in ranked:
-            await self.ask(handle)
-            until = self.belief.read_valid_until()
-            if until >= started_at + RENEW_BELOW:
-                return
+        sources: list[_Source] = [
+            *(partial(self.ask, handle) for handle in ranked),
+            self._prove_by_store,
+            self._prove_by_nodes,
+        ]
+        wanted = await curio.clock() + RENEW_BELOW
+        try:
+            for source in sources:
+                task = await curio.spawn(source, daemon=True)
+                async with curio.ignore_after(SOURCE_PAUSE):
+                    await task.wait()
+                if self.belief.read_valid_until() >= wanted:
+                    return
+            async with curio.ignore_after(PROOF_LIMIT):
+                while self.belief.read_valid_until() < wanted:
+                    await curio.sleep(_FINISH_POLL)
+        finally:
+            self._renewing = None
+
+    async def _prove_by_nodes(self) -> None:
+        term = self.belief.term
+        asked_at = await curio.clock()
+        if await self._agree(self.name, term):
+            self.belief.note_agreement(term, asked_at)
+            self.counters.count('proofs_by_nodes')
 
     async def _prove_by_store(self) -> None:
         asked_at = await curio.clock()
--- /dev/null
+++ b/deckdrum/serving/tests/test_dealing.py
@@ -0,0 +1,172 @@
+"""Dealing connections among nodes, and borrowing them."""
+
+from collections import Counter
+
+import curio
+import pytest
+
+from deckdrum.serving.dealing import (
+    MOST_CONNECTIONS,
+    RESERVED_CONNECTIONS,
+    deal_connections,
+)
+from deckdrum.testing.nodes import BOUNDED, CURRENT, SERVICE, Deployment, play
+
+CENTRES = ('a', 'b', 'c')
+
+
+def build_nodes(count: int) -> dict[str, str]:
+    """Return nodes spread over three data centres."""
+    return {f'n{number}': CENTRES[number % 3] for number in range(count)}
+
+
+@pytest.mark.parametrize('count', [1, 2, 9, 12, 30, 71, 300])
+@pytest.mark.parametrize('limit', [3, 12, 23, 53, 283])
+def test_deal_keeps_the_reserve(count: int, limit: int) -> None:
+    deal = deal_connections('i-1', build_nodes(count), limit)
+    used = len(deal.holders) * deal.slots
+    assert used <= max(1, limit - RESERVED_CONNECTIONS)
+    assert 1 <= deal.slots
+    assert deal.holders
+
+
+def test_every_node_holds_where_there_is_enough() -> None:
+    deal = deal_connections('i-1', build_nodes(9), 23)
+    assert len(deal.holders) == 9
+    assert deal.slots == 2
+    assert deal_connections('i-1', build_nodes(2), 100).slots == (
+        MOST_CONNECTIONS
+    )
+
+
+def test_few_holders_are_spread_over_the_data_centres() -> None:
+    nodes = build_nodes(71)
+    deal = deal_connections('i-1', nodes, 53)
+    per_centre = Counter(nodes[name] for name in deal.holders)
+    assert set(per_centre) == set(CENTRES)
+    assert max(per_centre.values()) - min(per_centre.values()) <= 1
+
+
+def test_servers_have_different_holders() -> None:
+    nodes = build_nodes(71)
+    first = deal_connections('i-1', nodes, 53).holders
+    second = deal_connections('i-2', nodes, 53).holders
+    assert set(first) != set(second)
+
+
+def test_one_node_that_goes_changes_one_holder() -> None:
+    nodes = build_nodes(71)
+    before = deal_connections('i-1', nodes, 53).holders
+    nodes.pop(before[0])
+    after = deal_connections('i-1', nodes, 53).holders
+    assert len(set(after) - set(before)) <= 1
+
+
+def test_many_nodes_are_served_over_few_connections() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.nodes[0].node
+        await deployment.wait_for(lambda: len(node.view.members) == 12)
+        await curio.sleep(1)
+        done = 0
+        for number in range(12):
+            for database in (CURRENT, BOUNDED):
+                client = await deployment.connect(database, node=number)
+                done += (await client.ask('READ a')).is_done
+                done += (await client.ask('READ a')).is_done
+        assert done == 48
+        most = max(
+            server.connections for server in deployment.group.servers.values()
+        )
+        assert most <= 9
+        loans = sum(
+            running.node.counters.events['loans']
+            for running in deployment.nodes
+        )
+        assert loans > 0
+
+    play(scenario, nodes=12, max_connections=9)
+
+
+def test_transaction_on_a_borrowed_connection_is_kept() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.nodes[0].node
+        await deployment.wait_for(lambda: len(node.view.members) == 12)
+        await curio.sleep(1)
+        primary = deployment.group.primary
+        borrower = next(
+            number
+            for number, running in enumerate(deployment.nodes)
+            if not running.node.services[SERVICE]
+            .servers[primary.name]
+            .backend.is_holder
+        )
+        client = await deployment.connect(CURRENT, node=borrower)
+        await client.ask('PREPARE s1 WRITE q1')
+        for _ in range(3):
+            await client.ask('SET colour red')
+            await client.ask('BEGIN')
+            assert (await client.ask('EXECUTE s1 a x')).is_done
+            assert (await client.ask('COMMIT')).is_done
+        assert len(primary.log) == 3
+        await client.ask('BEGIN')
+        await client.ask('WRITE b 1')
+        await client.close()
+        await curio.sleep(0.3)
+        other = await deployment.connect(CURRENT, node=borrower)
+        assert (await other.ask('WRITE c 1')).is_done
+        assert len(primary.log) == 4
+
+    play(scenario, nodes=12, max_connections=9)
+
+
+def test_node_that_gets_no_connection_borrows_one() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        first = await deployment.connect(CURRENT, node=0)
+        assert (await first.ask('WRITE a 1')).is_done
+        primary = deployment.group.primary
+        handle = (
+            deployment.nodes[1].node.services[SERVICE].servers[primary.name]
+        )
+        await handle.pool.close_idle()
+        deployment.group.max_connections = primary.connections
+        second = await deployment.connect(CURRENT, node=1)
+        assert (await second.ask('WRITE b 1')).is_done
+        assert len(primary.log) == 2
+
+    play(scenario)
+
+
+def test_no_connection_stays_lent_when_the_servers_were_full() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for running in deployment.nodes:
+            for handle in running.node.services[SERVICE].servers.values():
+                await handle.pool.close_idle()
+        # As when connections of nodes that lost power linger.
+        deployment.group.max_connections = 4
+        async with curio.TaskGroup() as callers:
+            for number in range(9):
+                for database in (CURRENT, BOUNDED):
+                    await callers.spawn(
+                        _ask_often, deployment, database, number
+                    )
+        deployment.group.max_connections = 23
+        await curio.sleep(1)
+        for running in deployment.nodes:
+            assert not running.node.lent
+            for handle in running.node.services[SERVICE].servers.values():
+                assert not handle.pool.queue.held
+
+    play(scenario, nodes=9, work=0.02)
+
+
+async def _ask_often(
+    deployment: Deployment,
+    database: str,
+    number: int,
+) -> None:
+    client = await deployment.connect(database, node=number)
+    for _ in range(10):
+        await client.ask('READ a')
+        await client.ask('BEGIN')
+        await client.ask('READ a')
+        await client.ask('COMMIT')
--- a/deckdrum/utils/http.py
+++ b/deckdrum/utils/http.py
@@ -97,8 +97,7 @@
             # A reset drops what is on its way: it must not take effect late.
             await stream.abort()
             raise ConnectionAbortedError(
-                f'no reply from {self.address}: {error!r}, '
-                f'{codec.states}',
+                f'no reply from {self.address}: {error!r}, {codec.states}',
             ) from error
         except (ConnectionError, curio.CancelledError):
             await stream.close()
