Stop in steps, so that no late request is cut

Change: after half of the time sessions end as soon as they are at rest, and in time for the last statement no new connection is taken; the stop is a part of the node (node.stopping) with a test of its own.

--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -68,6 +68,8 @@
         self.journal = journal
         self.counters = counters
         self.is_stopping = False
+        #: Whether sessions end as soon as they are at rest.
+        self.is_parting = False
         self._store = store
         self._dialer = DetourDialer(dial_straight)
         self._randomness = Random(settings.seed or os.urandom(8))
--- a/deckdrum/node/tests/test_life.py
+++ b/deckdrum/node/tests/test_life.py
@@ -2,9 +2,17 @@
 
 import curio
 
+from deckdrum.node.stopping import PlannedStop
 from deckdrum.serving.dealing import RESERVED_CONNECTIONS
 from deckdrum.standins.users import StoreFault
-from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
+from deckdrum.testing.nodes import (
+    CURRENT,
+    SERVICE,
+    Deployment,
+    LineClient,
+    play,
+)
+from deckdrum.utils import Address
 
 
 def test_nodes_register_and_withdraw() -> None:
@@ -85,6 +93,58 @@
     play(scenario)
 
 
+def test_requests_that_come_during_a_stop_are_all_answered() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        """Callers keep coming to a node that stops, as in a small zone."""
+        running = deployment.nodes.pop(0)
+        address = running.frontend.address
+        stop = PlannedStop(running.node, running.frontend)
+        stopping = await curio.spawn(stop.run, 6.0)
+        unanswered: list[str] = []
+        callers = [
+            await curio.spawn(_call_until_refused, address, unanswered)
+            for _ in range(4)
+        ]
+        resting = await LineClient.connect(address, CURRENT)
+        await resting.ask('BEGIN')
+        await resting.ask('WRITE a 1')
+        began = await curio.clock()
+        await stopping.join()
+        assert await curio.clock() - began < 6.0
+        for caller in callers:
+            await caller.join()
+        assert not unanswered
+        await running.store.close()
+
+    play(scenario, work=0.3)
+
+
+async def _call_until_refused(
+    address: Address,
+    unanswered: list[str],
+) -> None:
+    """Call with new sessions until none is taken any more."""
+    while True:
+        try:
+            client = await LineClient.connect(address, CURRENT)
+        except ConnectionError:
+            return
+        # A node closes at rest, so only the first request of a session must
+        # be answered; the caller asks the others again.
+        if not await _is_answered(client, 'READ a'):
+            unanswered.append('READ a')
+        await _is_answered(client, 'READ b')
+        await client.close()
+
+
+async def _is_answered(client: LineClient, text: str) -> bool:
+    try:
+        reply = await client.ask(text)
+    except ConnectionError:
+        return False
+    return bool(reply.state)
+
+
 def test_node_starts_from_its_peers_while_the_store_is_away() -> None:
     async def scenario(deployment: Deployment) -> None:
         deployment.store.turned_away['n3'] = StoreFault.BUSY
--- a/deckdrum/platform/frontend.py
+++ b/deckdrum/platform/frontend.py
@@ -6,6 +6,7 @@
 import curio
 
 from deckdrum.node import Node
+from deckdrum.node.stopping import Entrance
 from deckdrum.operations import Standing
 from deckdrum.outcomes import Code, refuse
 from deckdrum.platform.lines import LineError, LineReader
@@ -78,6 +79,9 @@
             outcome = await session.execute(request)
             payload = encode_outcome(outcome, session.standing)
             await self._stream.send(payload)
+            if self._node.is_parting and session.is_at_rest:
+                # The caller comes back to another node.
+                return
 
     async def _start(self) -> CallerSession | None:
         line = None
@@ -100,7 +104,7 @@
             self._node.counters.count('broken_clients')
 
 
-class Frontend:
+class Frontend(Entrance):
     """Listens for clients.
 
     Parameters
@@ -131,6 +135,10 @@
         """Begin to listen."""
         await self._listener.start()
 
+    async def stop_accepting(self) -> None:
+        """Refuse new connections; open ones go on."""
+        await self._listener.stop_accepting()
+
     async def close(self) -> None:
         """Close every connection."""
         await self._listener.close()
--- a/deckdrum/platform/program.py
+++ b/deckdrum/platform/program.py
@@ -10,6 +10,7 @@
 
 from deckdrum.commands.signals import STOPPING, catch_signals
 from deckdrum.node import Node
+from deckdrum.node.stopping import PlannedStop
 from deckdrum.outcomes.errors import SettingsError
 from deckdrum.platform.backends import PlatformBackend
 from deckdrum.platform.duties import PlatformDuty
@@ -25,16 +26,6 @@
 from deckdrum.utils.http import HttpServer, Reply, Request
 from deckdrum.utils.journal import open_patient_journal
 
-#: How long after a request to stop new connections still come, in seconds:
-#: the platform asks each second and believes the second refusal.
-STILL_SENT: Final = 2.3
-#: Time kept before the kill, in seconds.
-KILL_MARGIN: Final = 0.7
-#: Pause between two looks at the connections that are left, in seconds.
-STOP_POLL: Final = 0.1
-#: Share of the resting connections closed at each look, so that clients do
-#: not all come back at once.
-CLOSED_SHARE: Final = 0.3
 _READY_PATH: Final = '/-/ready'
 _METRICS_PATH: Final = '/metrics'
 _EXIT_USAGE: Final = 2
@@ -95,29 +86,11 @@
         while True:
             for number in await signals.recv(_SIGNAL_BYTES):
                 if number in STOPPING:
-                    await self._stop()
+                    stop = PlannedStop(self.node, self.frontend)
+                    await stop.run(self._settings.grace)
                     return
                 self._reload()
 
-    async def _stop(self) -> None:
-        """Let what is under way end, within the time before the kill."""
-        await self.node.begin_stop()
-        began = await curio.clock()
-        grace = self._settings.grace
-        while True:
-            elapsed = await curio.clock() - began
-            if elapsed >= grace - KILL_MARGIN:
-                break
-            if elapsed >= grace / 2:
-                await self.node.abandon_transactions('the node stops')
-            if elapsed >= min(STILL_SENT, grace / 2):
-                await self.frontend.close_quiet(CLOSED_SHARE)
-                if not self.frontend.connections and not self.node.lent:
-                    break
-            await curio.sleep(STOP_POLL)
-        await self.node.close()
-        await self.frontend.close()
-
     def _reload(self) -> None:
         """Read the settings file again; what is wrong stays out of force."""
         try:
