Replace a lost primary sooner, and never twice

Change: one question of 0.3 s, one round of peers for detour and veto; peers answer at once from a fresh silence of their own; no wait for statements under way at a primary that is lost. A claim is made only if the record still names the primary that was found lost, and over another claim only to take it over.

--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -48,10 +48,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EndTerm(Message):
-    """Ask a peer to stop using the primary of a term."""
+    """Ask a peer to stop using the primary of a term.
+
+    `may_finish` tells that the primary still answers, so that statements
+    under way are worth a short wait.
+    """
 
     service: str
     term: int
+    may_finish: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -69,12 +69,17 @@
 
 @dataclass(slots=True)
 class ChangeReport:
-    """One change of primary.  `phases` maps steps to their end, in s."""
+    """One change of primary.
+
+    `takes_over` tells that another node has left it undone; `phases` maps
+    steps to their end, in seconds.
+    """
 
     service: str
     former: str
     reason: str
     is_planned: bool
+    takes_over: bool = False
     term: int = 0
     promoted: str = ''
     phases: dict[str, float] = field(default_factory=dict)
@@ -153,6 +158,31 @@
 
     async def drive(self, report: ChangeReport) -> bool:
         """Change the primary; tell whether the group has one afterwards."""
+        if self._runtime.is_changing:
+            return False
+        self._runtime.is_changing = True
+        try:
+            return await self._drive(report)
+        finally:
+            self._runtime.is_changing = False
+
+    async def mend(self) -> None:
+        """Have every server follow the present term."""
+        belief = self._runtime.belief
+        if not belief.has_primary:
+            return
+        for handle in list(self._runtime.servers.values()):
+            if handle.id == belief.primary:
+                continue
+            status = await self._runtime.ask(handle)
+            if status is None:
+                continue
+            if status.role is ServerRole.PRIMARY and status.term < belief.term:
+                await handle.instruct('step_down', belief.term)
+            elif status.held_term:
+                await handle.instruct('release_hold')
+
+    async def _drive(self, report: ChangeReport) -> bool:
         claim = await self._claim(report)
         if claim is None:
             return False
@@ -175,25 +205,12 @@
         self._log('leadership.changed', report, report.reason)
         return True
 
-    async def mend(self) -> None:
-        """Have every server follow the present term."""
-        belief = self._runtime.belief
-        if not belief.has_primary:
-            return
-        for handle in list(self._runtime.servers.values()):
-            if handle.id == belief.primary:
-                continue
-            status = await self._runtime.ask(handle)
-            if status is None:
-                continue
-            if status.role is ServerRole.PRIMARY and status.term < belief.term:
-                await handle.instruct('step_down', belief.term)
-            elif status.held_term:
-                await handle.instruct('release_hold')
-
     async def _claim(self, report: ChangeReport) -> Claim | None:
         """Claim the change of the group; None if another node was first."""
         known = self._tools.view.find_leadership(self._runtime.name)
+        if self._is_outdated(report):
+            self._log('leadership.change_outdated', report, report.reason)
+            return None
         belief = self._runtime.belief
         sent_at = await curio.clock()
         term = max(belief.term, belief.ended_term) + 1
@@ -215,6 +232,19 @@
         report.term = term
         return Claim(record, revision, sent_at)
 
+    def _is_outdated(self, report: ChangeReport) -> bool:
+        """Tell whether the primary was changed, or is, since the decision."""
+        belief = self._runtime.belief
+        if belief.has_primary and belief.primary != report.former:
+            return True
+        known = self._tools.view.find_leadership(self._runtime.name)
+        if known is None:
+            return False
+        record = known[1]
+        if record.phase is Phase.FENCING:
+            return not report.takes_over
+        return record.primary != report.former
+
     async def _put(self, record: GroupRecord, revision: int) -> int | None:
         """Store a record conditionally; return its new revision if done."""
         name = self._runtime.name
@@ -259,7 +289,7 @@
     ) -> list[ServerHandle] | None:
         """End the old term safely; return who may lead, the best first."""
         term = claim.record.term
-        consent = await self._end_term(term - 1)
+        consent = await self._end_term(term - 1, report.is_planned)
         await self._note(report, 'end term')
         if not consent.has_most:
             return None
@@ -290,12 +320,18 @@
         )
         return rank_successors(self._runtime, held, report.former)
 
-    async def _end_term(self, term: int) -> Consent:
+    async def _end_term(self, term: int, is_planned: bool) -> Consent:
         """Tell every node to stop; return how many have."""
         await self._runtime.belief.end_term(term, 'this node changes it')
-        question = EndTerm(self._runtime.name, term)
+        question = EndTerm(self._runtime.name, term, is_planned)
+        own = await curio.spawn(
+            self._runtime.close_term,
+            term,
+            is_planned,
+            daemon=True,
+        )
         answers = await self._tools.peers.ask_all(question, END_TERM_LIMIT)
-        await self._runtime.close_term(term)
+        await own.join()
         silent = [
             name
             for name, answer in answers.items()
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -26,11 +26,12 @@
 
 #: Pause between two looks without trouble, in seconds.
 LOOK_PAUSE: Final = 0.1
-#: Questions in a row without an answer before peers are asked.
-LOSS_QUESTIONS: Final = 2
-#: Longest wait for the answer to such a question, in seconds.  A loaded
-#: server answers late; silence must be longer than its queue.
-LOSS_LIMIT: Final = 0.4
+#: Longest wait for the answer to the question after a silence, in seconds.
+#: A loaded server answers late; both together must be longer than its queue.
+LOSS_LIMIT: Final = 0.3
+#: Nodes that ask every other one at the first sign of a loss; the others ask
+#: a few, so that the questions do not grow with the square of the nodes.
+FIRST_RANKS: Final = 2
 #: Pause of a node before it acts, by its rank, in seconds: longer than the
 #: first node needs to ask its peers and claim the change.
 RANK_PAUSE: Final = 0.25
@@ -86,7 +87,8 @@
 
     async def _look(self) -> float:
         """Look once; return the pause before the next look."""
-        if not self._runtime.servers or not await self._is_settled():
+        is_idle = self._runtime.is_changing or not self._runtime.servers
+        if is_idle or not await self._is_settled():
             return LOOK_PAUSE
         record = self._runtime.belief.record
         if record is not None and record.phase is Phase.FENCING:
@@ -128,7 +130,11 @@
         if now - self._claim_seen[1] < wait:
             return LOOK_PAUSE
         await self._runtime.discover()
-        return await self._change(record.former, 'a change was left undone')
+        return await self._change(
+            record.former,
+            'a change was left undone',
+            takes_over=True,
+        )
 
     async def _look_without(self) -> float:
         """Look for a primary; have one made if there is none for long."""
@@ -163,36 +169,48 @@
 
     async def _look_at_trouble(self, primary: ServerHandle) -> float:
         """Make sure that the primary is lost, and have it replaced."""
-        for _ in range(LOSS_QUESTIONS):
-            status = await primary.ask_status(LOSS_LIMIT)
-            if status is not None:
-                return LOOK_PAUSE
-        if await self._find_detour(primary):
+        if await primary.ask_status(LOSS_LIMIT) is not None:
             return LOOK_PAUSE
         rank = self._rank()
+        if await self._find_detour(primary, everybody=rank < FIRST_RANKS):
+            return LOOK_PAUSE
         if rank:
             await curio.sleep(rank * RANK_PAUSE)
-        if self._runtime.primary is not primary:
-            return 0
-        if await self._is_led_elsewhere(primary.id):
-            self._runtime.counters.count('change_vetoed')
-            self._troubled = primary
-            return RETRY_PAUSE
-        if await primary.ask_status(LOSS_LIMIT) is not None:
-            return LOOK_PAUSE
+            if self._runtime.primary is not primary:
+                return 0
+            if await self._find_detour(primary, everybody=True):
+                return LOOK_PAUSE
         return await self._change(primary.id, 'the primary does not answer')
 
-    async def _find_detour(self, primary: ServerHandle) -> bool:
-        """Reach a primary through a node that is not cut off from it."""
+    async def _find_detour(
+        self,
+        primary: ServerHandle,
+        *,
+        everybody: bool,
+    ) -> bool:
+        """Reach a primary through a node that is not cut off from it.
+
+        A node that finds one does not change the primary.
+        """
         self._tools.dialer.detours.pop(primary.id, None)
         question = AskServer(self._runtime.name, primary.id)
-        answers = await self._tools.peers.ask_some(question, DETOUR_QUESTIONS)
+        peers = self._tools.peers
+        if everybody:
+            answers = await peers.ask_all(question)
+        else:
+            answers = await peers.ask_some(question, DETOUR_QUESTIONS)
         members = self._tools.view.members
-        for name, answer in answers.items():
-            is_reaching = isinstance(answer, ServerAnswer) and answer.reached
-            if is_reaching and name in members:
-                return await self._take_detour(primary, members[name])
-        return False
+        reaching = [
+            members[name]
+            for name, answer in answers.items()
+            if isinstance(answer, ServerAnswer)
+            and answer.reached
+            and name in members
+        ]
+        if not reaching:
+            return False
+        member = self._tools.randomness.choice(reaching)
+        return await self._take_detour(primary, member)
 
     async def _take_detour(
         self,
@@ -259,12 +277,14 @@
         reason: str,
         *,
         is_planned: bool = False,
+        takes_over: bool = False,
     ) -> float:
         report = ChangeReport(
             self._runtime.name,
             former,
             reason,
             is_planned,
+            takes_over,
         )
         report.phases['decide'] = await curio.clock()
         is_done = await self._promotion.drive(report)
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from deckdrum.leadership.promotion import ChangeReport, Promotion
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import (
     CURRENT,
@@ -300,7 +301,7 @@
 def test_ended_term_takes_the_agreement_away() -> None:
     async def scenario(deployment: Deployment) -> None:
         other = deployment.nodes[1].node.services[SERVICE]
-        await other.close_term(1)
+        await other.close_term(1, may_finish=False)
         node = deployment.nodes[0].node
         assert not await node.peers.ask_agreement(SERVICE, 1)
 
@@ -319,3 +320,41 @@
         assert 'n0' not in holders
 
     play(scenario)
+
+
+def test_late_decision_does_not_replace_the_new_primary() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        old = deployment.group.primary
+        await old.crash()
+        await _write_until_done(client)
+        await curio.sleep(1)
+        before = list(deployment.group.promotions)
+        for running in deployment.nodes:
+            runtime = running.node.services[SERVICE]
+            late = Promotion(runtime, running.node.tools)
+            report = ChangeReport(SERVICE, old.name, 'late', is_planned=False)
+            assert not await late.drive(report)
+        assert deployment.group.promotions == before
+
+    play(scenario)
+
+
+def test_fresh_claim_is_not_overtaken() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        old = deployment.group.primary
+        await old.crash()
+        async with curio.TaskGroup() as driving:
+            for running in deployment.nodes:
+                runtime = running.node.services[SERVICE]
+                change = Promotion(runtime, running.node.tools)
+                report = ChangeReport(SERVICE, old.name, 'race', False)
+                await driving.spawn(change.drive, report)
+                await curio.sleep(0.05)
+        await curio.sleep(3)
+        assert len(deployment.group.promotions) == 1
+
+    play(scenario)
--- a/deckdrum/node/answering.py
+++ b/deckdrum/node/answering.py
@@ -4,6 +4,8 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+import curio
+
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.questions import (
@@ -42,6 +44,8 @@
         handle = runtime.servers.get(question.server) if runtime else None
         if handle is None:
             return ServerAnswer(reached=False, leads_term=0)
+        if handle.is_silent(await curio.clock()):
+            return ServerAnswer(reached=False, leads_term=0)
         status = await handle.ask_status(SERVER_LIMIT)
         if status is None or status.role is not ServerRole.PRIMARY:
             return ServerAnswer(reached=False, leads_term=0)
@@ -55,7 +59,7 @@
     async def _end_term(self, question: EndTerm) -> Message:
         runtime = self._services.get(question.service)
         if runtime is not None:
-            await runtime.close_term(question.term)
+            await runtime.close_term(question.term, question.may_finish)
         return TermEnded(question.service, question.term)
 
 
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -86,7 +86,8 @@
             self._randomness,
         )
         self._registration = Registration(settings, self.view, store, journal)
-        tools = ChangeTools(
+        #: For those who watch and change primaries.
+        self.tools = ChangeTools(
             settings.name,
             self.view,
             store,
@@ -96,7 +97,7 @@
             self._randomness,
         )
         self._book = ServiceBook(
-            tools,
+            self.tools,
             partial(make_backend, dial=self._dialer.dial),
             journal,
             counters,
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -35,6 +35,9 @@
 #: Longest wait for the answer to a question of the product's own, in seconds;
 #: far above the round trip (5 ms) and a full queue of short statements.
 QUESTION_LIMIT: Final = 0.4
+#: Age of a silence up to which it is told to peers without asking again, in
+#: seconds.
+FRESH_SILENCE: Final = 0.3
 #: Longest wait of such a question for a pooled connection, in seconds; then
 #: one beyond the pool is opened, since all may rest in transactions.
 CONTROL_WAIT: Final = 0.1
@@ -122,6 +125,11 @@
         """Tell whether requests should go elsewhere if they can."""
         return now < self._avoided_until
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether a question was left unanswered a moment ago."""
+        is_fresh = now - self.silent_at < FRESH_SILENCE
+        return is_fresh and self.answered_at < self.silent_at
+
     def is_behind(self, floor: Position, now: float) -> bool:
         """Tell whether the server has just lacked a position up to `floor`."""
         return now < self._behind_until and floor >= self._lacked
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -86,6 +86,8 @@
         self.counters = counters
         #: Called with a server that has just failed.
         self.on_trouble: Callable[[ServerHandle], None] | None = None
+        #: Whether this node is changing the primary.
+        self.is_changing = False
         #: Statements at the primary that have no answer yet.
         self.in_flight = 0
         self._make_backend = make_backend
@@ -277,14 +279,15 @@
                 self._renewing = None
         return self.belief.is_valid(await curio.clock())
 
-    async def close_term(self, term: int) -> None:
-        """End a term, let statements under way finish, release no later one.
+    async def close_term(self, term: int, may_finish: bool) -> None:
+        """End a term and release no change of it that is answered later.
 
-        The wait is bounded: an answer that comes afterwards is a doubt.
+        Statements under way get a bounded wait if they `may_finish`; an
+        answer that comes afterwards is a doubt.
         """
         await self.belief.end_term(term, 'a node changes the primary')
         async with curio.ignore_after(FINISH_LIMIT):
-            while self.in_flight:
+            while may_finish and self.in_flight:
                 await curio.sleep(_FINISH_POLL)
         self.belief.close_term(term)
 
