Log each unserved and late request by its id; no second run of a slow read

Cause: refusals and doubts inside transactions left no line in the log. The test of these lines showed that a slow current read was tried a second time on the primary, the only server that may run it, which doubles its load. Two tests failed once with 'Address already in use': the free ports of 127.0.0.1 that tests picked were taken by tests of another process. Change: the node logs the outcome of each operation that was refused or took longer than its objective, with id, service, version and time; a read is not tried beside itself on the same server; nodes of tests listen on addresses of their process's own. After a change of primary the servers are mended at once.

--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -168,19 +168,12 @@
 
     async def mend(self) -> None:
         """Have every server follow the present term."""
-        belief = self._runtime.belief
-        if not belief.has_primary:
+        if not self._runtime.belief.has_primary:
             return
-        for handle in list(self._runtime.servers.values()):
-            if handle.id == belief.primary:
-                continue
-            status = await self._runtime.ask(handle)
-            if status is None:
-                continue
-            if status.role is ServerRole.PRIMARY and status.term < belief.term:
-                await handle.instruct('step_down', belief.term)
-            elif status.held_term:
-                await handle.instruct('release_hold')
+        # At once: a server that is silent must not keep others waiting.
+        async with curio.TaskGroup() as mending:
+            for handle in self._runtime.replicas:
+                await mending.spawn(self._mend_one, handle)
 
     async def _drive(self, report: ChangeReport) -> bool:
         claim = await self._claim(report)
@@ -205,6 +198,17 @@
         self._log('leadership.changed', report, report.reason)
         return True
 
+    async def _mend_one(self, handle: ServerHandle) -> None:
+        """Have one server follow the present term."""
+        term = self._runtime.belief.term
+        status = await self._runtime.ask(handle)
+        if status is None:
+            return
+        if status.role is ServerRole.PRIMARY and status.term < term:
+            await handle.instruct('step_down', term)
+        elif status.held_term:
+            await handle.instruct('release_hold')
+
     async def _claim(self, report: ChangeReport) -> Claim | None:
         """Claim the change of the group; None if another node was first."""
         known = self._tools.view.find_leadership(self._runtime.name)
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -358,3 +358,24 @@
         assert len(deployment.group.promotions) == 1
 
     play(scenario)
+
+
+def test_replicas_receive_again_at_once_after_a_change() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        old = deployment.group.primary
+        old.is_dark = True
+        await _write_until_done(client)
+        held = [
+            server
+            for server in deployment.group.servers.values()
+            if server.held_term
+        ]
+        if held:
+            await curio.sleep(0.15)
+        assert not any(
+            server.held_term for server in deployment.group.servers.values()
+        )
+
+    play(scenario)
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -18,6 +18,7 @@
 from deckdrum.node.lending import Lender
 from deckdrum.node.registration import Registration
 from deckdrum.node.services import ServiceBook
+from deckdrum.operations import Request
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.execution import Execution
 from deckdrum.serving.host import Outcome, SessionHost
@@ -225,14 +226,30 @@
     def note_outcome(
         self,
         session: CallerSession,
+        request: Request,
         outcome: Outcome,
         seconds: float,
     ) -> None:
-        """Count an answered operation."""
+        """Count an operation, and log it if it was unserved or late."""
         route = self.find_route(session.state.database)
         guarantee = route.guarantee.value if route else 'none'
+        is_refused = isinstance(outcome, Refusal)
         fate = outcome.code if isinstance(outcome, Refusal) else 'done'
         self.counters.note_latency(guarantee, fate, seconds)
+        is_late = route is not None and seconds > route.objective
+        if not is_refused and not is_late:
+            return
+        self.journal.record_often(
+            'request.unserved' if is_refused else 'request.late',
+            request=request.id,
+            operation=type(request.operation).__name__,
+            database=session.state.database,
+            service=route.service if route else '',
+            standing=session.standing,
+            outcome=outcome.text if isinstance(outcome, Refusal) else 'done',
+            seconds=round(seconds, 3),
+            version=self.view.version,
+        )
 
     async def _keep_running(
         self,
--- a/deckdrum/node/tests/test_life.py
+++ b/deckdrum/node/tests/test_life.py
@@ -1,5 +1,8 @@
 """Start, stop, registration and peers of nodes, in virtual time."""
 
+import io
+import json
+
 import curio
 
 from deckdrum.node.stopping import PlannedStop
@@ -12,7 +15,7 @@
     LineClient,
     play,
 )
-from deckdrum.utils import Address
+from deckdrum.utils import Address, open_journal
 
 
 def test_nodes_register_and_withdraw() -> None:
@@ -185,3 +188,27 @@
         assert (await client.ask('WRITE a 1')).is_done
 
     play(scenario)
+
+
+def test_unserved_and_late_requests_are_logged_with_their_id() -> None:
+    async def scenario(deployment: Deployment) -> list[dict[str, object]]:
+        lines = io.StringIO()
+        node = deployment.nodes[0].node
+        node.journal = open_journal('n0', lines)
+        client = await deployment.connect(CURRENT)
+        await client.send('QUERY id-late READ a')
+        await client.read_reply()
+        deployment.group.primary.lost_answers = 1
+        await client.send('QUERY id-doubt WRITE a 1')
+        await client.read_reply()
+        return [json.loads(line) for line in lines.getvalue().splitlines()]
+
+    told = play(scenario, work=0.3)
+    events = {each['request']: each['event'] for each in told}
+    assert events == {
+        'id-late': 'request.late',
+        'id-doubt': 'request.unserved',
+    }
+    doubt = next(each for each in told if each['request'] == 'id-doubt')
+    assert doubt['outcome'].startswith('unknown')
+    assert doubt['service'] == SERVICE
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -197,6 +197,15 @@
             is_released = belief.may_release(term, await curio.clock())
         if not is_released:
             self.runtime.counters.count('unvouched_changes')
+            self.runtime.journal.record_often(
+                'change.unvouched',
+                service=self.runtime.name,
+                term=term,
+                known_term=belief.term,
+                ended_term=belief.ended_term,
+                closed_term=belief.closed_term,
+                proof_until=belief.read_valid_until(),
+            )
             return refuse(Code.UNCONFIRMED, f'term {term} has ended')
         if answer.position is not None:
             state.floor = max(state.floor, answer.position)
@@ -272,6 +281,9 @@
         target = await self._choose(search, route, remaining)
         if target is None:
             return self._give_up(search)
+        if search.running and target.handle.id in search.passed_over:
+            # The only server that may run it works on it already.
+            return None
         search.tries += 1
         search.running += 1
         # A second try beside this one goes to another server.
--- a/deckdrum/serving/host.py
+++ b/deckdrum/serving/host.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from deckdrum.control import Route
-from deckdrum.operations import Answer
+from deckdrum.operations import Answer, Request
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.execution import Execution
 
@@ -29,7 +29,8 @@
     def note_outcome(
         self,
         session: 'CallerSession',
+        request: Request,
         outcome: Outcome,
         seconds: float,
     ) -> None:
-        """Count an answered operation."""
+        """Count an operation, and log it if it was unserved or late."""
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -69,7 +69,8 @@
         finally:
             self.is_busy = False
             self.rested_at = await curio.clock()
-        self._host.note_outcome(self, outcome, self.rested_at - began)
+        seconds = self.rested_at - began
+        self._host.note_outcome(self, request, outcome, seconds)
         return outcome
 
     async def abandon_transaction(self, reason: str) -> None:
--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -270,3 +270,14 @@
         )
 
     play(scenario)
+
+
+def test_slow_current_read_is_not_run_twice() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        assert (await client.ask('READ a')).is_done
+        # A second run would end later than the first.
+        await curio.sleep(2)
+        assert len(deployment.group.ran) == 1
+
+    play(scenario, work=0.9)
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -1,5 +1,6 @@
 """Whole deployments of nodes on the users' platform, in virtual time."""
 
+import os
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -19,6 +20,8 @@
 from deckdrum.utils.journal import silent_journal
 from deckdrum.utils.virtualtime import run_virtual
 
+#: Values of one part of an address, but the last, which is never a host.
+_OCTET: Final = 250
 ZONES: Final = ('ba-hall', 'tt-hall', 'nr-hall')
 SERVICE: Final = 'stalls'
 #: Database names of the three kinds of route.
@@ -27,7 +30,10 @@
 OWN: Final = 'db-own'
 BOUNDED_AGE_MS: Final = 1500
 OWN_AGE_MS: Final = 2500
-_HOST: Final = '127.0.0.1'
+#: Addresses of one process's own: other processes on the machine, such as
+#: tests beside this one, take ports of 127.0.0.1 at any moment.
+_PLACE: Final = divmod(os.getpid() % _OCTET**2, _OCTET)
+_HOST: Final = f'127.1.{_PLACE[0]}.{_PLACE[1] + 1}'
 _POLL: Final = 0.02
 #: Longer than a node needs to learn of the others, in seconds.
 SETTLE: Final = 1.5
