Note which nodes are gone, so that their registrations do not count

Cause: a machine that is lost for good withdraws nothing; with half of the registered machines lost no primary could be replaced any more, since a change asks for the consent of most. Change: the first node by rank that answers asks the others every 2 s and notes those that are silent for 10 s; they count neither for consent nor when connections are dealt. As long as one is noted, a change waits for proof to run out, since it may run on, cut off.

--- a/deckdrum/control/records.py
+++ b/deckdrum/control/records.py
@@ -99,7 +99,9 @@
     """One node of the product, as it registers itself.
 
     `peer_address` is where other nodes connect; `run` tells two lives of
-    the same node apart; a node that is leaving serves on for a while.
+    the same node apart; a node that is leaving serves on for a while.  One
+    that is gone has not answered the others for long; it may still run, cut
+    off, so nothing may rest on its silence.
     """
 
     name: str
@@ -107,6 +109,7 @@
     data_centre: str
     run: str
     is_leaving: bool = False
+    is_gone: bool = False
 
     @property
     def endpoint(self) -> Address:
--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -124,13 +124,18 @@
 
     @property
     def others(self) -> list[Member]:
-        """Registered nodes but this one."""
+        """Registered nodes but this one and those that are gone."""
         return [
             member
             for member in self._view.members.values()
-            if member.name != self._settings.name
+            if member.name != self._settings.name and not member.is_gone
         ]
 
+    @property
+    def has_gone(self) -> bool:
+        """Whether a node is registered that does not answer the others."""
+        return any(member.is_gone for member in self._view.members.values())
+
     async def start(self) -> None:
         """Listen for other nodes."""
         await self._listener.start()
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -352,7 +352,9 @@
         # This node counts as one that has stopped.
         stopped = len(answers) - len(silent) + 1
         has_most = stopped * 2 > len(answers) + 1
-        is_unanimous = not silent and self._tools.view.is_fed
+        # A node that is gone may run on, cut off: its proof must run out.
+        is_heard = not silent and not self._tools.peers.has_gone
+        is_unanimous = is_heard and self._tools.view.is_fed
         return Consent(has_most, is_unanimous)
 
     async def _catch_up(self, final: Position | None, former: str) -> None:
--- a/deckdrum/node/answering.py
+++ b/deckdrum/node/answering.py
@@ -8,6 +8,7 @@
 
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
+from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.questions import (
     AskProof,
     AskServer,
@@ -41,6 +42,9 @@
         reply = _REPLIES.get(type(question))
         return None if reply is None else await reply(self, question)
 
+    async def _send_back(self, question: Heartbeat) -> Message:
+        return question
+
     async def _tell_server(self, question: AskServer) -> Message:
         runtime = self._services.get(question.service)
         handle = runtime.servers.get(question.server) if runtime else None
@@ -75,6 +79,7 @@
 _Replies = MappingProxyType[type[Message], _Reply]
 _REPLIES: Final[_Replies] = MappingProxyType(
     {
+        Heartbeat: Answerer._send_back,
         AskProof: Answerer._tell_proof,
         AskServer: Answerer._tell_server,
         AskTerm: Answerer._tell_term,
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -15,15 +15,19 @@
 from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.leadership.promotion import ChangeTools
 from deckdrum.node.answering import Answerer
+from deckdrum.node.care import MemberCare
 from deckdrum.node.lending import Lender
 from deckdrum.node.registration import Registration
 from deckdrum.node.services import ServiceBook
 from deckdrum.operations import Request
 from deckdrum.outcomes import Refusal
+from deckdrum.serving import (
+    CallerSession,
+    Outcome,
+    ServiceRuntime,
+    SessionHost,
+)
 from deckdrum.serving.execution import Execution
-from deckdrum.serving.host import Outcome, SessionHost
-from deckdrum.serving.service import ServiceRuntime
-from deckdrum.serving.session import CallerSession
 from deckdrum.utils import Journal, dial
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.tasks import keep_running
@@ -108,6 +112,13 @@
         self.lender = Lender(self.services, counters)
         self.peers.lend = self.lender.lend
         self.peers.answer = Answerer(self.services).answer
+        self._care = MemberCare(
+            settings.name,
+            self.view,
+            store,
+            self.peers,
+            journal,
+        )
         self._sessions: set[CallerSession] = set()
         self._changed = curio.Event()
         self._tasks: list[Any] = []
@@ -155,6 +166,7 @@
             self._run_upkeep,
             self.peers.run,
             self._registration.run,
+            self._care.run,
         ):
             await self._keep_running(run)
         self.counters.gauges.update(
--- a/deckdrum/node/tests/test_life.py
+++ b/deckdrum/node/tests/test_life.py
@@ -212,3 +212,50 @@
     doubt = next(each for each in told if each['request'] == 'id-doubt')
     assert doubt['outcome'].startswith('unknown')
     assert doubt['service'] == SERVICE
+
+
+def test_node_that_is_lost_for_good_is_noted_and_counts_no_more() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        """Three of five machines are lost, then the primary."""
+        client = await deployment.connect(CURRENT, node=0)
+        await client.ask('WRITE a 1')
+        for number in (2, 3, 4):
+            lost = deployment.nodes[number].node
+            lost.peers.answer = _stay_silent
+            # What it would write itself does not reach the store.
+            deployment.store.turned_away[f'n{number}'] = StoreFault.SILENT
+        await curio.sleep(16)
+        node = deployment.nodes[0].node
+        gone = {
+            name for name, member in node.view.members.items() if member.is_gone
+        }
+        assert gone == {'n2', 'n3', 'n4'}
+        await deployment.group.primary.crash()
+        done = False
+        for _ in range(100):
+            done = (await client.ask('WRITE a 2')).is_done
+            if done:
+                break
+            await curio.sleep(0.05)
+        assert done
+
+    play(scenario, nodes=5)
+
+
+def test_node_that_was_noted_as_gone_registers_again() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        name = deployment.nodes[1].node.settings.name
+        raw = deployment.store.read('deckdrum-members', name)
+        await deployment.store.write(
+            'deckdrum-members',
+            name,
+            raw | {'is_gone': True},
+        )
+        await curio.sleep(3)
+        assert not deployment.nodes[0].node.view.members[name].is_gone
+
+    play(scenario)
+
+
+async def _stay_silent(_: object) -> None:
+    await curio.sleep(60)
--- a/deckdrum/serving/__init__.py
+++ b/deckdrum/serving/__init__.py
@@ -1,6 +1,7 @@
 """Serving callers' operations: sessions, routing, retries and transactions."""
 
+from deckdrum.serving.host import Outcome, SessionHost
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.session import CallerSession
 
-__all__ = ['CallerSession', 'ServiceRuntime']
+__all__ = ['CallerSession', 'Outcome', 'ServiceRuntime', 'SessionHost']
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -162,7 +162,7 @@
         staying = {
             name: member.data_centre
             for name, member in members.items()
-            if not member.is_leaving
+            if not member.is_leaving and not member.is_gone
         }
         staying[own.name] = own.data_centre
         limit = declaration.max_connections
