--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -14,7 +14,7 @@
 from deckdrum.platform.duties import PlatformDuty
 from deckdrum.platform.frontend import Frontend
 from deckdrum.platform.store import PlatformStore
-from deckdrum.standins.users import DatabaseGroup, StandinStore
+from deckdrum.standins.users import DatabaseGroup, StandinStore, read_line
 from deckdrum.utils import Address, Stream, dial
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.journal import silent_journal
@@ -94,7 +94,7 @@
 
     def __init__(self, stream: Stream) -> None:
         self.stream = stream
-        self._buffer = b''
+        self._buffer = bytearray()
         self._asked = 0
         #: The answer to the first message.
         self.greeting = Reply()
@@ -122,7 +122,7 @@
         reply = Reply()
         async with curio.timeout_after(_ANSWER_LIMIT):
             while True:
-                line = await self._read_line()
+                line = await read_line(self.stream, self._buffer)
                 if line is None:
                     return reply
                 word, _, rest = line.partition(' ')
@@ -139,16 +139,6 @@
         """Close the connection."""
         await self.stream.close()
 
-    async def _read_line(self) -> str | None:
-        while b'\r\n' not in self._buffer:
-            chunk = await self.stream.receive()
-            if not chunk:
-                return None
-            self._buffer += chunk
-        line, _, rest = self._buffer.partition(b'\r\n')
-        self._buffer = rest
-        return line.decode()
-
 
 @dataclass(slots=True)
 class RunningNode:
