Ask peers by one function; node settings in a module of their own

The exchange of a question for an answer, and the rule that a stream without an answer is closed, stood in three places (proxies' peers, nodes' peers, borrowing). It is StreamChannel.ask and StreamPool.exchange now. The module of the nodes' peers loses the settings of a node, which have nothing to do with it; its header named opinions only and says now what is asked of a few nodes and what of all. Imports of one name stand on one line again. No behaviour changes.

--- a/deckdrum/bench/policies.py
+++ b/deckdrum/bench/policies.py
@@ -3,9 +3,7 @@
 import itertools
 
 from deckdrum.bench.deployment import Deployment
-from deckdrum.fleet.messages import (
-    RunBatch,
-)
+from deckdrum.fleet.messages import RunBatch
 from deckdrum.keepers.access import Access
 from deckdrum.keepers.core import Keeper
 from deckdrum.keepers.routing import Reason, Route, Router
--- a/deckdrum/callers/execution.py
+++ b/deckdrum/callers/execution.py
@@ -8,9 +8,7 @@
 from deckdrum.callers.batches import Batch, build_run
 from deckdrum.callers.host import CallerHost, OpenedChannel
 from deckdrum.callers.state import SESSION, CallerState
-from deckdrum.fleet.base import (
-    Message,
-)
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.messages import (
     BatchEnd,
     BatchRefused,
--- a/deckdrum/callers/state.py
+++ b/deckdrum/callers/state.py
@@ -5,9 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from deckdrum.fleet.messages import (
-    PreparedStatement,
-)
+from deckdrum.fleet.messages import PreparedStatement
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.sessions import BadTokenError, KeyRing, Token
 from deckdrum.statements import Statement
--- a/deckdrum/fleet/__init__.py
+++ b/deckdrum/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The proxies of the fleet: messages, channels and membership."""
+"""Proxies and nodes among one another: messages, channels, membership."""
--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -208,17 +208,11 @@
 
 
 async def _ask(channel: StreamChannel, question: BorrowLink) -> LinkLent:
-    is_whole = False
-    try:
-        await channel.send(question)
-        answer = await channel.receive()
-        is_whole = isinstance(answer, LinkLent)
-    finally:
-        if not is_whole:
-            await channel.close()
-    if not isinstance(answer, LinkLent):
-        raise ConnectionAbortedError(f'{type(answer).__name__} to a borrower')
-    return answer
+    answer = await channel.ask(question)
+    if isinstance(answer, LinkLent):
+        return answer
+    await channel.close()
+    raise ConnectionAbortedError(f'{type(answer).__name__} to a borrower')
 
 
 async def _hand_back(
--- a/deckdrum/fleet/channels.py
+++ b/deckdrum/fleet/channels.py
@@ -12,9 +12,7 @@
 import curio
 import msgpack
 
-from deckdrum.fleet.base import (
-    Message,
-)
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.messages import (
     MAX_MESSAGE_BYTES,
     MessageError,
@@ -80,6 +78,22 @@
                 raise ConnectionResetError('the peer closed the channel')
             self._feed(chunk)
 
+    async def ask(self, question: Message) -> Message:
+        """Send a question and return the answer.
+
+        Whatever keeps the answer away also closes the stream: a later
+        question on it would get the earlier answer.
+        """
+        is_answered = False
+        try:
+            await self.send(question)
+            answer = await self.receive()
+            is_answered = True
+        finally:
+            if not is_answered:
+                await self.close()
+        return answer
+
     async def close(self) -> None:
         """Close the stream."""
         await self._stream.close()
--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -1,4 +1,4 @@
-"""Typed messages between proxies, as MessagePack arrays.
+"""Typed messages between proxies or nodes, as MessagePack arrays.
 
 A message is ``[number of its type, field, field, ...]``.  The stream needs no
 framing of its own: `msgpack.Unpacker` finds the ends.
--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -1,12 +1,12 @@
-"""What nodes tell one another: news of the store, and opinions.
+"""A node's questions to other nodes, and the streams on which they come.
 
-Each node asks a few others, drawn at random, for what it does not know yet;
-so news spreads also while the store turns a node away, and no node's work
-grows with their number.
+For news of the store each node asks a few others, drawn at random.  So news
+spreads also while the store turns a node away, and this work does not grow
+with the number of nodes.  Only what is rare is asked of every node: whether a
+term goes on, and its end.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -19,9 +19,7 @@
     decode_listing,
     encode_listing,
 )
-from deckdrum.fleet.base import (
-    Message,
-)
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.detours import DetourCarrier, DetourDialer
 from deckdrum.fleet.peers import StreamPool
@@ -33,6 +31,7 @@
     OpenDetour,
     TermAnswer,
 )
+from deckdrum.fleet.settings import NodeSettings
 from deckdrum.outcomes.errors import DocumentError
 from deckdrum.utils import Address, Journal, Listener, Stream
 
@@ -45,39 +44,14 @@
 ASKED_PEERS: Final = 2
 #: Longest wait for a peer's answer, in seconds.
 ASK_LIMIT: Final = 0.6
-
 #: Longest wait for the answers of all nodes on a term, in seconds.
 AGREEMENT_LIMIT: Final = 0.4
 
-Lend = Callable[[StreamChannel, BorrowLink], Awaitable[None]]
+Answering = Callable[[Message], Awaitable[Message | None]]
+Lending = Callable[[StreamChannel, BorrowLink], Awaitable[None]]
 PeerAnswer = Message | ConnectionRefusedError | None
 
 
-@dataclass(frozen=True, slots=True)
-class NodeSettings:
-    """What a node must know before it can ask anybody.
-
-    Attributes
-    ----------
-    name : str
-        Unique among the nodes.
-    data_centre : str
-        Where it runs.
-    peer_address : Address
-        Where it listens for other nodes.
-    seeds : tuple of Address
-        Nodes that may be asked first.
-    seed : int
-        Of its randomness; 0 takes a fresh one.
-    """
-
-    name: str
-    data_centre: str
-    peer_address: Address
-    seeds: tuple[Address, ...] = ()
-    seed: int = 0
-
-
 class NodePeers:
     """A node's connections to other nodes.
 
@@ -107,15 +81,14 @@
         randomness: Random,
     ) -> None:
         #: Answers a message of another node; set by the node.
-        self.answer: Callable[[Message], Awaitable[Message | None]] | None
-        self.answer = None
+        self.answer: Answering | None = None
+        #: Lends connections of this node; set by the node.
+        self.lend: Lending | None = None
         self._settings = settings
         self._view = view
         self._store = store
         self._journal = journal
         self._randomness = randomness
-        #: Lends connections of this node; set by the node.
-        self.lend: Lend | None = None
         #: Streams on which connections are borrowed.
         self.loans = StreamPool()
         self._streams = StreamPool()
@@ -178,7 +151,7 @@
         """
         try:
             async with curio.timeout_after(limit):
-                return await self._exchange(address, question)
+                return await self._streams.exchange(address, question)
         except ConnectionRefusedError as error:
             return error
         except (ConnectionError, curio.TaskTimeout):
@@ -276,19 +249,6 @@
                 'peer.bad_news', peer=str(address), reason=str(error)
             )
 
-    async def _exchange(self, address: Address, question: Message) -> Message:
-        channel = await self._streams.open(address)
-        is_whole = False
-        try:
-            await channel.send(question)
-            answer = await channel.receive()
-            is_whole = True
-        finally:
-            if not is_whole:
-                await channel.close()
-        await self._streams.keep(address, channel)
-        return answer
-
     async def _serve(self, stream: Stream) -> None:
         channel = StreamChannel(stream)
         while True:
--- a/deckdrum/fleet/peers.py
+++ b/deckdrum/fleet/peers.py
@@ -5,9 +5,7 @@
 
 import curio
 
-from deckdrum.fleet.base import (
-    Message,
-)
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.membership import Membership
 from deckdrum.fleet.messages import (
@@ -58,6 +56,19 @@
         else:
             await channel.close()
 
+    async def exchange(self, address: Address, question: Message) -> Message:
+        """Ask a peer on a stream of its own and return the answer.
+
+        Raises
+        ------
+        ConnectionError
+            If the peer cannot be reached or gives no answer.
+        """
+        channel = await self.open(address)
+        answer = await channel.ask(question)
+        await self.keep(address, channel)
+        return answer
+
     async def close(self) -> None:
         """Close the kept streams."""
         for idle in self._idle.values():
@@ -97,7 +108,7 @@
         self.control_messages += 1
         try:
             async with curio.timeout_after(ASK_LIMIT):
-                return await self._exchange(address, question)
+                return await self._questions.exchange(address, question)
         except (ConnectionError, curio.TaskTimeout):
             return None
 
@@ -129,14 +140,3 @@
         """Return a peer's configuration if it is newer than `number`."""
         answer = await self.ask(address, AskConfiguration(number))
         return answer if isinstance(answer, ConfigurationAnswer) else None
-
-    async def _exchange(self, address: Address, question: Message) -> Message:
-        channel = await self._questions.open(address)
-        try:
-            await channel.send(question)
-            answer = await channel.receive()
-        except (ConnectionError, curio.CancelledError):
-            await channel.close()
-            raise
-        await self._questions.keep(address, channel)
-        return answer
--- /dev/null
+++ b/deckdrum/fleet/settings.py
@@ -0,0 +1,30 @@
+"""The settings of one node."""
+
+from dataclasses import dataclass
+
+from deckdrum.utils import Address
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a node must know before it can ask anybody.
+
+    Attributes
+    ----------
+    name : str
+        Unique among the nodes.
+    data_centre : str
+        Where it runs.
+    peer_address : Address
+        Where it listens for other nodes.
+    seeds : tuple of Address
+        Nodes that may be asked first.
+    seed : int
+        Of its randomness; 0 takes a fresh one.
+    """
+
+    name: str
+    data_centre: str
+    peer_address: Address
+    seeds: tuple[Address, ...] = ()
+    seed: int = 0
--- a/deckdrum/keepers/core.py
+++ b/deckdrum/keepers/core.py
@@ -22,13 +22,9 @@
     STANDBY_INTERVAL,
     ServiceWatch,
 )
-from deckdrum.fleet.base import (
-    Message,
-)
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import Channel
-from deckdrum.fleet.messages import (
-    OpenChannel,
-)
+from deckdrum.fleet.messages import OpenChannel
 from deckdrum.keepers.routing import Route, Router
 from deckdrum.keepers.sessions import KeeperSession
 from deckdrum.keepers.supervision import Supervisor
--- a/deckdrum/keepers/relay.py
+++ b/deckdrum/keepers/relay.py
@@ -10,9 +10,7 @@
 from typing import Final
 
 from deckdrum.databases import DatabaseLink, QueryAnswer
-from deckdrum.fleet.messages import (
-    RunBatch,
-)
+from deckdrum.fleet.messages import RunBatch
 from deckdrum.keepers.access import Access
 from deckdrum.keepers.rewriting import Expected, Rewriter
 from deckdrum.wire import Frame, WireError, tags
--- a/deckdrum/keepers/rewriting.py
+++ b/deckdrum/keepers/rewriting.py
@@ -12,9 +12,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from deckdrum.fleet.messages import (
-    PreparedStatement,
-)
+from deckdrum.fleet.messages import PreparedStatement
 from deckdrum.wire import Frame, decode_frontend, tags
 from deckdrum.wire.frames import split_frames
 from deckdrum.wire.messages import codec
--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -8,9 +8,7 @@
 from deckdrum.backends.pool import Lease
 from deckdrum.configuration.models import Acknowledgement
 from deckdrum.databases.base import Database, DatabaseLink
-from deckdrum.fleet.base import (
-    Message,
-)
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import Channel
 from deckdrum.fleet.messages import (
     BatchEnd,
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -11,7 +11,8 @@
 from deckdrum.backends import Backend
 from deckdrum.control import ControlStore, ControlView, Kind, Route
 from deckdrum.fleet.detours import DetourDialer, Dial
-from deckdrum.fleet.nodes import NodePeers, NodeSettings
+from deckdrum.fleet.nodes import NodePeers
+from deckdrum.fleet.settings import NodeSettings
 from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.leadership.promotion import ChangeTools
 from deckdrum.node.answering import Answerer
@@ -20,10 +21,9 @@
 from deckdrum.node.services import ServiceBook
 from deckdrum.operations import Request
 from deckdrum.outcomes import Refusal
+from deckdrum.serving import CallerSession, ServiceRuntime
 from deckdrum.serving.execution import Execution
 from deckdrum.serving.host import Outcome, SessionHost
-from deckdrum.serving.service import ServiceRuntime
-from deckdrum.serving.session import CallerSession
 from deckdrum.utils import Journal, dial
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.tasks import keep_running
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -7,7 +7,7 @@
 from msgspec.structs import replace
 
 from deckdrum.control import ControlStore, ControlView, Entry, Kind, Member
-from deckdrum.fleet.nodes import NodeSettings
+from deckdrum.fleet.settings import NodeSettings
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.store.objects import Stored
 from deckdrum.utils import Journal
--- a/deckdrum/platform/settings.py
+++ b/deckdrum/platform/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from deckdrum.fleet.nodes import NodeSettings
+from deckdrum.fleet.settings import NodeSettings
 from deckdrum.outcomes.errors import SettingsError
 from deckdrum.utils import Address
 
--- a/deckdrum/proxy/keeping.py
+++ b/deckdrum/proxy/keeping.py
@@ -5,9 +5,7 @@
 import curio
 
 from deckdrum.configuration import Document, Service
-from deckdrum.fleet.base import (
-    Message,
-)
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import Channel
 from deckdrum.fleet.membership import Membership, rank_keepers
 from deckdrum.fleet.messages import (
--- a/deckdrum/proxy/spreading.py
+++ b/deckdrum/proxy/spreading.py
@@ -6,9 +6,7 @@
 from msgspec import ValidationError
 
 from deckdrum.fleet.membership import Membership
-from deckdrum.fleet.messages import (
-    ConfigurationAnswer,
-)
+from deckdrum.fleet.messages import ConfigurationAnswer
 from deckdrum.fleet.peers import Peers
 from deckdrum.store.records import ConfigurationRecord, GroupRecord
 from deckdrum.store.view import HeldRecord, StoreView
--- a/deckdrum/proxy/visitors.py
+++ b/deckdrum/proxy/visitors.py
@@ -8,9 +8,7 @@
 
 from deckdrum.callers.host import CancelKey
 from deckdrum.databases.watch import PROBE_LIMIT, Watcher
-from deckdrum.fleet.base import (
-    Message,
-)
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.messages import (
     AskConfiguration,
