Remove leftovers of the platform's protocol modules

encode_rejection and a set of tags in callers.batches were used by nothing. The three kinds of error of an unreadable object stood in two places and their doc comment left one out: they are one constant. The end of an answer is read by one function. The comment on - names where it may stand. No behaviour changes.

--- a/deckdrum/callers/batches.py
+++ b/deckdrum/callers/batches.py
@@ -27,7 +27,6 @@
         tags.CLOSE,
     )
 )
-_RUNNING_TAGS: Final = frozenset((tags.EXECUTE, tags.QUERY))
 _ENDING_TAGS: Final = frozenset((tags.SYNC, tags.FLUSH))
 _READ_EFFECTS: Final = frozenset((Effect.READ, Effect.READ_TRANSACTION))
 _HINT_KIND: Final = 'read_kind='
--- a/deckdrum/platform/backends.py
+++ b/deckdrum/platform/backends.py
@@ -16,7 +16,7 @@
     ServerStatus,
     WrongServerError,
 )
-from deckdrum.operations import Answer, Rejection, RejectionCause
+from deckdrum.operations import Answer, Rejection, RejectionCause, Standing
 from deckdrum.platform.lines import LineError, LineReader, encode_line
 from deckdrum.platform.statements import encode_operation
 from deckdrum.platform.wire import (
@@ -27,15 +27,15 @@
     decode_ready,
     encode_position,
 )
+from deckdrum.sessions import Position
 from deckdrum.sessions.position import NOWHERE
 from deckdrum.utils import ByteStream, Stream
 
 _ROLES: Final = MappingProxyType(
     {'primary': ServerRole.PRIMARY, 'replica': ServerRole.REPLICA},
 )
-#: Fields of a status row that are used: role, term, end of the received log,
-#: and the term for which the log is held (their names on the page are
-#: "position received" and "term held").
+#: Fields of a status row that are used, the first ones: role, term, end of
+#: the received log, and the term for which the log is held.
 _STATUS_FIELDS: Final = 4
 
 
@@ -119,20 +119,20 @@
             if word == 'ROW':
                 rows.append(rest)
             elif word == 'COMPLETE':
-                standing, position = decode_ready(
-                    await read_line(self._reader),
-                )
                 completion = '' if rest == NOTHING else rest
+                standing, position = await self._read_ready()
                 return Answer(tuple(rows), completion, standing, position)
             elif word == 'ERROR':
                 cause, text = decode_error(rest)
-                standing, position = decode_ready(
-                    await read_line(self._reader),
-                )
+                standing, position = await self._read_ready()
                 return Rejection(cause, text, standing, position)
             else:
                 raise LineError(f'{word!r}, expected ROW, COMPLETE or ERROR')
 
+    async def _read_ready(self) -> tuple[Standing, Position | None]:
+        """Return what the message at the end of an answer says."""
+        return decode_ready(await read_line(self._reader))
+
 
 class PlatformBackend(Backend):
     """A database of the platform.
--- a/deckdrum/platform/records.py
+++ b/deckdrum/platform/records.py
@@ -40,6 +40,8 @@
         'own_writes': Guarantee.OWN_CHANGES,
     },
 )
+#: Raised where an object is not what the platform's pages say.
+UNREADABLE: Final = (msgspec.DecodeError, ValueError, KeyError)
 _DRAINING: Final = 'draining'
 _PRIMARY: Final = 'primary'
 
@@ -140,8 +142,8 @@
 
     Raises
     ------
-    msgspec.ValidationError, ValueError
-        With the place and what was expected there.
+    Exception
+        One of `UNREADABLE`, with the place and what was expected there.
     """
     name = found.meta.name
     return Entry(name, found.meta.revision, _DECODERS[kind](name, found.spec))
--- a/deckdrum/platform/store.py
+++ b/deckdrum/platform/store.py
@@ -19,6 +19,7 @@
 from deckdrum.platform.records import (
     CONFIGURATION_NAME,
     KIND_NAMES,
+    UNREADABLE,
     EventList,
     ObjectList,
     StoreObject,
@@ -112,7 +113,7 @@
         found = _decode(_check(reply), StoreObject)
         try:
             return decode_entry(kind, found)
-        except (msgspec.DecodeError, ValueError, KeyError) as error:
+        except UNREADABLE as error:
             raise StoreError(f'{kind}/{name}: {error}') from error
 
     async def put(
@@ -133,9 +134,8 @@
             'spec': encode_record(record),
         }
         encoded = msgspec.json.encode(body)
-        reply = await self._call(
-            Request(method, path, {}, _describe_json(), encoded)
-        )
+        headers = {'content-type': 'application/json'}
+        reply = await self._call(Request(method, path, {}, headers, encoded))
         if reply.status in {_CONFLICT, _NOT_FOUND}:
             return Conflict()
         stored = _decode(_check(reply), StoreObject)
@@ -175,7 +175,7 @@
             return None
         try:
             return decode_entry(kind, found)
-        except (msgspec.DecodeError, ValueError, KeyError) as error:
+        except UNREADABLE as error:
             self._journal.record(
                 'store.unreadable_record',
                 kind=kind,
@@ -191,10 +191,6 @@
     return f'{path}/{quote(name, safe="")}' if name else path
 
 
-def _describe_json() -> dict[str, str]:
-    return {'content-type': 'application/json'}
-
-
 def _check(reply: Reply) -> bytes:
     if reply.status not in {_OK, _CREATED}:
         raise StoreError(f'the store answered {reply.status}')
@@ -205,6 +201,5 @@
     try:
         return msgspec.json.decode(body, type=expected)
     except msgspec.DecodeError as error:
-        raise StoreError(
-            f'the store sent no {expected.__name__}: {error}'
-        ) from (error)
+        name = expected.__name__
+        raise StoreError(f'the store sent no {name}: {error}') from error
--- a/deckdrum/platform/wire.py
+++ b/deckdrum/platform/wire.py
@@ -4,13 +4,7 @@
 from types import MappingProxyType
 from typing import Final
 
-from deckdrum.operations import (
-    Answer,
-    Rejection,
-    RejectionCause,
-    Request,
-    Standing,
-)
+from deckdrum.operations import Answer, RejectionCause, Request, Standing
 from deckdrum.outcomes import Code, Refusal
 from deckdrum.platform.lines import UNSAFE, LineError, encode_line, shorten
 from deckdrum.platform.statements import decode_operation
@@ -18,7 +12,7 @@
 
 #: The id of statements that no client has sent.
 OWN_ID: Final = '-'
-#: Stands where there is no position and no signature.
+#: Stands for a position, or the text of COMPLETE, that is not there.
 NOTHING: Final = '-'
 _MS: Final = 1000
 _READY_FIELDS: Final = 3
@@ -186,11 +180,3 @@
     if refusal.retry_after is not None:
         text = f'{text}; retry after {int(refusal.retry_after * _MS)} ms'
     return encode_line('ERROR', word, text)
-
-
-def encode_rejection(rejection: Rejection) -> bytes:
-    """Return a database's error answer, as our stand-ins send it."""
-    words = {cause: word for word, cause in _CAUSES.items()}
-    word = words.get(rejection.cause, 'FAILED')
-    line = encode_line('ERROR', word, rejection.text)
-    return line + encode_ready(rejection.standing, rejection.position)
