--- /dev/null
+++ b/deckdrum/serving/retries.py
@@ -0,0 +1,151 @@
+"""What follows a failed try: another one, or a refusal for the caller."""
+
+from typing import Final
+
+import curio
+
+from deckdrum.operations import Answer, Rejection, RejectionCause
+from deckdrum.outcomes import Code, Refusal, refuse
+from deckdrum.outcomes.errors import BrokenInvariantError
+from deckdrum.serving.attempts import Lost
+from deckdrum.serving.routing import Target
+from deckdrum.serving.searches import EndedTry, Search
+from deckdrum.serving.service import ServiceRuntime
+
+#: Longest pause after every server has refused, in seconds.
+LONGEST_PAUSE: Final = 0.08
+#: Statements at a moment that may be tried again on account of failures,
+#: refilled by each success; keeps retries a small part of the load.
+RETRY_RESERVE: Final = 20.0
+RETRY_REFILL: Final = 0.1
+
+
+class RetryBudget:
+    """Bounds retries after failures to a part of what succeeds.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(reserve=1, refill=0.5)
+    >>> budget.take(), budget.take()
+    (True, False)
+    >>> budget.note_success()
+    >>> budget.note_success()
+    >>> budget.take()
+    True
+    """
+
+    def __init__(
+        self,
+        reserve: float = RETRY_RESERVE,
+        refill: float = RETRY_REFILL,
+    ) -> None:
+        self._reserve = reserve
+        self._refill = refill
+        self._left = reserve
+
+    def note_success(self) -> None:
+        """Earn a part of a retry."""
+        self._left = min(self._reserve, self._left + self._refill)
+
+    def take(self) -> bool:
+        """Spend one retry; tell whether there was one."""
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class RetryPolicy:
+    """Decides whether a statement of one group is tried again.
+
+    Parameters
+    ----------
+    runtime : ServiceRuntime
+        The group.
+    budget : RetryBudget
+        Bounds retries of reads that failed on a server.
+    """
+
+    def __init__(self, runtime: ServiceRuntime, budget: RetryBudget) -> None:
+        self._runtime = runtime
+        self._budget = budget
+
+    async def weigh(
+        self,
+        search: Search,
+        ended: EndedTry,
+    ) -> Refusal | None:
+        """Decide after a failed try: a refusal, or None to go on."""
+        end = ended.end
+        if isinstance(end, Answer):
+            raise BrokenInvariantError('a success is no failed try')
+        search.last = end
+        now = await curio.clock()
+        if isinstance(end, Rejection):
+            return await self._weigh_rejection(search, ended, end, now)
+        if isinstance(end, Refusal):
+            # The queue of this server is full; another may have room.
+            return await self._rest(search, ended.target)
+        if not end.was_sent or search.is_repeatable:
+            return await self._rest(search, ended.target)
+        code = Code.TIMED_OUT if end.is_late else Code.CONNECTION_LOST
+        return refuse(code, end.reason)
+
+    def give_up(self, search: Search) -> Refusal:
+        """Return the refusal for a statement that nobody has run."""
+        last = search.last
+        if isinstance(last, Lost) and last.was_sent:
+            # Only what leaves nothing behind is tried again after a loss.
+            return refuse(Code.TRANSACTION_LOST, 'no server answered it')
+        if isinstance(last, Refusal):
+            return last
+        if isinstance(last, Rejection):
+            return refuse(Code.PRIMARY_REFUSED, f'{last.cause}: {last.text}')
+        if self._runtime.primary is None:
+            return refuse(Code.NO_PRIMARY, f'service {self._runtime.name}')
+        return refuse(Code.READ_NOT_POSSIBLE, 'no server took it in time')
+
+    async def _weigh_rejection(
+        self,
+        search: Search,
+        ended: EndedTry,
+        end: Rejection,
+        now: float,
+    ) -> Refusal | None:
+        handle = ended.target.handle
+        if end.cause is RejectionCause.BEHIND and ended.target.floor:
+            handle.note_behind(ended.target.floor, now)
+            return None
+        if end.cause is RejectionCause.NOT_PRIMARY:
+            await self._runtime.belief.lose_primary(
+                handle.id, 'it refuses changes'
+            )
+            return await self._rest(search, ended.target)
+        if end.cause.is_not_run:
+            return await self._rest(search, ended.target)
+        if search.is_read and self._budget.take():
+            return None
+        if search.begin is not None:
+            return refuse(Code.TRANSACTION_LOST, end.text)
+        code = (
+            Code.TIMED_OUT
+            if end.cause is RejectionCause.TIMED_OUT
+            else Code.STATEMENT_FAILED
+        )
+        return refuse(code, end.text)
+
+    async def _rest(
+        self,
+        search: Search,
+        target: Target,
+    ) -> Refusal | None:
+        """Pause unless another server is left that may run the statement."""
+        if not target.is_primary:
+            # The next replica, or the primary if there is none.
+            return None
+        search.passed_over.clear()
+        if await curio.clock() + search.pause >= search.deadline:
+            return self.give_up(search)
+        await curio.sleep(search.pause)
+        search.pause = min(search.pause * 2, LONGEST_PAUSE)
+        return None
