--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -11,7 +11,8 @@
 from deckdrum.backends import Backend
 from deckdrum.control import ControlStore, ControlView, Kind, Route
 from deckdrum.fleet.detours import DetourDialer, Dial
-from deckdrum.fleet.nodes import NodePeers, NodeSettings
+from deckdrum.fleet.nodes import NodePeers
+from deckdrum.fleet.settings import NodeSettings
 from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.leadership.promotion import ChangeTools
 from deckdrum.node.answering import Answerer
