Explain a request or a group from the logs of nodes

Cause: the on-call engineers have only logs; the way from an id to its cause was a matter of jq. Change: deckdrumctl explain reads log lines of several nodes, mixed with other lines, puts them in order and tells what became of a request. Conclusion: the report as a page of plots is still to be built.

--- a/deckdrum/commands/control.py
+++ b/deckdrum/commands/control.py
@@ -14,6 +14,10 @@
 import curio
 
 from deckdrum.callers.login import make_verifier
+from deckdrum.commands.explaining import (
+    Question,
+    tell_story,
+)
 from deckdrum.commands.parsing import (
     EXIT_CONFLICT,
     EXIT_FAILED,
@@ -152,7 +156,11 @@
 
 
 async def explain(options: argparse.Namespace) -> int:
-    """Show failovers and the latest decisions of a service."""
+    """Show what happened to a service or a request, from proxies or logs."""
+    if options.admin is None:
+        question = Question(options.request or '', options.service or '')
+        found = tell_story(options.logs or (), question, options.json, say)
+        return EXIT_OK if found else EXIT_FAILED
     found = False
     for address in options.admin:
         path = f'/explain?service={options.service}'
@@ -270,7 +278,7 @@
 )
 _WITH_FILE: Final = ('validate', 'diff', 'apply')
 _WITH_PLATFORM: Final = ('diff', 'apply')
-_WITH_ADMIN: Final = ('status', 'explain', 'drain')
+_WITH_ADMIN: Final = ('status', 'drain')
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -292,7 +300,7 @@
                 "settings that the users' platform gives a node",
             )
         elif name == 'explain':
-            command.add_argument('service', help='name of the service')
+            _add_explain(command)
         elif name == 'status':
             command.add_argument('--json', action='store_true')
     return parser
@@ -318,6 +326,24 @@
         )
 
 
+def _add_explain(command: argparse.ArgumentParser) -> None:
+    command.add_argument('service', nargs='?', help='name of the service')
+    command.add_argument(
+        '--admin',
+        type=Address.parse,
+        nargs='+',
+        help='host:port of the admin ports of proxies',
+    )
+    command.add_argument(
+        '--logs',
+        type=Path,
+        nargs='+',
+        help='log files of nodes; standard input if neither is given',
+    )
+    command.add_argument('--request', help='id of a request in the logs')
+    command.add_argument('--json', action='store_true')
+
+
 def _add_apply(command: argparse.ArgumentParser) -> None:
     command.add_argument(
         '--base',
--- /dev/null
+++ b/deckdrum/commands/tests/test_explaining.py
@@ -0,0 +1,81 @@
+"""Explaining a request from the log lines of several nodes."""
+
+import io
+import json
+from pathlib import Path
+from typing import Any
+
+import curio
+import pytest
+
+from deckdrum.commands import control
+from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
+from deckdrum.utils import open_journal
+
+
+def write_logs(folder: Path) -> list[Path]:
+    """Play the loss of a primary, and write what each node logged."""
+    sinks = [io.StringIO() for _ in range(3)]
+
+    async def scenario(deployment: Deployment) -> None:
+        for running, sink in zip(deployment.nodes, sinks, strict=True):
+            journal = open_journal(running.node.settings.name, sink)
+            running.node.journal = journal
+            for runtime in running.node.services.values():
+                runtime.journal = journal
+        client = await deployment.connect(CURRENT)
+        await client.send('QUERY id-before WRITE a 1')
+        await client.read_reply()
+        deployment.group.primary.is_dark = True
+        await client.send('QUERY id-doubt WRITE a 2')
+        await client.read_reply()
+        await curio.sleep(3)
+
+    play(scenario)
+    paths = []
+    for number, sink in enumerate(sinks):
+        path = folder / f'n{number}.log'
+        path.write_text(f'a line of another program\n{sink.getvalue()}')
+        paths.append(path)
+    return paths
+
+
+def test_story_of_a_request(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    paths = [str(path) for path in write_logs(tmp_path)]
+    arguments = ['explain', '--request', 'id-doubt', '--logs', *paths]
+    assert control.main(arguments) == 0
+    told = capsys.readouterr().out.splitlines()
+    assert told[-1].startswith('request id-doubt: unknown')
+    assert any('request.refused' in line for line in told)
+    assert not any('id-before' in line for line in told)
+
+
+def test_story_of_a_group_as_json(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    paths = [str(path) for path in write_logs(tmp_path)]
+    arguments = ['explain', SERVICE, '--json', '--logs', *paths]
+    assert control.main(arguments) == 0
+    told: list[dict[str, Any]] = [
+        json.loads(line) for line in capsys.readouterr().out.splitlines()
+    ]
+    events = [line['event'] for line in told]
+    assert 'leadership.ordered' in events
+    assert 'leadership.changed' in events
+    times = [line['time'] for line in told]
+    assert times == sorted(times)
+
+
+def test_unknown_request_is_told(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = tmp_path / 'empty.log'
+    path.write_text('')
+    arguments = ['explain', '--request', 'nothing', '--logs', str(path)]
+    assert control.main(arguments) == 1
+    assert 'no line tells of request nothing' in capsys.readouterr().out
