Split the change of primary into its steps

The header says that a change needs most of the nodes; the fence's doc comment said that it rises with every change of the holder, and it is the revision of the claim. No behaviour changes.

--- /dev/null
+++ b/deckdrum/leadership/changes.py
@@ -0,0 +1,112 @@
+"""What the steps of a change of primary hand to one another."""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final
+
+import curio
+
+from deckdrum.control import ControlStore, ControlView
+from deckdrum.fleet.detours import DetourDialer
+from deckdrum.fleet.nodes import NodePeers
+from deckdrum.leadership.duty import PromotionDuty
+from deckdrum.store.records import GroupRecord
+from deckdrum.utils import Journal
+
+#: Pause between two rounds of questions, in seconds.
+ROUND_PAUSE: Final = 0.03
+
+
+@dataclass(slots=True)
+class ChangeReport:
+    """One change of primary.
+
+    `takes_over` tells that another node has left it undone; `phases` maps
+    steps to their end, in seconds.
+    """
+
+    service: str
+    former: str
+    reason: str
+    is_planned: bool
+    takes_over: bool = False
+    term: int = 0
+    promoted: str = ''
+    phases: dict[str, float] = field(default_factory=dict)
+
+    async def note(self, phase: str) -> None:
+        """Note that a step has just ended."""
+        self.phases[phase] = await curio.clock()
+
+    def log(self, journal: Journal, event: str, reason: str) -> None:
+        """Write how far the change has come."""
+        start = min(self.phases.values(), default=0)
+        journal.record(
+            event,
+            service=self.service,
+            term=self.term,
+            former=self.former,
+            primary=self.promoted,
+            planned=self.is_planned,
+            reason=reason,
+            phases={
+                name: round(ended_at - start, 3)
+                for name, ended_at in self.phases.items()
+            },
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Consent:
+    """Which nodes have stopped to use a term; dead processes count.
+
+    Without most of them nothing is changed: nodes that all agree that a
+    term goes on must include one that has consented to its end.
+    """
+
+    has_most: bool
+    is_unanimous: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """The right to change a group's primary.
+
+    `fence` is the revision of the claimed record; `sent_at` is when the
+    claim was sent, in kernel seconds.
+    """
+
+    record: GroupRecord
+    fence: int
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeTools:
+    """What a node provides to those who watch and change its primaries.
+
+    Attributes
+    ----------
+    node : str
+        Name of the node.
+    view : ControlView
+        What it knows of the store.
+    store : ControlStore
+        Where claims are made.
+    duty : PromotionDuty
+        The platform's call.
+    peers : NodePeers
+        The other nodes.
+    dialer : DetourDialer
+        Takes the detours that are found.
+    randomness : random.Random
+        Source of operation ids.
+    """
+
+    node: str
+    view: ControlView
+    store: ControlStore
+    duty: PromotionDuty
+    peers: NodePeers
+    dialer: DetourDialer
+    randomness: Random
--- /dev/null
+++ b/deckdrum/leadership/claims.py
@@ -0,0 +1,151 @@
+"""The record of a group's leadership: claiming a change, and settling it."""
+
+import uuid
+from typing import Final
+
+import curio
+
+from deckdrum.control import Entry, Kind
+from deckdrum.leadership.changes import ChangeReport, ChangeTools, Claim
+from deckdrum.outcomes.errors import StoreError
+from deckdrum.serving.service import ServiceRuntime
+from deckdrum.store.objects import Stored
+from deckdrum.store.records import GroupRecord, Phase
+
+#: How long a claim may be used to promote, in seconds.  Another node takes a
+#: claim over only after `TAKE_OVER_AFTER`, so that two never promote at once.
+CLAIM_TIME: Final = 3.5
+TAKE_OVER_AFTER: Final = 5.0
+_OPERATION_BITS: Final = 128
+
+
+class ClaimBook:
+    """Updates the record of one group, each time under a condition.
+
+    Parameters
+    ----------
+    runtime : ServiceRuntime
+        The group.
+    tools : ChangeTools
+        What the node provides.
+    """
+
+    def __init__(self, runtime: ServiceRuntime, tools: ChangeTools) -> None:
+        self._runtime = runtime
+        self._tools = tools
+
+    async def make(self, report: ChangeReport) -> Claim | None:
+        """Claim the change of the group; None if another node was first."""
+        known = self._tools.view.find_leadership(self._runtime.name)
+        if self._is_outdated(report):
+            report.log(
+                self._runtime.journal,
+                'leadership.change_outdated',
+                report.reason,
+            )
+            return None
+        belief = self._runtime.belief
+        sent_at = await curio.clock()
+        term = max(belief.term, belief.ended_term) + 1
+        if known is not None and known[1].phase is Phase.FENCING:
+            term = max(term, known[1].term)
+        number = self._tools.randomness.getrandbits(_OPERATION_BITS)
+        record = GroupRecord(
+            service=self._runtime.name,
+            term=term,
+            primary='',
+            phase=Phase.FENCING,
+            operation=str(uuid.UUID(int=number)),
+            driver=self._tools.node,
+            former=report.former,
+        )
+        revision = await self._put(record, known[0] if known else 0)
+        if revision is None:
+            return None
+        report.term = term
+        return Claim(record, revision, sent_at)
+
+    def is_overtaken(self, claim: Claim) -> bool:
+        """Tell whether the record was changed since the claim."""
+        known = self._tools.view.find_leadership(self._runtime.name)
+        return known is not None and known[0] > claim.fence
+
+    async def settle(
+        self,
+        report: ChangeReport,
+        claim: Claim,
+        primary: str,
+    ) -> None:
+        """Record the new primary."""
+        record = GroupRecord(
+            service=claim.record.service,
+            term=self._runtime.belief.term,
+            primary=primary,
+            phase=Phase.SETTLED,
+            operation=claim.record.operation,
+            driver=self._tools.node,
+            former=report.former,
+        )
+        await self._put(record, claim.fence)
+
+    async def undo(self, report: ChangeReport, claim: Claim) -> None:
+        """Record that the former term goes on."""
+        record = GroupRecord(
+            service=claim.record.service,
+            term=claim.record.term - 1,
+            primary=report.former,
+            phase=Phase.SETTLED,
+            operation=claim.record.operation,
+            driver=self._tools.node,
+        )
+        await self._put(record, claim.fence)
+
+    def _is_outdated(self, report: ChangeReport) -> bool:
+        """Tell whether the primary was changed, or is, since the decision."""
+        belief = self._runtime.belief
+        if belief.has_primary and belief.primary != report.former:
+            return True
+        known = self._tools.view.find_leadership(self._runtime.name)
+        if known is None:
+            return False
+        record = known[1]
+        if record.phase is Phase.FENCING:
+            return not report.takes_over
+        return record.primary != report.former
+
+    async def _put(self, record: GroupRecord, revision: int) -> int | None:
+        """Store a record conditionally; return its new revision if done."""
+        name = self._runtime.name
+        try:
+            outcome = await self._tools.store.put(
+                Kind.LEADERSHIP,
+                name,
+                record,
+                revision,
+            )
+        except StoreError as error:
+            self._runtime.journal.record(
+                'leadership.store_silent',
+                service=name,
+                reason=str(error),
+            )
+            return await self._read_back(record)
+        if not isinstance(outcome, Stored):
+            return await self._read_back(record)
+        entry = Entry(name, outcome.version, record)
+        await self._tools.view.adopt_entry(Kind.LEADERSHIP, entry)
+        return outcome.version
+
+    async def _read_back(self, record: GroupRecord) -> int | None:
+        """Tell whether an update without an answer took effect."""
+        try:
+            entry = await self._tools.store.fetch(
+                Kind.LEADERSHIP, self._runtime.name
+            )
+        except StoreError:
+            # Whoever reads the store later sees what became of it.
+            return None
+        if entry is None:
+            return None
+        await self._tools.view.adopt_entry(Kind.LEADERSHIP, entry)
+        return entry.revision if entry.record == record else None
--- a/deckdrum/leadership/duty.py
+++ b/deckdrum/leadership/duty.py
@@ -30,7 +30,8 @@
     holder : str
         The node that gives the order.
     fence : int
-        Rises with every change of the holder.
+        Revision of the claim; the platform refuses a lower one than it has
+        seen.
     """
 
     service: str
--- /dev/null
+++ b/deckdrum/leadership/holds.py
@@ -0,0 +1,128 @@
+"""Having the replicas of a group hold their logs, and ranking them."""
+
+from collections.abc import Iterable
+from typing import Final
+
+import curio
+
+from deckdrum.backends import ServerStatus
+from deckdrum.leadership.changes import ROUND_PAUSE
+from deckdrum.serving.servers import ServerHandle
+from deckdrum.serving.service import ServiceRuntime
+
+#: Longest wait for enough replicas to hold, in seconds; after it a group
+#: without synchronous replicas goes on with those that there are.
+HOLD_LIMIT: Final = 1.2
+
+
+class ReplicaHolds:
+    """Has the replicas of one group hold.
+
+    Parameters
+    ----------
+    runtime : ServiceRuntime
+        The group.
+    """
+
+    def __init__(self, runtime: ServiceRuntime) -> None:
+        self._runtime = runtime
+
+    async def hold(
+        self,
+        term: int,
+        former: str,
+    ) -> dict[str, ServerStatus] | None:
+        """Have the replicas hold; return their states, None if too few."""
+        replicas = [
+            handle
+            for name, handle in self._runtime.servers.items()
+            if name != former
+        ]
+        held: dict[str, ServerStatus] = {}
+        needed = self._count_needed()
+        async with curio.ignore_after(HOLD_LIMIT):
+            while len(held) < len(replicas):
+                await _hold_each(replicas, term, held)
+                if len(held) >= needed and len(held) + 1 >= len(replicas):
+                    break
+                missing = [each for each in replicas if each.id not in held]
+                is_dead = all(each.is_refusing for each in missing)
+                if is_dead and self._may_go_on(held):
+                    break
+                await curio.sleep(ROUND_PAUSE)
+        if len(held) >= needed or self._may_go_on(held):
+            return held
+        return None
+
+    def _count_needed(self) -> int:
+        """Return how many replicas must hold.
+
+        Enough that no node finds proof of the old term, and that one of
+        them has each change that a synchronous replica has received.
+        """
+        belief = self._runtime.belief
+        replicas = len(self._runtime.servers) - 1
+        synchronous = self._runtime.declaration.synchronous_replicas
+        if not synchronous:
+            return belief.holds_needed
+        return max(belief.holds_needed, replicas - synchronous + 1)
+
+    def _may_go_on(self, held: dict[str, ServerStatus]) -> bool:
+        """Tell whether fewer holds than needed will do, after a wait.
+
+        A change that was acknowledged by synchronous replicas must not be
+        missing; without them a server that is gone for good must not keep
+        the group without a primary.
+        """
+        synchronous = self._runtime.declaration.synchronous_replicas
+        return bool(held) and not synchronous
+
+
+def rank_successors(
+    runtime: ServiceRuntime,
+    held: dict[str, ServerStatus],
+    former: str,
+) -> list[ServerHandle]:
+    """Return who may lead, the best first.
+
+    The furthest log goes first, and of equals one that is to stay.  Others
+    follow only in a group whose changes need no synchronous replica.
+    """
+    end = max((each.received for each in held.values()), default=None)
+    ranked = sorted(
+        (
+            handle
+            for name, handle in runtime.servers.items()
+            if name in held and name != former
+        ),
+        key=lambda handle: (
+            -held[handle.id].received.term,
+            -held[handle.id].received.offset,
+            handle.server.is_draining,
+            handle.id,
+        ),
+    )
+    if not runtime.declaration.synchronous_replicas:
+        return ranked
+    return [handle for handle in ranked if held[handle.id].received == end]
+
+
+async def _hold_each(
+    replicas: Iterable[ServerHandle],
+    term: int,
+    held: dict[str, ServerStatus],
+) -> None:
+    async with curio.TaskGroup() as holding:
+        for handle in replicas:
+            if handle.id not in held:
+                await holding.spawn(_hold_one, handle, term, held)
+
+
+async def _hold_one(
+    handle: ServerHandle,
+    term: int,
+    held: dict[str, ServerStatus],
+) -> None:
+    status = await handle.instruct('hold', term)
+    if status is not None and status.held_term >= term:
+        held[handle.id] = status
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -13,12 +13,9 @@
     AskServer,
     ServerAnswer,
 )
-from deckdrum.leadership.promotion import (
-    TAKE_OVER_AFTER,
-    ChangeReport,
-    ChangeTools,
-    Promotion,
-)
+from deckdrum.leadership.changes import ChangeReport, ChangeTools
+from deckdrum.leadership.claims import TAKE_OVER_AFTER
+from deckdrum.leadership.promotion import Promotion
 from deckdrum.serving.dealing import weigh
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.service import ServiceRuntime
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -6,7 +6,8 @@
 import pytest
 
 from deckdrum.leadership.belief import VALIDITY
-from deckdrum.leadership.promotion import ChangeReport, Promotion
+from deckdrum.leadership.changes import ChangeReport
+from deckdrum.leadership.promotion import Promotion
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import (
     CURRENT,
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -13,8 +13,8 @@
 from deckdrum.fleet.detours import DetourDialer, Dial
 from deckdrum.fleet.nodes import NodePeers
 from deckdrum.fleet.settings import NodeSettings
+from deckdrum.leadership.changes import ChangeTools
 from deckdrum.leadership.duty import PromotionDuty
-from deckdrum.leadership.promotion import ChangeTools
 from deckdrum.node.answering import Answerer
 from deckdrum.node.care import MemberCare
 from deckdrum.node.lending import Lender
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -8,7 +8,7 @@
 from deckdrum.backends import Backend, BackendServer
 from deckdrum.control import Member, ServiceDeclaration
 from deckdrum.fleet.borrowing import SharedBackend
-from deckdrum.leadership.promotion import ChangeTools
+from deckdrum.leadership.changes import ChangeTools
 from deckdrum.leadership.supervision import Supervisor
 from deckdrum.serving.execution import Execution
 from deckdrum.serving.routing import Router
