Describe adopted records by a table; one function a metric

The view of the store chose the log line of a record by a chain of isinstance; a table in a module of its own does so now. Headers and doc comments of the view spoke of feeding and claimed that the view never goes back; they say now what holds: no record gives way to an earlier revision, no configuration to an earlier version. No behaviour changes; the log lines are the same.

--- /dev/null
+++ b/deckdrum/control/descriptions.py
@@ -0,0 +1,54 @@
+"""How the log tells of a record that a node has taken over."""
+
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any, Final
+
+from deckdrum.backends.base import BackendServer
+from deckdrum.control.records import Member
+from deckdrum.control.store import Record
+from deckdrum.store.records import GroupRecord, Phase
+
+_Description = tuple[str, dict[str, Any]]
+
+
+def describe_record(record: Record, revision: int) -> _Description | None:
+    """Return event and fields for the log; None for other records."""
+    describe = _DESCRIBERS.get(type(record))
+    return None if describe is None else describe(record, revision)
+
+
+def _describe_server(server: BackendServer, revision: int) -> _Description:
+    return 'server.listed', {
+        'server': server.id,
+        'service': server.service,
+        'address': str(server.address),
+        'role': server.role,
+        'draining': server.is_draining,
+        'revision': revision,
+    }
+
+
+def _describe_group(record: GroupRecord, revision: int) -> _Description:
+    return 'leadership.recorded', {
+        'service': record.service,
+        'term': record.term,
+        'primary': record.primary,
+        'settled': record.phase is Phase.SETTLED,
+        'driver': record.driver,
+        'revision': revision,
+    }
+
+
+def _describe_member(member: Member, _: int) -> _Description:
+    return 'member.listed', {'member': member.name}
+
+
+_Describers = MappingProxyType[type, Callable[[Any, int], _Description]]
+_DESCRIBERS: Final[_Describers] = MappingProxyType(
+    {
+        BackendServer: _describe_server,
+        GroupRecord: _describe_group,
+        Member: _describe_member,
+    },
+)
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -1,7 +1,9 @@
-"""A node's view of the store, fed by watches and by peers; it never goes back.
+"""What a node knows of the store, from watches and from other nodes.
 
-Each kind has one feed: a task that lists the records and then watches them.
-While the store does not answer this node, peers hand over what they know.
+One task for each kind lists its records and then watches them.  While the
+store does not answer this node, other nodes hand over what they know.  A
+record is never replaced by an earlier revision of it, nor a configuration by
+an earlier version.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -12,6 +14,7 @@
 import curio
 
 from deckdrum.backends.base import BackendServer
+from deckdrum.control.descriptions import describe_record
 from deckdrum.control.records import Configuration, Member
 from deckdrum.control.store import (
     ControlStore,
@@ -22,7 +25,7 @@
     Record,
 )
 from deckdrum.outcomes.errors import StoreError
-from deckdrum.store.records import GroupRecord, Phase
+from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
 
 #: How long one watch waits for a change, in seconds.  A longer watch saves
@@ -41,7 +44,7 @@
 REMOVAL_GRACE: Final = 2.5
 
 _Entries = dict[str, Entry]
-_Hearer = Callable[[Kind], Awaitable[None]]
+_ChangeCall = Callable[[Kind], Awaitable[None]]
 
 
 class ControlView:
@@ -66,7 +69,7 @@
         self.store = store
         self.configuration: Configuration | None = None
         #: Called after each change of what is known.
-        self.on_change: list[_Hearer] = []
+        self.on_change: list[_ChangeCall] = []
         self._journal = journal
         self._randomness = randomness
         self._entries: dict[Kind, _Entries] = {kind: {} for kind in Kind}
@@ -77,7 +80,7 @@
 
     @property
     def is_fed(self) -> bool:
-        """Whether the store answers every feed."""
+        """Whether the store answered the latest call of every kind."""
         return all(self._reachable.values())
 
     @property
@@ -124,7 +127,7 @@
         return self._entries[Kind.MEMBERS].get(name)
 
     async def run(self, kind: Kind) -> None:
-        """Feed one kind for ever."""
+        """List one kind, then watch it for ever."""
         pause = FIRST_PAUSE
         is_listed = False
         while True:
@@ -230,7 +233,7 @@
             return
         self._removed.pop(entry.name, None)
         self._entries[kind][entry.name] = entry
-        self._log_adopted(kind, entry.record, entry.revision)
+        self._log_adopted(entry.record, entry.revision)
 
     async def _remove(self, kind: Kind, known: Entry | None) -> None:
         if known is None or kind is Kind.CONFIGURATION:
@@ -241,29 +244,11 @@
             now = await curio.clock()
             self._removed[known.name] = (now, known.record)
 
-    def _log_adopted(self, kind: Kind, record: Record, revision: int) -> None:
-        if isinstance(record, BackendServer):
-            self._journal.record(
-                'server.listed',
-                server=record.id,
-                service=record.service,
-                address=str(record.address),
-                role=record.role,
-                draining=record.is_draining,
-                revision=revision,
-            )
-        elif isinstance(record, GroupRecord):
-            self._journal.record(
-                'leadership.recorded',
-                service=record.service,
-                term=record.term,
-                primary=record.primary,
-                settled=record.phase is Phase.SETTLED,
-                driver=record.driver,
-                revision=revision,
-            )
-        elif isinstance(record, Member):
-            self._journal.record('member.listed', member=record.name)
+    def _log_adopted(self, record: Record, revision: int) -> None:
+        described = describe_record(record, revision)
+        if described is not None:
+            event, fields = described
+            self._journal.record(event, **fields)
 
     def _note_reachable(
         self,
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -55,7 +55,7 @@
         outcome: str,
         seconds: float,
     ) -> None:
-        """Note how long a request of a kind of route took."""
+        """Note how long a request took, by its guarantee and its outcome."""
         key = (guarantee, outcome)
         buckets = self._latency.get(key)
         if buckets is None:
@@ -68,22 +68,8 @@
         """Yield the metrics as `prometheus_client` families."""
         from prometheus_client import core
 
-        events = core.CounterMetricFamily(
-            f'{_PREFIX}events',
-            'Events by name',
-            labels=('event',),
-        )
-        for event, number in self.events.items():
-            events.add_metric((event,), number)
-        yield events
-        served = core.CounterMetricFamily(
-            f'{_PREFIX}served',
-            'Answered statements by the role of the server',
-            labels=_SERVED_LABELS,
-        )
-        for labels, number in self.served.items():
-            served.add_metric(labels, number)
-        yield served
+        yield self._collect_events(core)
+        yield self._collect_served(core)
         yield self._collect_latency(core)
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
@@ -98,6 +84,26 @@
         rendered: bytes = generate_latest(registry)
         return rendered
 
+    def _collect_events(self, core: Any) -> Any:
+        family = core.CounterMetricFamily(
+            f'{_PREFIX}events',
+            'Events by name',
+            labels=('event',),
+        )
+        for event, number in self.events.items():
+            family.add_metric((event,), number)
+        return family
+
+    def _collect_served(self, core: Any) -> Any:
+        family = core.CounterMetricFamily(
+            f'{_PREFIX}served',
+            'Answered statements by the role of the server',
+            labels=_SERVED_LABELS,
+        )
+        for labels, number in self.served.items():
+            family.add_metric(labels, number)
+        return family
+
     def _collect_latency(self, core: Any) -> Any:
         family = core.HistogramMetricFamily(
             f'{_PREFIX}request_seconds',
