Keep a node's open sessions in a module of their own

node/core.py assembled the node and also went through its sessions, with the test for a transaction at rest written out twice. SessionBook does that now, and the test is a property of the session. No behaviour changes.

--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -20,15 +20,16 @@
 from deckdrum.node.lending import Lender
 from deckdrum.node.registration import Registration
 from deckdrum.node.services import ServiceBook
+from deckdrum.node.sessions import SessionBook
 from deckdrum.operations import Request
 from deckdrum.outcomes import Refusal
 from deckdrum.serving import (
     CallerSession,
+    Execution,
     Outcome,
     ServiceRuntime,
     SessionHost,
 )
-from deckdrum.serving.execution import Execution
 from deckdrum.utils import Journal, dial
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.tasks import keep_running
@@ -120,7 +121,7 @@
             self.peers,
             journal,
         )
-        self._sessions: set[CallerSession] = set()
+        self._sessions = SessionBook(journal, counters)
         self._changed = curio.Event()
         self._tasks: list[Any] = []
 
@@ -139,7 +140,7 @@
     @property
     def sessions(self) -> int:
         """Number of open sessions."""
-        return len(self._sessions)
+        return self._sessions.count
 
     @property
     def lent(self) -> int:
@@ -149,7 +150,7 @@
     @property
     def open_transactions(self) -> int:
         """Number of sessions inside a request or a transaction."""
-        return sum(not session.is_at_rest for session in self._sessions)
+        return self._sessions.open_transactions
 
     async def start(self) -> None:
         """Begin to work."""
@@ -215,19 +216,11 @@
 
     async def close_session(self, session: CallerSession) -> None:
         """End a session."""
-        self._sessions.discard(session)
-        await session.close()
+        await self._sessions.close(session)
 
     async def abandon_transactions(self, reason: str) -> None:
         """Roll back every transaction that rests between statements."""
-        for session in list(self._sessions):
-            if not session.is_busy and not session.is_at_rest:
-                self.journal.record(
-                    'transaction.abandoned',
-                    database=session.state.database,
-                    reason=reason,
-                )
-                await session.abandon_transaction(reason)
+        await self._sessions.abandon_transactions(reason)
 
     def find_route(self, database: str) -> Route | None:
         """Return the route in force for a database name."""
@@ -297,12 +290,6 @@
             await curio.sleep(UPKEEP_PAUSE)
             await self.view.forget_removed()
             configuration = self.view.configuration
-            if configuration is None:
-                continue
-            now = await curio.clock()
-            oldest = now - configuration.idle_transaction_limit
-            for session in list(self._sessions):
-                is_resting = not session.is_busy and not session.is_at_rest
-                if is_resting and session.rested_at < oldest:
-                    self.counters.count('idle_transactions')
-                    await session.abandon_transaction('it rested too long')
+            if configuration is not None:
+                limit = configuration.idle_transaction_limit
+                await self._sessions.end_idle(limit)
--- a/deckdrum/serving/__init__.py
+++ b/deckdrum/serving/__init__.py
@@ -1,7 +1,14 @@
 """Serving callers' operations: sessions, routing, retries and transactions."""
 
+from deckdrum.serving.execution import Execution
 from deckdrum.serving.host import Outcome, SessionHost
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.session import CallerSession
 
-__all__ = ['CallerSession', 'Outcome', 'ServiceRuntime', 'SessionHost']
+__all__ = [
+    'CallerSession',
+    'Execution',
+    'Outcome',
+    'ServiceRuntime',
+    'SessionHost',
+]
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -59,6 +59,11 @@
         """Whether no request and no transaction is under way."""
         return not self.is_busy and self.state.transaction is None
 
+    @property
+    def has_resting_transaction(self) -> bool:
+        """Whether a transaction is open and no statement of it runs."""
+        return not self.is_busy and self.state.transaction is not None
+
     async def execute(self, request: Request) -> Outcome:
         """Run an operation and return its outcome."""
         self.is_busy = True
