Move the sources of proof out of the service's runtime

ProofSources in serving/proofs.py does that; the runtime asks it. The doc comment of the sources stands in order again. No behaviour changes.

--- /dev/null
+++ b/deckdrum/serving/proofs.py
@@ -0,0 +1,220 @@
+"""Getting proof that the term of a group's primary has not ended."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
+from typing import Any, Final
+
+import curio
+
+from deckdrum.control import ControlStore, Kind, Member
+from deckdrum.fleet.nodes import NodePeers
+from deckdrum.fleet.questions import AskProof, ProofAnswer
+from deckdrum.leadership.belief import (
+    RENEW_BELOW,
+    VALIDITY,
+    LeadershipBelief,
+)
+from deckdrum.outcomes.errors import StoreError
+from deckdrum.serving.dealing import weigh
+from deckdrum.store.records import GroupRecord
+from deckdrum.utils import Journal
+from deckdrum.utils.counters import Counters
+
+Source = Callable[[], Awaitable[object]]
+#: Nodes of one data centre from which on one of them asks for proof for all:
+#: with fewer, each asking by itself costs as little.
+COLLECTED_FROM: Final = 8
+#: Age of proof up to which it is handed to peers without asking again, in s.
+SHARED_AGE: Final = 0.3
+#: Silence of one source of proof after which the next is asked, in seconds;
+#: several round trips.
+SOURCE_PAUSE: Final = 0.08
+#: Longest wait for proof once every source was asked, in seconds.
+PROOF_LIMIT: Final = 0.3
+#: Pause between two looks for proof that is on its way, in seconds.
+_POLL: Final = 0.005
+
+
+class ProofSources:
+    """Whom a node asks for proof of one group's term.
+
+    Parameters
+    ----------
+    belief : LeadershipBelief
+        Takes the proof.
+    list_questions : callable
+        Returns a question to each replica, the best first.
+    store : ControlStore
+        Asked when the replicas give none.
+    peers : NodePeers
+        The other nodes, asked last, or first where there are many.
+    journal : Journal
+        For a store that gives none.
+    counters : Counters
+        For metrics.
+    """
+
+    def __init__(
+        self,
+        belief: LeadershipBelief,
+        list_questions: Callable[[], list[Source]],
+        store: ControlStore,
+        peers: NodePeers,
+        journal: Journal,
+        counters: Counters,
+    ) -> None:
+        self._belief = belief
+        self._list_questions = list_questions
+        self._store = store
+        self._peers = peers
+        self._journal = journal
+        self._counters = counters
+        #: The node of this data centre that is asked for proof, if any.
+        self._collector: Member | None = None
+        self._renewing: Any = None
+
+    def pick_collector(
+        self,
+        own: Member,
+        members: Mapping[str, Member],
+        staying: Mapping[str, str],
+    ) -> None:
+        """Pick the node of this data centre that is asked first, if any.
+
+        `staying` has the data centres of the nodes that are to stay.
+        """
+        name = self._belief.service
+        self._collector = _pick_collector(name, own, members, staying)
+
+    async def tell_age(self, term: int) -> float:
+        """Return the age of this node's proof in seconds; -1 without any."""
+        age = self._belief.read_age(await curio.clock())
+        if age > SHARED_AGE:
+            await self.renew(VALIDITY - SHARED_AGE)
+            age = self._belief.read_age(await curio.clock())
+        has_proof = self._belief.has_primary and self._belief.term == term
+        return max(0, age) if has_proof and age < VALIDITY else -1
+
+    async def renew(self, wanted: float = RENEW_BELOW) -> bool:
+        """Get proof that the term has not ended; tell whether there is.
+
+        Callers that come meanwhile wait for the same proof.
+
+        Parameters
+        ----------
+        wanted : float
+            For how long it should be good, in seconds.
+        """
+        if self._renewing is None:
+            self._renewing = await curio.spawn(
+                self._renew,
+                wanted,
+                daemon=True,
+            )
+        task = self._renewing
+        try:
+            await task.wait()
+        finally:
+            if self._renewing is task and task.terminated:
+                self._renewing = None
+        return self._belief.is_valid(await curio.clock())
+
+    async def renew_early(self, now: float) -> None:
+        """Begin to get fresh proof if the present one ends soon."""
+        remaining = self._belief.read_valid_until() - now
+        if remaining < RENEW_BELOW and self._renewing is None:
+            self._renewing = await curio.spawn(
+                self._renew,
+                RENEW_BELOW,
+                daemon=True,
+            )
+
+    async def _renew(self, good_for: float) -> None:
+        """Ask replicas, then the store and the nodes, until one has proof.
+
+        Where a data centre has many nodes, all but one ask that one first.
+        The next source is asked while the one before is silent.
+        """
+        sources = [
+            *self._list_questions(),
+            self._prove_by_store,
+            self._prove_by_nodes,
+        ]
+        if self._collector is not None:
+            sources.insert(0, self._prove_by_collector)
+        wanted = await curio.clock() + good_for
+        try:
+            for source in sources:
+                task = await curio.spawn(source, daemon=True)
+                async with curio.ignore_after(SOURCE_PAUSE):
+                    await task.wait()
+                if self._belief.read_valid_until() >= wanted:
+                    return
+            async with curio.ignore_after(PROOF_LIMIT):
+                while self._belief.read_valid_until() < wanted:
+                    await curio.sleep(_POLL)
+        finally:
+            self._renewing = None
+
+    async def _prove_by_collector(self) -> None:
+        collector = self._collector
+        if collector is None:
+            return
+        term = self._belief.term
+        asked_at = await curio.clock()
+        answer = await self._peers.ask(
+            collector.endpoint,
+            AskProof(self._belief.service, term),
+        )
+        if isinstance(answer, ProofAnswer) and answer.age >= 0:
+            # The peer's proof is from before the answer, so at most this
+            # much older than the question.
+            self._belief.note_agreement(term, asked_at - answer.age)
+            self._counters.count('proofs_by_collector')
+
+    async def _prove_by_nodes(self) -> None:
+        term = self._belief.term
+        asked_at = await curio.clock()
+        if await self._peers.ask_agreement(self._belief.service, term):
+            self._belief.note_agreement(term, asked_at)
+            self._counters.count('proofs_by_nodes')
+
+    async def _prove_by_store(self) -> None:
+        asked_at = await curio.clock()
+        try:
+            entry = await self._store.fetch(
+                Kind.LEADERSHIP, self._belief.service
+            )
+        except StoreError as error:
+            self._journal.record(
+                'leadership.no_proof',
+                service=self._belief.service,
+                reason=str(error),
+            )
+            return
+        record = None if entry is None else entry.record
+        if record is None or isinstance(record, GroupRecord):
+            revision = 0 if entry is None else entry.revision
+            await self._belief.note_store(revision, record, asked_at)
+
+
+def _pick_collector(
+    service: str,
+    own: Member,
+    members: Mapping[str, Member],
+    staying: Mapping[str, str],
+) -> Member | None:
+    """Return the node of this data centre that asks for proof for others.
+
+    Returns
+    -------
+    Member or None
+        None for that node itself, and where there are few nodes.
+    """
+    near = [
+        name for name, centre in staying.items() if centre == own.data_centre
+    ]
+    if len(near) < COLLECTED_FROM:
+        return None
+    first = min(near, key=partial(weigh, service))
+    return None if first == own.name else members.get(first)
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -1,43 +1,30 @@
 """One database group as a node serves it."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
-from typing import Any, Final
+from typing import Final
 
 import curio
 
 from deckdrum.backends import BackendServer, ServerStatus
 from deckdrum.backends.history import History
-from deckdrum.control import (
-    ControlStore,
-    Kind,
-    Member,
-    Route,
-    ServiceDeclaration,
-)
+from deckdrum.control import ControlStore, Member, Route, ServiceDeclaration
 from deckdrum.fleet.borrowing import SharedBackend
 from deckdrum.fleet.nodes import NodePeers
-from deckdrum.fleet.questions import AskProof, ProofAnswer
-from deckdrum.leadership.belief import (
-    RENEW_BELOW,
-    VALIDITY,
-    LeadershipBelief,
-)
+from deckdrum.leadership.belief import LeadershipBelief
 from deckdrum.members import GroupShare
-from deckdrum.outcomes.errors import StoreError
 from deckdrum.serving.dealing import (
     BORROWED_CONNECTIONS,
     USEFUL_CONNECTIONS,
     deal_connections,
     weigh,
 )
+from deckdrum.serving.proofs import ProofSources, Source
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.sessions import Position
-from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 
-_Source = Callable[[], Awaitable[object]]
 #: Weight of a group of callers by the priority of its route; 0 is the most
 #: urgent.  Twice the weight gets twice the connections when all wait.
 PRIORITY_WEIGHTS: Final = (4.0, 2.0, 1.0)
@@ -45,16 +32,6 @@
 MAX_WAITING: Final = 64
 #: Pause between two rounds of questions to all servers, in seconds.
 DISCOVERY_PAUSE: Final = 0.05
-#: Nodes of one data centre from which on one of them asks for proof for all:
-#: with fewer, each asking by itself costs as little.
-COLLECTED_FROM: Final = 8
-#: Age of proof up to which it is handed to peers without asking again, in s.
-SHARED_AGE: Final = 0.3
-#: Silence of one source of proof after which the next is asked, in seconds;
-#: several round trips.
-SOURCE_PAUSE: Final = 0.08
-#: Longest wait for proof once every source was asked, in seconds.
-PROOF_LIMIT: Final = 0.3
 #: Longest wait for statements under way when a term ends, in seconds; most
 #: statements take 6 to 60 ms.
 FINISH_LIMIT: Final = 0.12
@@ -102,13 +79,15 @@
         #: Statements at the primary that have no answer yet.
         self.in_flight = 0
         self._make_backend = make_backend
-        self._store = store
-        self._agree = peers.ask_agreement
-        self._ask_peer = peers.ask
-        #: The node of this data centre that is asked for proof, if any.
-        self._collector: Member | None = None
+        self._proofs = ProofSources(
+            self.belief,
+            self._list_questions,
+            store,
+            peers,
+            journal,
+            counters,
+        )
         self._shares: dict[str, GroupShare] = {}
-        self._renewing: Any = None
         #: What the connections were last dealt for.
         self._dealt: tuple[int, dict[str, str], set[str]] | None = None
         self._discovered_at = float('-inf')
@@ -170,7 +149,7 @@
         if dealt == self._dealt:
             return
         self._dealt = dealt
-        self._collector = _pick_collector(self.name, own, members, staying)
+        self._proofs.pick_collector(own, members, staying)
         for name, handle in self.servers.items():
             deal = deal_connections(name, staying, limit)
             lenders = [
@@ -278,7 +257,7 @@
             now = await curio.clock()
             primary = self.primary
             if primary is not None and self.belief.is_valid(now):
-                await self._renew_early(now)
+                await self._proofs.renew_early(now)
                 return primary
             if now >= deadline:
                 return None
@@ -291,34 +270,11 @@
 
     async def tell_proof(self, term: int) -> float:
         """Return the age of this node's proof in seconds; -1 without any."""
-        age = self.belief.read_age(await curio.clock())
-        if age > SHARED_AGE:
-            await self.prove(VALIDITY - SHARED_AGE)
-            age = self.belief.read_age(await curio.clock())
-        has_proof = self.belief.has_primary and self.belief.term == term
-        return max(0, age) if has_proof and age < VALIDITY else -1
-
-    async def prove(self, wanted: float = RENEW_BELOW) -> bool:
-        """Get proof that the term has not ended; share the work.
-
-        Parameters
-        ----------
-        wanted : float
-            For how long it should be good, in seconds.
-        """
-        if self._renewing is None:
-            self._renewing = await curio.spawn(
-                self._prove,
-                wanted,
-                daemon=True,
-            )
-        task = self._renewing
-        try:
-            await task.wait()
-        finally:
-            if self._renewing is task and task.terminated:
-                self._renewing = None
-        return self.belief.is_valid(await curio.clock())
+        return await self._proofs.tell_age(term)
+
+    async def prove(self) -> bool:
+        """Get proof that the term has not ended; tell whether there is."""
+        return await self._proofs.renew()
 
     async def close_term(self, term: int, may_finish: bool) -> None:
         """End a term and release no change of it that is answered later.
@@ -337,113 +293,19 @@
         for handle in self.servers.values():
             await handle.pool.close_idle()
 
-    async def _look_for_primary(self, limit: float) -> None:
-        if self.belief.term and not self.belief.has_primary:
-            # Whoever changes the primary announces it.
-            await self.belief.wait_changed(min(DISCOVERY_PAUSE, limit))
-        await self.discover()
-
-    async def _renew_early(self, now: float) -> None:
-        remaining = self.belief.read_valid_until() - now
-        if remaining < RENEW_BELOW and self._renewing is None:
-            self._renewing = await curio.spawn(
-                self._prove,
-                RENEW_BELOW,
-                daemon=True,
-            )
-
-    async def _prove(self, good_for: float) -> None:
-        """Ask replicas, then the store and the nodes, until one has proof.
-
-        Where a data centre has many nodes, all but one ask that one first.
-
-        The next source is asked while the one before is silent.
-        """
+    def _list_questions(self) -> list[Source]:
+        """Return a question to each replica, the best first."""
         ranked = sorted(
             self.replicas,
             key=lambda handle: (handle.silent_at, handle.load),
         )
-        sources: list[_Source] = [
-            *(partial(self.ask, handle) for handle in ranked),
-            self._prove_by_store,
-            self._prove_by_nodes,
-        ]
-        if self._collector is not None:
-            sources.insert(0, self._prove_by_collector)
-        wanted = await curio.clock() + good_for
-        try:
-            for source in sources:
-                task = await curio.spawn(source, daemon=True)
-                async with curio.ignore_after(SOURCE_PAUSE):
-                    await task.wait()
-                if self.belief.read_valid_until() >= wanted:
-                    return
-            async with curio.ignore_after(PROOF_LIMIT):
-                while self.belief.read_valid_until() < wanted:
-                    await curio.sleep(_FINISH_POLL)
-        finally:
-            self._renewing = None
-
-    async def _prove_by_collector(self) -> None:
-        collector = self._collector
-        if collector is None:
-            return
-        term = self.belief.term
-        asked_at = await curio.clock()
-        answer = await self._ask_peer(
-            collector.endpoint,
-            AskProof(self.name, term),
-        )
-        if isinstance(answer, ProofAnswer) and answer.age >= 0:
-            # The peer's proof is from before the answer, so at most this
-            # much older than the question.
-            self.belief.note_agreement(term, asked_at - answer.age)
-            self.counters.count('proofs_by_collector')
-
-    async def _prove_by_nodes(self) -> None:
-        term = self.belief.term
-        asked_at = await curio.clock()
-        if await self._agree(self.name, term):
-            self.belief.note_agreement(term, asked_at)
-            self.counters.count('proofs_by_nodes')
+        return [partial(self.ask, handle) for handle in ranked]
 
-    async def _prove_by_store(self) -> None:
-        asked_at = await curio.clock()
-        try:
-            entry = await self._store.fetch(Kind.LEADERSHIP, self.name)
-        except StoreError as error:
-            self.journal.record(
-                'leadership.no_proof',
-                service=self.name,
-                reason=str(error),
-            )
-            return
-        record = None if entry is None else entry.record
-        if record is None or isinstance(record, GroupRecord):
-            revision = 0 if entry is None else entry.revision
-            await self.belief.note_store(revision, record, asked_at)
-
-
-def _pick_collector(
-    service: str,
-    own: Member,
-    members: Mapping[str, Member],
-    staying: Mapping[str, str],
-) -> Member | None:
-    """Return the node of this data centre that asks for proof for others.
-
-    Returns
-    -------
-    Member or None
-        None for that node itself, and where there are few nodes.
-    """
-    near = [
-        name for name, centre in staying.items() if centre == own.data_centre
-    ]
-    if len(near) < COLLECTED_FROM:
-        return None
-    first = min(near, key=partial(weigh, service))
-    return None if first == own.name else members.get(first)
+    async def _look_for_primary(self, limit: float) -> None:
+        if self.belief.term and not self.belief.has_primary:
+            # Whoever changes the primary announces it.
+            await self.belief.wait_changed(min(DISCOVERY_PAUSE, limit))
+        await self.discover()
 
 
 def _rank_lender(own: Member, lender: Member) -> tuple[bool, bytes]:
