Store and read a record back in one place

Three callers stored a record, built its entry and gave it to the view: the claim of a change, the registration of a node and the noting of lost nodes. ControlView.put and ControlView.fetch do that. The view takes over the record that was stored; the registration gave it the node's record as it was after the answer, which differs if the node began to leave meanwhile. The line member.gone follows member.listed now. Nothing else changes.

--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -25,6 +25,7 @@
     Record,
 )
 from deckdrum.outcomes.errors import StoreError
+from deckdrum.store.objects import Stored
 from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
 
@@ -172,6 +173,45 @@
         """Take over one record, such as one that this node has written."""
         await self._adopt_entries(kind, (entry,))
 
+    async def put(
+        self,
+        kind: Kind,
+        name: str,
+        record: GroupRecord | Member,
+        revision: int,
+    ) -> int | None:
+        """Store a record if it still has `revision`, and take it over.
+
+        Returns
+        -------
+        int or None
+            The record's new revision; None if it had another one.
+
+        Raises
+        ------
+        StoreError
+            If no answer came: the record may have been stored.
+        """
+        outcome = await self.store.put(kind, name, record, revision)
+        if not isinstance(outcome, Stored):
+            return None
+        entry = Entry(name, outcome.version, record)
+        await self.adopt_entry(kind, entry)
+        return outcome.version
+
+    async def fetch(self, kind: Kind, name: str) -> Entry | None:
+        """Read a record from the store, and take it over if there is one.
+
+        Raises
+        ------
+        StoreError
+            If no answer came.
+        """
+        entry = await self.store.fetch(kind, name)
+        if entry is not None:
+            await self.adopt_entry(kind, entry)
+        return entry
+
     async def adopt_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force if it is newer; tell whether it was."""
         if configuration.version <= self.version:
--- a/deckdrum/leadership/claims.py
+++ b/deckdrum/leadership/claims.py
@@ -5,11 +5,10 @@
 
 import curio
 
-from deckdrum.control import Entry, Kind
+from deckdrum.control import Kind
 from deckdrum.leadership.changes import ChangeReport, ChangeTools, Claim
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.serving.service import ServiceRuntime
-from deckdrum.store.objects import Stored
 from deckdrum.store.records import GroupRecord, Phase
 
 #: How long a claim may be used to promote, in seconds.  Another node takes a
@@ -117,7 +116,7 @@
         """Store a record conditionally; return its new revision if done."""
         name = self._runtime.name
         try:
-            outcome = await self._tools.store.put(
+            stored = await self._tools.view.put(
                 Kind.LEADERSHIP,
                 name,
                 record,
@@ -130,22 +129,18 @@
                 reason=str(error),
             )
             return await self._read_back(record)
-        if not isinstance(outcome, Stored):
-            return await self._read_back(record)
-        entry = Entry(name, outcome.version, record)
-        await self._tools.view.adopt_entry(Kind.LEADERSHIP, entry)
-        return outcome.version
+        return await self._read_back(record) if stored is None else stored
 
     async def _read_back(self, record: GroupRecord) -> int | None:
         """Tell whether an update without an answer took effect."""
         try:
-            entry = await self._tools.store.fetch(
-                Kind.LEADERSHIP, self._runtime.name
+            entry = await self._tools.view.fetch(
+                Kind.LEADERSHIP,
+                self._runtime.name,
             )
         except StoreError:
             # Whoever reads the store later sees what became of it.
             return None
-        if entry is None:
+        if entry is None or entry.record != record:
             return None
-        await self._tools.view.adopt_entry(Kind.LEADERSHIP, entry)
-        return entry.revision if entry.record == record else None
+        return entry.revision
--- a/deckdrum/node/care.py
+++ b/deckdrum/node/care.py
@@ -10,12 +10,11 @@
 import curio
 from msgspec.structs import replace
 
-from deckdrum.control import ControlStore, ControlView, Entry, Kind, Member
+from deckdrum.control import ControlView, Kind, Member
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.nodes import NodePeers
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.serving.dealing import weigh
-from deckdrum.store.objects import Stored
 from deckdrum.utils import Journal
 
 #: Pause between two rounds of questions, in seconds.
@@ -36,9 +35,7 @@
     node : str
         This node.
     view : ControlView
-        Knows the members.
-    store : ControlStore
-        Where a node is noted as gone.
+        Knows the members, and notes a node as gone.
     peers : NodePeers
         The other nodes.
     journal : Journal
@@ -49,13 +46,11 @@
         self,
         node: str,
         view: ControlView,
-        store: ControlStore,
         peers: NodePeers,
         journal: Journal,
     ) -> None:
         self._node = node
         self._view = view
-        self._store = store
         self._peers = peers
         self._journal = journal
         #: Since when a node has not answered, in kernel seconds.
@@ -113,7 +108,7 @@
             return
         gone = replace(entry.record, is_gone=True)
         try:
-            outcome = await self._store.put(
+            noted = await self._view.put(
                 Kind.MEMBERS,
                 name,
                 gone,
@@ -122,11 +117,9 @@
         except StoreError as error:
             self._journal.record('member.not_noted', reason=str(error))
             return
-        if isinstance(outcome, Stored):
+        if noted is not None:
             self._silent_since.pop(name, None)
             self._journal.record('member.gone', member=name)
-            noted = Entry(name, outcome.version, gone)
-            await self._view.adopt_entry(Kind.MEMBERS, noted)
 
 
 def _rank(name: str) -> bytes:
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -117,7 +117,6 @@
         self._care = MemberCare(
             settings.name,
             self.view,
-            store,
             self.peers,
             journal,
         )
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -9,7 +9,6 @@
 from deckdrum.control import ControlStore, ControlView, Entry, Kind, Member
 from deckdrum.fleet.settings import NodeSettings
 from deckdrum.outcomes.errors import StoreError
-from deckdrum.store.objects import Stored
 from deckdrum.utils import Journal
 
 #: Pause between two looks at the own registration, in seconds.
@@ -91,7 +90,7 @@
     async def _register(self, known: Entry | None) -> None:
         revision = known.revision if known else 0
         try:
-            outcome = await self._store.put(
+            stored = await self._view.put(
                 Kind.MEMBERS,
                 self._settings.name,
                 self._member,
@@ -100,18 +99,13 @@
         except StoreError as error:
             self._journal.record('member.not_registered', reason=str(error))
             return
-        if isinstance(outcome, Stored):
-            entry = Entry(self._settings.name, outcome.version, self._member)
-            await self._view.adopt_entry(Kind.MEMBERS, entry)
-        else:
+        if stored is None:
             await self._read_own()
 
     async def _read_own(self) -> None:
         """Take over what lies under the own name."""
         try:
-            entry = await self._store.fetch(Kind.MEMBERS, self._settings.name)
+            await self._view.fetch(Kind.MEMBERS, self._settings.name)
         except StoreError:
             # The next look tries again.
             return
-        if entry is not None:
-            await self._view.adopt_entry(Kind.MEMBERS, entry)
