Tidy the stand-in of the store and constants of tests

One page of a list has a function of its own; a time stood in two modules; constants of the test deployments say what they are, and the attributes of the store's stand-in are explained. No behaviour changes.

--- a/deckdrum/fleet/detours.py
+++ b/deckdrum/fleet/detours.py
@@ -16,10 +16,10 @@
 from deckdrum.fleet.questions import DetourOpened, OpenDetour
 from deckdrum.utils import Address, Journal, Stream, dial
 
+Dial = Callable[[Address, float], Awaitable[Stream]]
 #: Detours that a node carries for others at a time; each is one connection to
 #: a server out of the share of the node that asked for it.
 MOST_DETOURS: Final = 64
-Dial = Callable[[Address, float], Awaitable[Stream]]
 #: Longest wait for the server when a peer asks, in seconds.
 DIAL_LIMIT: Final = 0.3
 
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -9,11 +9,9 @@
 from deckdrum.standins.users.connections import Connection, remember
 from deckdrum.standins.users.lines import read_line
 from deckdrum.standins.users.records import Entry, Ran
-from deckdrum.standins.users.store import StandinStore
+from deckdrum.standins.users.store import FOREVER, StandinStore
 from deckdrum.utils import Address, Listener, Stream
 
-#: Longer than any test runs, in seconds.
-_FOREVER: Final = 3600.0
 PRIMARY: Final = 'primary'
 REPLICA: Final = 'replica'
 #: Statements that take the database's time, so that a fault can hit them.
@@ -191,7 +189,7 @@
 
     async def _stay_dark(self) -> None:
         if self.is_dark:
-            await curio.sleep(_FOREVER)
+            await curio.sleep(FOREVER)
 
     async def _open(self, stream: Stream, line: str) -> bool:
         await self._stay_dark()
@@ -219,7 +217,7 @@
             answer = await self._run(connection, request_id, text)
         if is_work and self.lost_answers:
             self.lost_answers -= 1
-            await curio.sleep(_FOREVER)
+            await curio.sleep(FOREVER)
         ready = f'READY {connection.state} {self.log_end}\r\n'
         await connection.stream.send((answer + ready).encode())
 
--- a/deckdrum/standins/users/store.py
+++ b/deckdrum/standins/users/store.py
@@ -36,7 +36,7 @@
 _CONFLICT: Final = 409
 _GONE: Final = 410
 #: Longer than any test runs, in seconds.
-_FOREVER: Final = 3600.0
+FOREVER: Final = 3600.0
 _Object = dict[str, Any]
 _ByName = dict[str, _Object]
 
@@ -63,6 +63,10 @@
         What is wrong for everybody.
     turned_away : dict of str to StoreFault
         What is wrong for single machines, by the name of their door.
+    revision : int
+        Counts the changes of all objects.
+    calls : Counter of str
+        Calls by their HTTP method.
     """
 
     page: int = 500
@@ -145,7 +149,7 @@
         if fault is StoreFault.RESET:
             return None
         if fault is StoreFault.SILENT:
-            await curio.sleep(_FOREVER)
+            await curio.sleep(FOREVER)
             return None
         status = _FAULT_STATUS.get(fault)
         if status is not None:
@@ -173,9 +177,14 @@
             return Reply.from_json(stored)
         if 'watch' in request.query:
             return await self._watch(request, kind)
+        return self._list(request, kind)
+
+    def _list(self, request: Request, kind: str) -> Reply:
+        """Return one page of a list."""
         after = request.query.get('after', '')
-        names = sorted(each for each in self._list_names(kind) if each > after)
-        shown = [self._stored[kind][each] for each in names[: self.page]]
+        known = self._stored.get(kind, {})
+        names = sorted(name for name in known if name > after)
+        shown = [known[name] for name in names[: self.page]]
         return Reply.from_json(
             {
                 'items': shown,
@@ -184,9 +193,6 @@
             },
         )
 
-    def _list_names(self, kind: str) -> list[str]:
-        return list(self._stored.get(kind, {}))
-
     async def _watch(self, request: Request, kind: str) -> Reply:
         since = int(request.query['watch'])
         wait = int(request.query.get('waitMs') or 0) / _MS
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -38,9 +38,11 @@
 _PLACE: Final = divmod(os.getpid() % _OCTET**2, _OCTET)
 _HOST: Final = f'127.1.{_PLACE[0]}.{_PLACE[1] + 1}'
 _PORTS: Final = itertools.count(_FIRST_PORT)
+#: Pause between two looks at a condition that is waited for, in seconds.
 _POLL: Final = 0.02
 #: Longer than a node needs to learn of the others, in seconds.
 SETTLE: Final = 1.5
+#: Longest wait for a condition and for a whole answer, in seconds.
 _START_LIMIT: Final = 5.0
 _ANSWER_LIMIT: Final = 6.0
 
