--- a/deckdrum/leadership/changes.py
+++ b/deckdrum/leadership/changes.py
@@ -60,8 +60,9 @@
 class Consent:
     """Which nodes have stopped to use a term; dead processes count.
 
-    Without most of them nothing is changed: nodes that all agree that a
-    term goes on must include one that has consented to its end.
+    Without more than half of the registered nodes nothing is changed.  The
+    agreement that a term goes on asks for more than half too; so it includes
+    one that has consented to the term's end.
     """
 
     has_most: bool
