Mend what the tidying found by reading

Cause: a list of several pages took the revision of its last page, so a record that changed meanwhile on an earlier one was missed; a watch could set back the revision that a peer had told; slow current reads spent the budget of retries without a retry; a planned change without consent left the term ended until it was taken up again; a member that came back under another address was not dealt anew; a store that forgets its history each time was asked without pause. Change: as many small ones.

--- a/deckdrum/control/tests/test_view.py
+++ b/deckdrum/control/tests/test_view.py
@@ -153,3 +153,19 @@
         assert deployment.nodes[0].node.services[SERVICE].servers
 
     play(scenario)
+
+
+def test_record_that_changes_between_two_pages_is_not_missed() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        """The second page is read, its record changes, then the third."""
+        deployment.store.page = 1
+        store = deployment.nodes[0].store
+        second = sorted(deployment.group.servers)[1]
+        listing = await curio.spawn(store.list_records, Kind.SERVERS)
+        await curio.sleep(deployment.store.delay * 2.5)
+        await deployment.group.servers[second].drain()
+        found = await listing.join()
+        changes = await store.watch(Kind.SERVERS, found.revision, 0.1)
+        assert second in {entry.name for entry in changes.entries}
+
+    play(scenario)
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -144,6 +144,7 @@
                     'store.history_gone', kind=kind, reason=str(error)
                 )
                 is_listed = False
+                await curio.sleep(FIRST_PAUSE * self._randomness.random())
                 continue
             except StoreError as error:
                 self._note_reachable(kind, False, str(error))
@@ -248,7 +249,9 @@
             return
         since = self._revisions[kind]
         changes = await self.store.watch(kind, since, WATCH_WAIT)
-        self._revisions[kind] = max(since, changes.revision)
+        # A peer may have told more meanwhile.
+        known = max(self._revisions[kind], changes.revision)
+        self._revisions[kind] = known
         await self._adopt_entries(kind, changes.entries)
 
     async def _adopt_entries(
--- a/deckdrum/leadership/changes.py
+++ b/deckdrum/leadership/changes.py
@@ -22,7 +22,8 @@
     """One change of primary.
 
     `takes_over` tells that another node has left it undone; `phases` maps
-    steps to their end, in seconds.
+    steps to their end, in seconds.  Once the former primary may have stepped
+    down, its term cannot go on.
     """
 
     service: str
@@ -32,6 +33,7 @@
     takes_over: bool = False
     term: int = 0
     promoted: str = ''
+    has_stepped_down: bool = False
     phases: dict[str, float] = field(default_factory=dict)
 
     async def note(self, phase: str) -> None:
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -131,6 +131,7 @@
         final = None
         former = self._runtime.servers.get(report.former)
         if former is not None and report.is_planned:
+            report.has_stepped_down = True
             status = await former.instruct('step_down', term)
             final = None if status is None else status.received
             await self._catch_up(final, report.former)
@@ -204,7 +205,7 @@
         """Let the old term go on: nobody was told to lead the next one."""
         for handle in list(self._runtime.servers.values()):
             await handle.instruct('release_hold')
-        if not report.is_planned:
+        if not report.has_stepped_down:
             await self._claims.undo(report, claim)
         self._log('leadership.change_given_up', report, report.reason)
         return False
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -479,3 +479,20 @@
     return sum(
         running.node.counters.events[event] for running in deployment.nodes
     )
+
+
+def test_planned_change_without_consent_lets_the_term_go_on() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        for number in (1, 2):
+            deployment.nodes[number].node.peers.answer = _stay_silent
+        primary = deployment.group.primary
+        node = deployment.nodes[0].node
+        change = Promotion(node.services[SERVICE], node.tools)
+        report = ChangeReport(SERVICE, primary.name, 'leaving', True)
+        assert not await change.drive(report)
+        assert await _write_until_done(client, 2) < 1
+        assert deployment.group.primary is primary
+
+    play(scenario)
--- a/deckdrum/platform/store.py
+++ b/deckdrum/platform/store.py
@@ -72,15 +72,21 @@
         self._counters = counters
 
     async def list_records(self, kind: Kind) -> Listing:
-        """Return every record of a kind, page by page."""
+        """Return every record of a kind, page by page.
+
+        The revision is that of the first page: what changes on it while the
+        others are read is told by the watch from there.
+        """
         entries: list[Entry] = []
         path = _locate(kind)
+        revision = 0
         while True:
             reply = await self._call(Request('GET', path))
             page = _decode(_check(reply), ObjectList)
             entries.extend(self._decode_all(kind, page.found))
+            revision = revision or page.current_rev
             if not page.more_pages or not page.found:
-                return Listing(page.current_rev, tuple(entries))
+                return Listing(revision, tuple(entries))
             last = page.found[-1].meta.name
             path = f'{_locate(kind)}?{urlencode({"after": last})}'
 
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from deckdrum.control import Route
+from deckdrum.control import Guarantee, Route
 from deckdrum.operations import Answer, Begin, Effect, Rejection, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
@@ -146,7 +146,17 @@
         await self.runtime.admit_group(route)
         now = await curio.clock()
         limit = route.statement_limit - ANSWER_MARGIN
-        return Search(request, state, begin, is_read, now, now + limit)
+        # Current reads run on the primary alone.
+        is_current = route.guarantee is Guarantee.CURRENT
+        return Search(
+            request,
+            state,
+            begin,
+            is_read,
+            is_read and not is_current,
+            now,
+            now + limit,
+        )
 
     async def _search_to_end(
         self,
@@ -291,7 +301,7 @@
         ]
         for handle in silent:
             self.runtime.report_trouble(handle)
-        if not search.is_read or search.running >= MAX_RUNNING:
+        if not search.may_spread or search.running >= MAX_RUNNING:
             return False
         is_silent = bool(silent)
         half_time = (search.deadline - began) * LOST_ANSWER_PART
--- a/deckdrum/serving/searches.py
+++ b/deckdrum/serving/searches.py
@@ -29,6 +29,8 @@
         Opens a transaction before the statement.
     is_read : bool
         Whether the statement changes nothing.
+    may_spread : bool
+        Whether several servers may work on it at a time.
     began, deadline : float
         When the search began and must end, in kernel seconds.
     tries : int
@@ -51,6 +53,7 @@
     state: SessionState
     begin: Begin | None
     is_read: bool
+    may_spread: bool
     began: float
     deadline: float
     tries: int = 0
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -89,7 +89,7 @@
         )
         self._shares: dict[str, GroupShare] = {}
         #: What the connections were last dealt for.
-        self._dealt: tuple[int, dict[str, str], set[str]] | None = None
+        self._dealt: tuple[int, dict[str, Member], set[str]] | None = None
         self._discovered_at = float('-inf')
 
     @property
@@ -145,7 +145,7 @@
         }
         staying[own.name] = own.data_centre
         limit = declaration.max_connections
-        dealt = (limit, staying, set(self.servers))
+        dealt = (limit, dict(members), set(self.servers))
         if dealt == self._dealt:
             return
         self._dealt = dealt
--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -5,10 +5,12 @@
 import curio
 import pytest
 
+from deckdrum.serving.retries import RETRY_RESERVE
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
     OWN,
+    SERVICE,
     Deployment,
     build_config,
     play,
@@ -281,3 +283,17 @@
         assert len(deployment.group.ran) == 1
 
     play(scenario, work=0.9)
+
+
+def test_slow_current_reads_spend_no_retries() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        node = deployment.nodes[0].node
+        execution = node.find_execution(SERVICE)
+        assert execution is not None
+        for _ in range(3):
+            assert (await client.ask('READ a')).is_done
+        assert execution._budget.take()
+        assert execution._budget._left == RETRY_RESERVE - 1
+
+    play(scenario, work=1.5)
