--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -43,6 +43,9 @@
 #: Longer than a node needs to learn of the others, in seconds.
 SETTLE: Final = 1.5
 #: Longest wait for a condition and for a whole answer, in seconds.
+#: Longest time of a caller that writes until it succeeds, in seconds.
+WRITE_LIMIT: Final = 8.0
+_WRITE_PAUSE: Final = 0.05
 _START_LIMIT: Final = 5.0
 _ANSWER_LIMIT: Final = 6.0
 
@@ -141,6 +144,15 @@
                     reply.end = word
                     reply.text = rest
 
+    async def write_until_done(self, limit: float = WRITE_LIMIT) -> float:
+        """Write until it succeeds; return how long that took in seconds."""
+        began: float = await curio.clock()
+        async with curio.timeout_after(limit):
+            while not (await self.ask('WRITE a 1')).is_done:
+                await curio.sleep(_WRITE_PAUSE)
+        ended: float = await curio.clock()
+        return ended - began
+
     async def close(self) -> None:
         """Close the connection."""
         await self.stream.close()
