Replace a primary that left while no change could be claimed

Cause: read in the claims: a change is outdated if the record names another primary than the one that was found lost; once the lost one had left the directory, while the store was away, no name was known any more and every change counted as outdated for ever. Change: the record's primary is the one to replace then.

--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -144,7 +144,9 @@
         wait = UNKNOWN_LIMIT + self._rank() * RANK_PAUSE
         if now - self._without_since < wait:
             return LOOK_PAUSE
-        former = self._runtime.belief.primary
+        record = self._runtime.belief.record
+        recorded = '' if record is None else record.primary
+        former = self._runtime.belief.primary or recorded
         if await self._is_led_elsewhere(former):
             return RETRY_PAUSE
         return await self._change(former, 'no server says that it leads')
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -315,3 +315,22 @@
         )
 
     play(scenario)
+
+
+def test_primary_that_left_while_the_store_was_away_is_replaced() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        """The record still names the one that has left."""
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        await deployment.group.primary.crash()
+        await client.write_until_done()
+        await curio.sleep(1)
+        second = deployment.group.primary
+        deployment.store.fault = StoreFault.BUSY
+        await second.crash()
+        await deployment.store.drop('servers', second.name)
+        await curio.sleep(6)
+        deployment.store.fault = StoreFault.NONE
+        assert await client.write_until_done(12) < 6
+
+    play(scenario)
