Take a loaded primary neither for lost nor for cut off

A question that a loaded primary refused (BUSY, or no room for a connection) counted as silence; peers that were asked answered no, since their own question was refused too; a primary was replaced while it worked. A late answer led to a detour, which opened further connections to the server that had no room; and each of 70 peers that were asked put a question of its own to that server, 3,630 times in 9 s on one node.

Change: a refusal is an answer. A peer whose traffic the primary has answered in the last 0.3 s says so without asking; those who ask at the same time share one question. A detour is taken only where no connection can be opened.

Ruled out: the crash itself (its group was replaced once, 1.3 s after it).

--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -26,6 +26,9 @@
 #: Longest wait for the answer to the question after a silence, in seconds.
 #: A loaded server answers late; both together must be longer than its queue.
 LOSS_LIMIT: Final = 0.3
+#: Longest wait for a connection that tells a cut link from a loaded server, in
+#: seconds; several round trips.
+PATH_LIMIT: Final = 0.2
 #: Nodes that ask every other one at the first sign of a loss; the others ask
 #: a few, so that the questions do not grow with the square of the nodes.
 FIRST_RANKS: Final = 2
@@ -168,28 +171,36 @@
 
     async def _look_at_trouble(self, primary: ServerHandle) -> float:
         """Make sure that the primary is lost, and have it replaced."""
-        if await primary.ask_status(LOSS_LIMIT) is not None:
+        if await self._answers(primary):
             return LOOK_PAUSE
         rank = self._rank()
-        if await self._find_detour(primary, everybody=rank < FIRST_RANKS):
+        if await self._is_reached(primary, everybody=rank < FIRST_RANKS):
             return LOOK_PAUSE
         if rank:
             await curio.sleep(rank * RANK_PAUSE)
             if self._runtime.primary is not primary:
                 return 0
-            if await self._find_detour(primary, everybody=True):
+            if await self._answers(primary):
+                return LOOK_PAUSE
+            if await self._is_reached(primary, everybody=True):
                 return LOOK_PAUSE
         return await self._change(primary.id, 'the primary does not answer')
 
-    async def _find_detour(
+    async def _answers(self, primary: ServerHandle) -> bool:
+        """Tell whether a server answers this node anything at all."""
+        asked_at = await curio.clock()
+        status = await primary.ask_status(LOSS_LIMIT)
+        return status is not None or primary.has_answered(asked_at)
+
+    async def _is_reached(
         self,
         primary: ServerHandle,
         *,
         everybody: bool,
     ) -> bool:
-        """Reach a primary through a node that is not cut off from it.
+        """Tell whether other nodes reach a primary; it is not changed then.
 
-        A node that finds one does not change the primary.
+        If this node alone is cut off from it, a detour is taken.
         """
         self._tools.dialer.detours.pop(primary.id, None)
         question = AskServer(self._runtime.name, primary.id)
@@ -208,14 +219,37 @@
         ]
         if not reaching:
             return False
+        if await self._has_path(primary):
+            # It is loaded: another way would only load it more.
+            self._runtime.journal.record_often(
+                'primary.slow',
+                service=self._runtime.name,
+                server=primary.id,
+                reached_by=reaching[0].name,
+            )
+            return True
         member = self._tools.randomness.choice(reaching)
-        return await self._take_detour(primary, member)
+        await self._take_detour(primary, member)
+        return True
+
+    async def _has_path(self, primary: ServerHandle) -> bool:
+        """Tell whether a server's machine takes connections of this node."""
+        try:
+            stream = await self._tools.dialer.dial_straight(
+                primary.server.address,
+                PATH_LIMIT,
+            )
+        except ConnectionError:
+            return False
+        await stream.close()
+        return True
 
     async def _take_detour(
         self,
         primary: ServerHandle,
         member: Member,
-    ) -> bool:
+    ) -> None:
+        """Reach a primary through a node that is not cut off from it."""
         self._tools.dialer.detours[primary.id] = member.endpoint
         self._detour_until = await curio.clock() + DETOUR_TIME
         # The connections of before hang as long as the cut lasts.
@@ -227,7 +261,6 @@
             through=member.name,
         )
         self._runtime.counters.count('detours_taken')
-        return True
 
     async def _look_at_detour(self, primary: ServerHandle) -> float:
         """Go straight again as soon as the server can be reached."""
@@ -235,14 +268,8 @@
         if now < self._detour_until:
             return LOOK_PAUSE
         self._detour_until = now + DETOUR_TIME
-        try:
-            stream = await self._tools.dialer.dial_straight(
-                primary.server.address,
-                LOSS_LIMIT,
-            )
-        except ConnectionError:
+        if not await self._has_path(primary):
             return LOOK_PAUSE
-        await stream.close()
         self._tools.dialer.detours.pop(primary.id, None)
         await primary.pool.close_idle()
         self._runtime.journal.record(
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -358,3 +358,41 @@
         assert await curio.clock() - began > VALIDITY
 
     play(scenario)
+
+
+def test_overloaded_primary_is_not_replaced() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        writer = await deployment.connect(CURRENT)
+        reader = await deployment.connect(OWN)
+        await writer.ask('WRITE a 1')
+        deployment.group.primary.is_overloaded = True
+        for _ in range(30):
+            await reader.ask('READ a')
+            await writer.ask('WRITE a 2')
+        await curio.sleep(1)
+        assert not deployment.group.promotions
+        assert _count(deployment, 'detours_taken') == 0
+
+    play(scenario)
+
+
+def test_slow_primary_is_neither_replaced_nor_loaded_by_detours() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        writer = await deployment.connect(CURRENT, node=1)
+        reader = await deployment.connect(OWN)
+        await writer.ask('WRITE a 1')
+        deployment.group.primary.status_delay = 1.0
+        for _ in range(60):
+            assert (await writer.ask('WRITE a 2')).is_done
+            assert (await reader.ask('READ a')).is_done
+            await curio.sleep(0.05)
+        assert not deployment.group.promotions
+        assert _count(deployment, 'detours_taken') == 0
+
+    play(scenario, work=0.02)
+
+
+def _count(deployment: Deployment, event: str) -> int:
+    return sum(
+        running.node.counters.events[event] for running in deployment.nodes
+    )
--- a/deckdrum/node/answering.py
+++ b/deckdrum/node/answering.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from deckdrum.backends import ServerRole
+from deckdrum.backends import ServerRole, ServerStatus
 from deckdrum.control import Kind, StoreFeed
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.messages import Heartbeat
@@ -20,10 +20,12 @@
     TermAnswer,
     TermEnded,
 )
+from deckdrum.serving.servers import FRESH_ANSWER, ServerHandle
 from deckdrum.serving.service import ServiceRuntime
 
 #: Longest wait for a server that a peer asks about, in seconds.
 SERVER_LIMIT: Final = 0.4
+_NOT_REACHED: Final = ServerAnswer(reached=False, leads_term=0)
 
 
 class Answerer:
@@ -43,6 +45,8 @@
         feed: StoreFeed,
     ) -> None:
         self._services = services
+        #: Questions to servers that are under way.
+        self._asking: dict[str, Any] = {}
         self._feed = feed
 
     async def answer(self, question: Message) -> Message | None:
@@ -56,14 +60,36 @@
     async def _tell_server(self, question: AskServer) -> Message:
         runtime = self._services.get(question.service)
         handle = runtime.servers.get(question.server) if runtime else None
-        if handle is None:
-            return ServerAnswer(reached=False, leads_term=0)
-        if handle.is_silent(await curio.clock()):
-            return ServerAnswer(reached=False, leads_term=0)
-        status = await handle.ask_status(SERVER_LIMIT)
-        if status is None or status.role is not ServerRole.PRIMARY:
-            return ServerAnswer(reached=False, leads_term=0)
-        return ServerAnswer(reached=True, leads_term=status.term)
+        if runtime is None or handle is None:
+            return _NOT_REACHED
+        now = await curio.clock()
+        if _has_answered_as_primary(runtime, handle, now - FRESH_ANSWER):
+            return ServerAnswer(reached=True, leads_term=runtime.belief.term)
+        if handle.is_silent(now):
+            return _NOT_REACHED
+        status = await self._ask_once(handle)
+        if status is not None and status.role is ServerRole.PRIMARY:
+            return ServerAnswer(reached=True, leads_term=status.term)
+        if status is None and _has_answered_as_primary(runtime, handle, now):
+            # It refused the question for want of room.
+            return ServerAnswer(reached=True, leads_term=runtime.belief.term)
+        return _NOT_REACHED
+
+    async def _ask_once(self, handle: ServerHandle) -> ServerStatus | None:
+        """Ask a server for all peers that want to know at the same time."""
+        task: Any = self._asking.get(handle.id)
+        if task is None:
+            task = await curio.spawn(
+                handle.ask_status,
+                SERVER_LIMIT,
+                daemon=True,
+            )
+            self._asking[handle.id] = task
+        await task.wait()
+        if self._asking.get(handle.id) is task:
+            self._asking.pop(handle.id)
+        status: ServerStatus | None = task.result
+        return status
 
     async def _tell_term(self, question: AskTerm) -> Message:
         # A node that has just started may have consented in its last life;
@@ -87,6 +113,15 @@
         return TermEnded(question.service, question.term)
 
 
+def _has_answered_as_primary(
+    runtime: ServiceRuntime,
+    handle: ServerHandle,
+    since: float,
+) -> bool:
+    is_primary = runtime.belief.primary == handle.id
+    return is_primary and handle.has_answered(since)
+
+
 _Reply = Callable[[Answerer, Any], Awaitable[Message]]
 _Replies = MappingProxyType[type[Message], _Reply]
 _REPLIES: Final[_Replies] = MappingProxyType(
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -35,9 +35,11 @@
 #: Longest wait for the answer to a question of the product's own, in seconds;
 #: far above the round trip (5 ms) and a full queue of short statements.
 QUESTION_LIMIT: Final = 0.4
-#: Age of a silence up to which it is told to peers without asking again, in
-#: seconds.
+#: Age of a silence, or of an answer, up to which it is told to peers without
+#: asking again, in seconds.  A node that asks them has waited longer for an
+#: answer of its own.
 FRESH_SILENCE: Final = 0.3
+FRESH_ANSWER: Final = 0.3
 #: Longest wait of such a question for a pooled connection, in seconds; then
 #: one beyond the pool is opened, since all may rest in transactions.
 CONTROL_WAIT: Final = 0.1
@@ -130,6 +132,14 @@
         is_fresh = now - self.silent_at < FRESH_SILENCE
         return is_fresh and self.answered_at < self.silent_at
 
+    def has_answered(self, since: float) -> bool:
+        """Tell whether the server answered anything after `since`.
+
+        A refusal for want of room is an answer: the server is loaded, and
+        not lost.
+        """
+        return self.answered_at >= since
+
     def is_behind(self, floor: Position, now: float) -> bool:
         """Tell whether the server has just lacked a position up to `floor`."""
         return now < self._behind_until and floor >= self._lacked
@@ -155,6 +165,7 @@
     def note_failure(self, now: float, error: BaseException) -> None:
         """Note that a connection broke or could not be had."""
         if isinstance(error, ConnectionLimitError):
+            self.answered_at = now
             self._avoided_until = now + FULL_AVOIDANCE
             return
         self.is_refusing = isinstance(
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -93,6 +93,10 @@
         self.is_dark = False
         #: Whether it receives nothing from the primary.
         self.is_deaf = False
+        #: Whether it refuses everything for want of room.
+        self.is_overloaded = False
+        #: How long a question about itself waits, in seconds.
+        self.status_delay: float = 0
         #: Answers to lose: what runs next is not answered.
         self.lost_answers = 0
         #: Rejections to give before anything else is run.
@@ -215,7 +219,11 @@
         is_work = word in _WORK_WORDS
         if is_work:
             await curio.sleep(self.group.work)
-        if is_work and self.rejections:
+        if word == 'STATUS':
+            await curio.sleep(self.status_delay)
+        if self.is_overloaded:
+            answer = self._reject(connection, 'BUSY')
+        elif is_work and self.rejections:
             answer = self._reject(connection, self.rejections.pop(0))
         else:
             answer = await self._run(connection, request_id, text)
