Deal one connection to as many nodes as can hold one; open none beyond the deal

Change: where there is less than one connection for each node, 49 nodes hold one each, and a node whose own one is busy borrows beside it. All but the last lender that is asked answer at once; if any of them answers that it has none, the request moves on instead of opening a connection beyond the deal. Reads prefer a replica to which this node has a connection of its own.

--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -98,6 +98,11 @@
         """Open connections that nobody uses."""
         return len(self._idle)
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether more connections are open than there are slots."""
+        return len(self._idle) + self.queue.held > self.queue.slots
+
     async def acquire(
         self,
         group: str,
@@ -169,6 +174,11 @@
         self.opened += 1
         self._idle.append(link)
 
+    async def trim(self) -> None:
+        """Close idle connections beyond the number of slots."""
+        while self._idle and self.has_surplus:
+            await self._idle.pop(0).close()
+
     async def close_idle(self) -> None:
         """Close the connections that nobody uses."""
         while self._idle:
--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -28,16 +28,15 @@
 #: Longest wait for a lender's answer beyond the wait that it is asked to
 #: bear, in seconds.
 LENDER_SLACK: Final = 0.15
-#: Longest wait of a request for a lender's free connection, in seconds; then
-#: another lender is asked.
+#: Longest wait of a request for the free connection of the last lender that is
+#: asked, in seconds; then another server is tried.
 LENDER_WAIT: Final = 0.25
 #: How long a lender that gave no answer is passed over, in seconds.
 AVOIDANCE: Final = 1.0
 #: Pause after the server has refused a connection for want of room, in s.
 #: Connections of a node that lost power linger for 3 s.
 FULL_PAUSE: Final = 0.25
-#: Begins the name of a group that borrows; such a request is never served
-#: with a connection that is borrowed itself.
+#: Begins the name of a group that borrows, in the lender's queue.
 LOAN_PREFIX: Final = 'loan:'
 #: Lenders asked for one connection.
 LENDERS_ASKED: Final = 3
@@ -89,66 +88,23 @@
         self._is_closed = True
 
 
-class SharedBackend(Backend):
-    """A server whose connections are dealt among the nodes.
-
-    A node that holds some connects by itself; another borrows from a holder,
-    and connects by itself only if no holder answers.
+class OwnBackend(Backend):
+    """A server as this node connects to it by itself.
 
     Parameters
     ----------
     direct : Backend
         Connects to the server.
-    streams : StreamPool
-        Streams to other nodes.
     """
 
-    def __init__(self, direct: Backend, streams: StreamPool) -> None:
+    def __init__(self, direct: Backend) -> None:
         super().__init__(direct.server)
         self._direct = direct
-        self._streams = streams
-        self._avoided: dict[str, float] = {}
-        #: Nodes to borrow from, the nearest first; empty if this one holds.
-        self.lenders: list[Member] = []
-        #: Nodes that may have a connection where this one gets none.
-        self.helpers: list[Member] = []
         #: Until when the server is not asked for more connections.
         self.full_until = float('-inf')
 
-    @property
-    def is_holder(self) -> bool:
-        """Whether this node holds connections to the server."""
-        return not self.lenders
-
     async def connect(self, limit: float) -> BackendLink:
-        """Open a connection within `limit` seconds."""
-        return await self.connect_for('', limit)
-
-    async def connect_for(self, group: str, limit: float) -> BackendLink:
-        """Open a connection on behalf of a member group, or borrow one."""
-        if group.startswith(LOAN_PREFIX):
-            # What is lent on is a connection of this node's own.
-            return await self._connect_direct(limit)
-        if self.lenders:
-            borrowed = await self._borrow_from(self.lenders, group, limit)
-            if borrowed is not None:
-                return borrowed
-        try:
-            link = await self._connect_direct(limit)
-        except ConnectionLimitError:
-            helped = await self._borrow_from(self.helpers, group, limit)
-            if helped is None:
-                raise
-            return helped
-        link.is_kept = self.is_holder
-        return link
-
-    def wrap(self, stream: ByteStream) -> BackendLink:
-        """Return the link over a connection that has been started."""
-        return self._direct.wrap(stream)
-
-    async def _connect_direct(self, limit: float) -> BackendLink:
-        """Connect, unless the server has just been found full."""
+        """Open a connection, unless the server has just been found full."""
         now = await curio.clock()
         if now < self.full_until:
             raise ConnectionLimitError(f'{self.name} was full a moment ago')
@@ -159,33 +115,83 @@
             self.full_until = now + FULL_PAUSE
             raise
 
-    async def _borrow_from(
-        self,
-        lenders: Sequence[Member],
-        group: str,
-        limit: float,
-    ) -> BackendLink | None:
-        """Borrow from the first lender that has a connection."""
+    def wrap(self, stream: ByteStream) -> BackendLink:
+        """Return the link over a connection that has been started."""
+        return self._direct.wrap(stream)
+
+
+class LoanBackend(Backend):
+    """A server as it is reached over connections of other nodes.
+
+    Only if none of these answers, this node connects by itself, within the
+    connections that the deal keeps in reserve.
+
+    Parameters
+    ----------
+    own : OwnBackend
+        Connects to the server.
+    streams : StreamPool
+        Streams to other nodes.
+    """
+
+    def __init__(self, own: OwnBackend, streams: StreamPool) -> None:
+        super().__init__(own.server)
+        self._own = own
+        self._streams = streams
+        self._avoided: dict[str, float] = {}
+        #: Nodes to borrow from, the nearest first.
+        self.lenders: list[Member] = []
+
+    async def connect(self, limit: float) -> BackendLink:
+        """Borrow a connection within `limit` seconds."""
+        return await self.connect_for('', limit)
+
+    async def connect_for(self, group: str, limit: float) -> BackendLink:
+        """Borrow a connection on behalf of a member group."""
+        is_answered = False
+        asked = await self._pick_lenders()
+        for lender in asked:
+            # The last one may let the request wait for its turn.
+            wait = min(limit, LENDER_WAIT) if lender is asked[-1] else 0
+            answer = await self._borrow(lender, group, wait)
+            if isinstance(answer, BackendLink):
+                return answer
+            is_answered = is_answered or answer is not None
+        if is_answered:
+            # A connection beyond the deal would only load the server more.
+            raise ConnectionLimitError(f'{self.name}: the lenders have none')
+        link = await self._own.connect(limit)
+        link.is_kept = False
+        return link
+
+    def wrap(self, stream: ByteStream) -> BackendLink:
+        """Return the link over a connection that has been started."""
+        return self._own.wrap(stream)
+
+    async def _pick_lenders(self) -> list[Member]:
+        """Return the lenders to ask, the best first."""
         now = await curio.clock()
         ready = [
             lender
-            for lender in lenders
+            for lender in self.lenders
             if self._avoided.get(lender.name, 0) <= now
         ]
-        for lender in ready[:LENDERS_ASKED]:
-            link = await self._borrow(lender, group, limit)
-            if link is not None:
-                return link
-        return None
+        return ready[:LENDERS_ASKED]
 
     async def _borrow(
         self,
         lender: Member,
         group: str,
-        limit: float,
-    ) -> BackendLink | None:
-        """Borrow from one node; None if it does not answer."""
-        wait = min(limit, LENDER_WAIT)
+        wait: float,
+    ) -> BackendLink | LinkLent | None:
+        """Borrow from one node.
+
+        Returns
+        -------
+        BackendLink, LinkLent or None
+            The lender's refusal if it lends nothing; None if it does not
+            answer, or holds no connections.
+        """
         question = BorrowLink(
             self.server.service, self.server.id, group, wait, {}
         )
@@ -199,8 +205,8 @@
             return None
         if not answer.is_lent:
             await self._streams.keep(lender.endpoint, channel)
-            return None
-        link = self._direct.wrap(BorrowedStream(channel))
+            return answer if answer.is_full else None
+        link = self._own.wrap(BorrowedStream(channel))
         link.state = decode_state(answer.values, answer.prepared)
         link.is_kept = False
         link.on_hand_back = partial(_hand_back, self._streams, lender)
--- a/deckdrum/node/lending.py
+++ b/deckdrum/node/lending.py
@@ -61,11 +61,14 @@
             If the borrower is gone; the connection is closed then.
         """
         handle = self._find(question)
-        if handle is None or not await self._can_lend(handle):
+        if handle is None or not handle.is_holder:
             await channel.send(_NOT_LENT)
             return
+        if not await self._can_lend(handle):
+            await channel.send(_FULL)
+            return
         try:
-            lease = await handle.acquire(
+            lease = await handle.acquire_own(
                 f'{LOAN_PREFIX}{question.group}',
                 question.limit,
                 question.values,
@@ -85,10 +88,9 @@
             self.lent -= 1
 
     async def _can_lend(self, handle: ServerHandle) -> bool:
-        """Tell whether this node has, or may open, a connection itself."""
-        backend = handle.backend
-        is_full = await curio.clock() < backend.full_until
-        return backend.is_holder and (handle.pool.idle > 0 or not is_full)
+        """Tell whether this node has, or may open, a connection of its own."""
+        is_full = await curio.clock() < handle.own.full_until
+        return handle.pool.idle > 0 or not is_full
 
     def _find(self, question: BorrowLink) -> ServerHandle | None:
         runtime = self._services.get(question.service)
@@ -116,7 +118,7 @@
             lease.link.state = decode_state(returned.values, returned.prepared)
             is_clean = True
         finally:
-            await handle.pool.release(lease, is_clean)
+            await handle.release(lease, is_clean)
         await channel.send(LinkReturned())
 
 
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -7,7 +7,6 @@
 
 from deckdrum.backends import Backend, BackendServer
 from deckdrum.control import Member, ServiceDeclaration
-from deckdrum.fleet.borrowing import SharedBackend
 from deckdrum.leadership.changes import ChangeTools
 from deckdrum.leadership.supervision import Supervisor
 from deckdrum.serving.execution import Execution
@@ -95,7 +94,7 @@
     ) -> ServiceRuntime:
         runtime = ServiceRuntime(
             declaration,
-            self._share_backend,
+            self._make_direct,
             self._tools.store,
             self._tools.peers,
             self._journal,
@@ -115,7 +114,3 @@
             ),
         )
         return runtime
-
-    def _share_backend(self, server: BackendServer) -> SharedBackend:
-        direct = self._make_direct(server)
-        return SharedBackend(direct, self._tools.peers.loans)
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -142,7 +142,7 @@
         lease = self.lease
         self.lease = None
         if lease is not None:
-            await self.handle.pool.release(lease, is_clean=False)
+            await self.handle.release(lease, is_clean=False)
         return Lost(self.was_sent, is_late, reason)
 
     async def _finish(self, standing: Standing) -> None:
@@ -159,7 +159,7 @@
 ) -> None:
     """Give a connection back after a whole answer; roll it back if open."""
     is_clean = standing is Standing.IDLE or await _roll_back(lease.link)
-    await handle.pool.release(lease, is_clean)
+    await handle.release(lease, is_clean)
 
 
 async def _roll_back(link: BackendLink) -> bool:
--- a/deckdrum/serving/dealing.py
+++ b/deckdrum/serving/dealing.py
@@ -1,8 +1,9 @@
 """Dealing a server's few connections among the nodes.
 
 Where there are enough, every node holds some: no request takes a second hop,
-and a frozen or cut neighbour costs nothing.  Otherwise a bounded set of nodes
-holds them, spread over the data centres, and the others borrow.
+and a frozen or cut neighbour costs nothing.  Otherwise as many nodes as can
+hold one each, spread over the data centres and different for each server, and
+the others borrow.  So most nodes reach some server of each group directly.
 """
 
 from collections import defaultdict
@@ -16,17 +17,12 @@
 #: Connections of each server kept for newcomers, questions of the product's
 #: own, and connections of killed nodes, which linger for up to 3 s.
 RESERVED_CONNECTIONS: Final = 4
-#: Fewest connections of a node for which it is worth to hold any: one may
-#: rest in a transaction while another works.
+#: Connections of a node with which it needs no other's: one may rest in a
+#: transaction while another works.
 USEFUL_CONNECTIONS: Final = 2
 #: Most connections of one node where every node holds some.  A server works
 #: on few requests at a time.
 MOST_CONNECTIONS: Final = 4
-#: Connections of a holder where few nodes hold them: they serve several
-#: nodes, and more of them together wait less than the same number apart.
-HOLDER_CONNECTIONS: Final = 6
-#: Holders in each data centre at least, so that one may go.
-HOLDERS_PER_CENTRE: Final = 2
 #: Connections that a node borrows of one server at a time.
 BORROWED_CONNECTIONS: Final = 6
 
@@ -71,15 +67,9 @@
     """
     shared = max(1, max_connections - RESERVED_CONNECTIONS)
     count = len(nodes)
-    if shared >= count * USEFUL_CONNECTIONS:
+    if shared >= count:
         return Deal(tuple(nodes), min(MOST_CONNECTIONS, shared // count))
-    centres = len(set(nodes.values()))
-    wanted = max(
-        shared // HOLDER_CONNECTIONS,
-        min(centres * HOLDERS_PER_CENTRE, shared),
-    )
-    holders = _spread(server, nodes)[: min(wanted, count)]
-    return Deal(tuple(holders), max(1, shared // max(1, len(holders))))
+    return Deal(tuple(_spread(server, nodes)[:shared]), 1)
 
 
 def _spread(server: str, nodes: Mapping[str, str]) -> list[str]:
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -22,6 +22,9 @@
 #: What another data centre costs beside a server's time, in seconds: the
 #: longer way there and back, and as much again for the bytes.
 DISTANCE_COST: Final = 0.006
+#: What a borrowed connection costs beside, in seconds: the messages of a loan,
+#: there and back, and the work of two nodes.
+LOAN_COST: Final = 0.005
 #: What the primary costs beside its time, in seconds; it alone can change
 #: data, so reads leave it alone while replicas have room.
 PRIMARY_COST: Final = 0.05
@@ -145,4 +148,5 @@
         usual = max(_FIRST_TIME, handle.usual_time * fade)
         is_far = handle.server.data_centre != self._data_centre
         distance = DISTANCE_COST if is_far else 0
-        return (handle.load + 1) * usual + distance
+        hop = 0 if handle.is_holder else LOAN_COST
+        return (handle.load + 1) * usual + distance + hop
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -6,6 +6,7 @@
 import curio
 
 from deckdrum.backends import (
+    Backend,
     BackendLink,
     BackendServer,
     ConnectionLimitError,
@@ -14,10 +15,11 @@
     ServerStatus,
 )
 from deckdrum.control import Member
-from deckdrum.fleet.borrowing import SharedBackend
+from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
 from deckdrum.members import GroupShare
 from deckdrum.operations import Rejection
 from deckdrum.outcomes import Refusal
+from deckdrum.serving.dealing import BORROWED_CONNECTIONS, USEFUL_CONNECTIONS
 from deckdrum.sessions import Position
 from deckdrum.sessions.position import NOWHERE
 
@@ -47,7 +49,7 @@
 _CONTROL_GROUP: Final = ''
 _LEARN_RATE: Final = 0.2
 
-ServerLease = Lease[SharedBackend, BackendLink]
+ServerLease = Lease[Backend, BackendLink]
 
 
 class ServerHandle:
@@ -55,24 +57,35 @@
 
     Parameters
     ----------
-    backend : SharedBackend
-        Where to connect.
+    own : OwnBackend
+        Where this node connects by itself.
+    loans : LoanBackend
+        Where it borrows.
     slots : int
-        Most connections that this node opens.
+        Most connections of its own.
     shares : mapping of str to GroupShare
         Shares of the groups of callers.
     """
 
     def __init__(
         self,
-        backend: SharedBackend,
+        own: OwnBackend,
+        loans: LoanBackend,
         slots: int,
         shares: Mapping[str, GroupShare],
     ) -> None:
-        self.backend = backend
-        self.pool: Pool[SharedBackend, BackendLink] = Pool(
-            backend, slots, shares
+        self.own = own
+        #: Connections of this node's own.
+        self.pool: Pool[Backend, BackendLink] = Pool(own, slots, shares)
+        #: Connections that it borrows.
+        self.loans: Pool[Backend, BackendLink] = Pool(
+            loans,
+            BORROWED_CONNECTIONS,
+            shares,
         )
+        #: Whether it has connections of its own; otherwise it only borrows.
+        self.is_holder = True
+        self._lending = loans
         #: Why it last left a question without an answer.
         self.fault = ''
         #: When the server last answered anything, in kernel seconds.
@@ -92,36 +105,46 @@
     @property
     def id(self) -> str:
         """Id of the server."""
-        return self.backend.server.id
+        return self.own.server.id
 
     @property
     def server(self) -> BackendServer:
         """The server's entry in the directory."""
-        return self.backend.server
+        return self.own.server
 
     @property
     def load(self) -> int:
         """Requests of this node that use the server or wait for it."""
-        return self.pool.queue.held + self.pool.queue.waiting
+        queues = (self.pool.queue, self.loans.queue)
+        return sum(queue.held + queue.waiting for queue in queues)
 
     def update(self, server: BackendServer) -> None:
         """Take over a new entry of the same server."""
-        self.backend.server = server
+        self.own.server = server
+        self._lending.server = server
 
     async def adopt_deal(
         self,
-        members: list[Member],
+        lenders: list[Member],
         slots: int,
         shares: Mapping[str, GroupShare],
         *,
         is_holder: bool,
     ) -> None:
-        """Hold up to `slots` connections, or borrow from `members`."""
-        self.backend.helpers = members
-        self.backend.lenders = [] if is_holder else members
-        if not is_holder:
-            await self.pool.close_idle()
+        """Hold up to `slots` connections, or none, and borrow the others."""
+        self._lending.lenders = lenders
+        self.is_holder = is_holder
         await self.pool.queue.resize(slots, shares)
+        await self.loans.queue.resize(BORROWED_CONNECTIONS, shares)
+        if is_holder:
+            await self.pool.trim()
+        else:
+            await self.pool.close_idle()
+
+    async def adopt_shares(self, shares: Mapping[str, GroupShare]) -> None:
+        """Take over the shares of the groups of callers."""
+        for pool in (self.pool, self.loans):
+            await pool.queue.resize(pool.queue.slots, shares)
 
     def is_avoided(self, now: float) -> bool:
         """Tell whether requests should go elsewhere if they can."""
@@ -192,12 +215,40 @@
         ConnectionError
             If the server cannot be reached.
         """
+        if not self.is_holder:
+            return await self.loans.acquire(group, limit)
+        borrowed = await self._borrow_beside(group, limit)
+        if borrowed is not None:
+            return borrowed
+        try:
+            return await self.acquire_own(group, limit, values)
+        except ConnectionLimitError:
+            # Connections of nodes that were killed linger for a while.
+            return await self.loans.acquire(group, limit)
+
+    async def acquire_own(
+        self,
+        group: str,
+        limit: float,
+        values: Mapping[str, str],
+    ) -> ServerLease | Refusal:
+        """Lend a connection of this node's own; see `acquire`."""
         return await self.pool.acquire(
             group,
             limit,
             lambda link: link.state.values == values,
         )
 
+    async def release(self, lease: ServerLease, is_clean: bool) -> None:
+        """Take a connection back; one that is not clean is closed."""
+        if lease.database is not self.own:
+            await self.loans.release(lease, is_clean)
+            return
+        if self.pool.has_surplus or not self.is_holder:
+            # The deal has changed while it was in use.
+            lease.link.is_kept = False
+        await self.pool.release(lease, is_clean)
+
     async def ask_status(
         self,
         limit: float = QUESTION_LIMIT,
@@ -235,7 +286,8 @@
             self.fault = (
                 f'no answer to {step} within {limit} s, connections: '
                 f'{queue.held} of {queue.slots} in use, '
-                f'{queue.waiting} waiting, {self.pool.idle} idle'
+                f'{queue.waiting} waiting, {self.pool.idle} idle, '
+                f'{self.loans.queue.held} borrowed'
             )
             self.note_silence(await curio.clock())
             return None
@@ -252,7 +304,7 @@
         arguments: tuple[int, ...],
     ) -> ServerStatus | Rejection:
         """Use a pooled connection, or one beyond if all stay busy."""
-        lease = await self.pool.acquire(_CONTROL_GROUP, CONTROL_WAIT)
+        lease = await self.acquire(_CONTROL_GROUP, CONTROL_WAIT, {})
         if isinstance(lease, Refusal):
             return await self._call_apart(step, arguments)
         is_clean = False
@@ -260,7 +312,7 @@
             reply = await _invoke(lease.link, step, arguments)
             is_clean = True
         finally:
-            await self.pool.release(lease, is_clean)
+            await self.release(lease, is_clean)
         return reply
 
     async def _call_apart(
@@ -268,7 +320,8 @@
         step: str,
         arguments: tuple[int, ...],
     ) -> ServerStatus | Rejection:
-        link = await self.backend.connect(QUESTION_LIMIT)
+        backend = self._lending if self._has_few else self.own
+        link = await backend.connect(QUESTION_LIMIT)
         is_whole = False
         try:
             reply = await _invoke(link, step, arguments)
@@ -279,6 +332,26 @@
         await link.hand_back()
         return reply
 
+    @property
+    def _has_few(self) -> bool:
+        """Whether own connections do not serve all requests of this node."""
+        return not self.is_holder or self.pool.queue.slots < USEFUL_CONNECTIONS
+
+    async def _borrow_beside(
+        self,
+        group: str,
+        limit: float,
+    ) -> ServerLease | None:
+        """Borrow if the few own connections are busy and others are not."""
+        if not self._has_few or not self.pool.queue.is_busy:
+            return None
+        try:
+            lease = await self.loans.acquire(group, limit)
+        except ConnectionError:
+            # The others have none either: the request waits for its turn.
+            return None
+        return None if isinstance(lease, Refusal) else lease
+
     def _avoid(self, now: float) -> None:
         self._avoided_until = now + self._avoidance
         self._avoidance = min(self._avoidance * 2, LONGEST_AVOIDANCE)
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -6,15 +6,14 @@
 
 import curio
 
-from deckdrum.backends import BackendServer, ServerStatus
+from deckdrum.backends import Backend, BackendServer, ServerStatus
 from deckdrum.backends.history import History
 from deckdrum.control import ControlStore, Member, Route, ServiceDeclaration
-from deckdrum.fleet.borrowing import SharedBackend
+from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
 from deckdrum.fleet.nodes import NodePeers
 from deckdrum.leadership.belief import LeadershipBelief
 from deckdrum.members import GroupShare
 from deckdrum.serving.dealing import (
-    BORROWED_CONNECTIONS,
     USEFUL_CONNECTIONS,
     deal_connections,
 )
@@ -46,7 +45,7 @@
     declaration : ServiceDeclaration
         The group as the configuration declares it.
     make_backend : callable
-        Makes the border object of a server.
+        Makes what connects to a server.
     store : ControlStore
         Asked for proof when the replicas give none.
     peers : NodePeers
@@ -60,7 +59,7 @@
     def __init__(
         self,
         declaration: ServiceDeclaration,
-        make_backend: Callable[[BackendServer], SharedBackend],
+        make_backend: Callable[[BackendServer], Backend],
         store: ControlStore,
         peers: NodePeers,
         journal: Journal,
@@ -79,6 +78,7 @@
         #: Statements at the primary that have no answer yet.
         self.in_flight = 0
         self._make_backend = make_backend
+        self._peers = peers
         self._proofs = ProofSources(
             self.belief,
             self._list_questions,
@@ -118,8 +118,10 @@
         for name, server in listed.items():
             handle = self.servers.get(name)
             if handle is None:
+                own = OwnBackend(self._make_backend(server))
                 self.servers[name] = ServerHandle(
-                    self._make_backend(server),
+                    own,
+                    LoanBackend(own, self._peers.loans),
                     USEFUL_CONNECTIONS,
                     self._shares,
                 )
@@ -161,7 +163,7 @@
             is_holder = own.name in deal.holders
             await handle.adopt_deal(
                 lenders,
-                deal.slots if is_holder else BORROWED_CONNECTIONS,
+                deal.slots,
                 self._shares,
                 is_holder=is_holder,
             )
@@ -174,8 +176,7 @@
             return
         self._shares[route.database] = share
         for handle in self.servers.values():
-            queue = handle.pool.queue
-            await queue.resize(queue.slots, self._shares)
+            await handle.adopt_shares(self._shares)
 
     def note_position(self, position: Position, started_at: float) -> None:
         """Note where the primary's log stood after `started_at`."""
--- a/deckdrum/serving/tests/test_dealing.py
+++ b/deckdrum/serving/tests/test_dealing.py
@@ -98,7 +98,7 @@
             for number, running in enumerate(deployment.nodes)
             if not running.node.services[SERVICE]
             .servers[primary.name]
-            .backend.is_holder
+            .is_holder
         )
         client = await deployment.connect(CURRENT, node=borrower)
         await client.ask('PREPARE s1 WRITE q1')
@@ -159,6 +159,32 @@
     play(scenario, nodes=9, work=0.02)
 
 
+def test_busy_lenders_do_not_drive_others_to_connect_themselves() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        async with curio.TaskGroup() as callers:
+            for number in range(12):
+                for database in (CURRENT, BOUNDED, CURRENT):
+                    await callers.spawn(
+                        _ask_often, deployment, database, number
+                    )
+        refused = sum(
+            server.refused_connections
+            for server in deployment.group.servers.values()
+        )
+        assert refused == 0
+
+    play(scenario, nodes=12, max_connections=9, work=0.05)
+
+
+def test_most_nodes_reach_some_replica_without_a_hop() -> None:
+    nodes = build_nodes(71)
+    held = [
+        set(deal_connections(server, nodes, 53).holders)
+        for server in ('i-1', 'i-2')
+    ]
+    assert len(held[0] | held[1]) >= 0.8 * len(nodes)
+
+
 async def _ask_often(
     deployment: Deployment,
     database: str,
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -161,7 +161,7 @@
         if transaction is None or transaction.pin is None:
             return refuse(Code.TRANSACTION_LOST, reason)
         pin = transaction.pin
-        await pin.handle.pool.release(pin.lease, is_clean=False)
+        await pin.handle.release(pin.lease, is_clean=False)
         transaction.pin = None
         transaction.is_failed = True
         is_commit = isinstance(request.operation, Commit)
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -93,6 +93,8 @@
         self.is_dark = False
         #: Whether it receives nothing from the primary.
         self.is_deaf = False
+        #: Connections that it refused for want of room.
+        self.refused_connections = 0
         #: Whether it refuses everything for want of room.
         self.is_overloaded = False
         #: How long a question about itself waits, in seconds.
@@ -207,6 +209,7 @@
             await stream.send(f'ERROR MISROUTED {self.name}\r\n'.encode())
             return False
         if len(self._connections) >= self.group.max_connections:
+            self.refused_connections += 1
             await stream.send(b'ERROR TOOMANY connections\r\n')
             return False
         self._connections.add(stream)
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -203,7 +203,9 @@
         self._cuts: dict[int, set[str]] = {}
 
     async def __aenter__(self) -> Self:
-        await self.store.write('config', 'main', build_config())
+        config = build_config()
+        config['services'][0]['maxConns'] = self.group.max_connections
+        await self.store.write('config', 'main', config)
         await self.group.start(ZONES)
         for number in range(self._count):
             lines = self._logs.get(number)
