Ask the server that is listed as primary first

Each of 72 nodes asked all 12 servers about themselves at once, over connections that each take a place at a server for 12 ms.

Change: the server that the directory lists as primary is asked first, the others only if it does not lead.

Figures: questions of a starting node of three servers: 3 before, 1 or 2 now (test).

--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -365,7 +365,7 @@
         writer = await deployment.connect(CURRENT)
         reader = await deployment.connect(OWN)
         await writer.ask('WRITE a 1')
-        deployment.group.primary.is_overloaded = True
+        deployment.group.primary.load.is_full = True
         for _ in range(30):
             await reader.ask('READ a')
             await writer.ask('WRITE a 2')
@@ -381,7 +381,7 @@
         writer = await deployment.connect(CURRENT, node=1)
         reader = await deployment.connect(OWN)
         await writer.ask('WRITE a 1')
-        deployment.group.primary.status_delay = 1.0
+        deployment.group.primary.load.status_delay = 1.0
         for _ in range(60):
             assert (await writer.ask('WRITE a 2')).is_done
             assert (await reader.ask('READ a')).is_done
--- a/deckdrum/node/tests/test_life.py
+++ b/deckdrum/node/tests/test_life.py
@@ -283,3 +283,15 @@
 
 async def _stay_silent(_: object) -> None:
     await curio.sleep(60)
+
+
+def test_starting_nodes_ask_the_listed_primary_first() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        asked = [
+            running.node.counters.events['status_questions']
+            for running in deployment.nodes
+        ]
+        # The primary, and one replica for proof.
+        assert max(asked) <= 2
+
+    play(scenario, settle=0)
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -1,12 +1,17 @@
 """One database group as a node serves it."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 from typing import Final
 
 import curio
 
-from deckdrum.backends import Backend, BackendServer, ServerStatus
+from deckdrum.backends import (
+    Backend,
+    BackendServer,
+    ServerRole,
+    ServerStatus,
+)
 from deckdrum.backends.history import History
 from deckdrum.control import ControlStore, Member, Route, ServiceDeclaration
 from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
@@ -235,15 +240,28 @@
             self.on_trouble(handle)
 
     async def discover(self) -> None:
-        """Ask every server, unless that was done a moment ago."""
+        """Look for a primary, unless that was done a moment ago.
+
+        The server that says in the directory that it leads is asked first,
+        and the others only if it does not: many nodes ask when all of them
+        start.
+        """
         now = await curio.clock()
         if now - self._discovered_at < DISCOVERY_PAUSE:
             await curio.sleep(DISCOVERY_PAUSE)
             return
         self._discovered_at = now
-        async with curio.TaskGroup() as asking:
-            for handle in list(self.servers.values()):
-                await asking.spawn(self.ask, handle)
+        listed = [
+            handle
+            for handle in self.servers.values()
+            if handle.server.role is ServerRole.PRIMARY
+        ]
+        others = [
+            handle for handle in self.servers.values() if handle not in listed
+        ]
+        await self._ask_each(listed)
+        if self.primary is None:
+            await self._ask_each(others)
 
     async def ensure_primary(self, limit: float) -> ServerHandle | None:
         """Return a primary with valid proof, within `limit` seconds.
@@ -294,6 +312,11 @@
         for handle in self.servers.values():
             await handle.pool.close_idle()
 
+    async def _ask_each(self, handles: Iterable[ServerHandle]) -> None:
+        async with curio.TaskGroup() as asking:
+            for handle in handles:
+                await asking.spawn(self.ask, handle)
+
     def _list_questions(self) -> list[Source]:
         """Return a question to each replica, the best first."""
         ranked = sorted(
--- a/deckdrum/serving/tests/test_dealing.py
+++ b/deckdrum/serving/tests/test_dealing.py
@@ -168,7 +168,7 @@
                         _ask_often, deployment, database, number
                     )
         refused = sum(
-            server.refused_connections
+            server.load.refused_connections
             for server in deployment.group.servers.values()
         )
         assert refused == 0
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Final
 
 import curio
@@ -60,6 +61,25 @@
         """Give a replica the log that it lacks."""
 
 
+@dataclass(slots=True)
+class Load:
+    """How busy a database is.
+
+    Attributes
+    ----------
+    is_full : bool
+        Whether it refuses every statement for want of room.
+    status_delay : float
+        How long a question about itself waits, in seconds.
+    refused_connections : int
+        Connections that it refused for want of room.
+    """
+
+    is_full: bool = False
+    status_delay: float = 0
+    refused_connections: int = 0
+
+
 class DatabaseServer:
     """One database.
 
@@ -93,12 +113,7 @@
         self.is_dark = False
         #: Whether it receives nothing from the primary.
         self.is_deaf = False
-        #: Connections that it refused for want of room.
-        self.refused_connections = 0
-        #: Whether it refuses everything for want of room.
-        self.is_overloaded = False
-        #: How long a question about itself waits, in seconds.
-        self.status_delay: float = 0
+        self.load = Load()
         #: Answers to lose: what runs next is not answered.
         self.lost_answers = 0
         #: Rejections to give before anything else is run.
@@ -209,7 +224,7 @@
             await stream.send(f'ERROR MISROUTED {self.name}\r\n'.encode())
             return False
         if len(self._connections) >= self.group.max_connections:
-            self.refused_connections += 1
+            self.load.refused_connections += 1
             await stream.send(b'ERROR TOOMANY connections\r\n')
             return False
         self._connections.add(stream)
@@ -223,8 +238,8 @@
         if is_work:
             await curio.sleep(self.group.work)
         if word == 'STATUS':
-            await curio.sleep(self.status_delay)
-        if self.is_overloaded:
+            await curio.sleep(self.load.status_delay)
+        if self.load.is_full:
             answer = self._reject(connection, 'BUSY')
         elif is_work and self.rejections:
             answer = self._reject(connection, self.rejections.pop(0))
