Serve reads of bounded age from replicas while a primary is replaced

Change: a sample of the primary's log was taken with proof that its term went on, so it stays good for its age whatever becomes of the term.

--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -396,3 +396,23 @@
     return sum(
         running.node.counters.events[event] for running in deployment.nodes
     )
+
+
+def test_replicas_serve_reads_while_the_primary_is_replaced() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        writer = await deployment.connect(CURRENT)
+        reader = await deployment.connect(OWN)
+        await writer.ask('WRITE a 1')
+        await reader.ask('READ a')
+        await curio.sleep(0.2)
+        await deployment.group.primary.drain()
+        longest: float = 0
+        for _ in range(60):
+            began = await curio.clock()
+            assert (await reader.ask('READ a')).is_done
+            longest = max(longest, await curio.clock() - began)
+            await curio.sleep(0.02)
+        assert deployment.group.promotions
+        assert longest < 0.1
+
+    play(scenario, promote_time=0.6)
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -191,16 +191,18 @@
     async def find_floor(self, max_age: float) -> Position | None:
         """Return the position that a read of bounded age must include.
 
+        A sample was taken with proof that its term went on; it covers what
+        had been answered until then, whatever has become of the term since.
+        So replicas serve such reads also while a primary is replaced.
+
         Returns
         -------
         Position or None
-            None if this node has no sample of the primary young enough.
+            None if this node has no sample of a primary young enough.
         """
-        if not self.belief.has_primary or self.history.term != self.belief.term:
-            return None
         now = await curio.clock()
         offset = self.history.find_floor(max_age, now)
-        return None if offset is None else Position(self.belief.term, offset)
+        return None if offset is None else Position(self.history.term, offset)
 
     async def sample_primary(self) -> bool:
         """Ask the primary where its log stands; tell whether it said so."""
