Soak real node processes under random faults; wake whoever waits on an aborted stream

Stream.abort closed a socket on which a task still waited and let itself be rescheduled until that task was gone, which nobody woke. The product aborts only streams on which the caller itself waited, so no node was seen to hang. abort now wakes the waiting task first.

The stand-in's databases acknowledge a change of a synchronous group only once a replica has it, also under faults.

--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -16,6 +16,7 @@
 from deckdrum.bench.relay import measure_relay
 from deckdrum.bench.slopes import describe_slopes, measure_all
 from deckdrum.commands.parsing import EXIT_FAILED, EXIT_OK, make_parser
+from deckdrum.soak import SoakPlan, run_soak
 from deckdrum.utils.virtualtime import run_virtual
 
 _DESCRIPTION = """\
@@ -26,7 +27,8 @@
   run    one experiment in virtual time
   all    every experiment, compared with the committed baseline
   relay  cost of the relay in wall-clock time, as ratios in one run
-  slopes slopes of docs/CAPACITY.md, on proxy processes"""
+  slopes slopes of docs/CAPACITY.md, on proxy processes
+  soak   node processes under random faults; fails if a promise is broken"""
 
 
 def say(*lines: str) -> None:
@@ -61,6 +63,23 @@
     return EXIT_OK
 
 
+def soak(options: argparse.Namespace) -> int:
+    """Run node processes under random faults."""
+    has_failed = False
+    for seed in range(options.first, options.first + options.seeds):
+        folder = options.output / f'soak-{seed}'
+        folder.mkdir(parents=True, exist_ok=True)
+        plan = SoakPlan(seed, options.seconds, options.nodes, options.callers)
+        report = curio.run(run_soak, plan, folder)
+        fates = ', '.join(
+            f'{count} {fate}' for fate, count in sorted(report.fates.items())
+        )
+        say(f'seed {seed}: {len(report.faults)} faults; {fates}')
+        say(*(f'  BROKEN {each}' for each in report.broken))
+        has_failed = has_failed or bool(report.broken)
+    return EXIT_FAILED if has_failed else EXIT_OK
+
+
 def list_names(options: argparse.Namespace) -> int:
     """List the experiments."""
     for name, experiment in runner.EXPERIMENTS.items():
@@ -107,6 +126,7 @@
         'all': run_all,
         'relay': relay,
         'slopes': slopes,
+        'soak': soak,
     }
 )
 
@@ -138,6 +158,7 @@
         type=Path,
         default=Path('build/slopes.json'),
     )
+    _add_soak_options(parsers['soak'])
     parsers['all'].add_argument(
         '--rebase',
         action='store_true',
@@ -146,6 +167,21 @@
     return parser
 
 
+def _add_soak_options(parser: argparse.ArgumentParser) -> None:
+    plan = SoakPlan(seed=1)
+    parser.add_argument('--first', type=int, default=1, help='first seed')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--seconds', type=float, default=plan.seconds)
+    parser.add_argument('--nodes', type=int, default=plan.nodes)
+    parser.add_argument('--callers', type=int, default=plan.callers)
+    parser.add_argument(
+        '--output',
+        type=Path,
+        default=Path('build'),
+        help='folder for the logs of the nodes',
+    )
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the program and return its exit code."""
     options = build_parser().parse_args(arguments)
--- /dev/null
+++ b/deckdrum/soak/faults.py
@@ -0,0 +1,201 @@
+"""Faults of a soak: each strikes, lasts, and is mended."""
+
+import signal
+from abc import ABC, abstractmethod
+from typing import Final
+
+import curio
+
+from deckdrum.soak.links import LinkState
+from deckdrum.soak.processes import NodeProcess
+from deckdrum.soak.world import World
+from deckdrum.standins.users import StoreFault
+from deckdrum.testing.nodes import build_config, build_route
+
+#: Shortest and longest time that a fault lasts, in seconds: around the limits
+#: of the product (proof 1.2 s, take-over 5 s).
+SHORTEST: Final = 0.2
+LONGEST: Final = 4.0
+#: Delay of a slow link, in seconds.
+_SLOW_DELAY: Final = 0.1
+_STORE_FAULTS: Final = (
+    StoreFault.BUSY,
+    StoreFault.MANY,
+    StoreFault.RESET,
+    StoreFault.SILENT,
+    StoreFault.ANSWERS_LOST,
+)
+_SIGNALS: Final = (signal.SIGHUP, signal.SIGTERM, signal.SIGKILL)
+
+
+class Fault(ABC):
+    """A kind of fault."""
+
+    @abstractmethod
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike, last for some seconds and mend; tell what was struck."""
+
+
+class FrozenNode(Fault):
+    """A node's process stands still."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike and mend."""
+        node = world.pick_node()
+        node.send_signal(signal.SIGSTOP)
+        await curio.sleep(lasting)
+        node.send_signal(signal.SIGCONT)
+        return node.name
+
+
+class KilledNode(Fault):
+    """A node's process is killed, and started again."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike and mend."""
+        node = world.pick_node()
+        node.kill()
+        await curio.sleep(lasting)
+        node.start()
+        return node.name
+
+
+class StoppedNode(Fault):
+    """A node is asked to stop, and started again; signals may overlap."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike and mend."""
+        node = world.pick_node()
+        node.send_signal(world.randomness.choice(_SIGNALS))
+        await node.stop()
+        await curio.sleep(lasting / 4)
+        node.start()
+        return node.name
+
+
+class ReloadedNodes(Fault):
+    """Every node is told to read its settings again."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike."""
+        for node in world.nodes:
+            node.send_signal(signal.SIGHUP)
+        return 'all'
+
+
+class AllKilled(Fault):
+    """Every node is killed at once, and all start again."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike and mend."""
+        for node in world.nodes:
+            node.kill()
+        await curio.sleep(lasting / 4)
+        for node in world.nodes:
+            node.start()
+        return 'all'
+
+
+class TroubledLink(Fault):
+    """The way to a database is slow, cut one way, silent or reset."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike and mend."""
+        name = world.randomness.choice(sorted(world.links))
+        link = world.links[name]
+        link.delay = _SLOW_DELAY
+        link.state = world.randomness.choice(tuple(LinkState))
+        if link.state is LinkState.OPEN:
+            await link.reset()
+        state = link.state
+        await curio.sleep(lasting)
+        link.state = LinkState.OPEN
+        return f'{name} {state}'
+
+
+class TroubledDatabase(Fault):
+    """A database is dark, crashes, is full, or receives nothing."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike and mend."""
+        server = world.take_server(lambda each: each.is_running)
+        if server is None:
+            return 'none free'
+        kind = world.randomness.choice(('dark', 'crash', 'full', 'deaf'))
+        server.is_dark = kind == 'dark'
+        server.is_deaf = kind == 'deaf'
+        server.load.is_full = kind == 'full'
+        if kind == 'crash':
+            await server.crash()
+        await curio.sleep(lasting)
+        await world.bring_back(server)
+        return f'{server.name} {kind}'
+
+
+class LostAnswers(Fault):
+    """A database runs statements and their answers are lost."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike."""
+        name = world.randomness.choice(sorted(world.group.servers))
+        world.group.servers[name].lost_answers = world.randomness.randint(1, 5)
+        return name
+
+
+class TroubledStore(Fault):
+    """The store is away for everybody, or turns one node away."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike and mend."""
+        fault = world.randomness.choice(_STORE_FAULTS)
+        node: NodeProcess | None = None
+        if world.randomness.choice((True, False)):
+            node = world.pick_node()
+            world.store.turned_away[node.name] = fault
+        else:
+            world.store.fault = fault
+        await curio.sleep(lasting)
+        world.store.fault = StoreFault.NONE
+        if node is not None:
+            world.store.turned_away.pop(node.name, None)
+        return f'{node.name if node else "all"} {fault}'
+
+
+class ForgottenHistory(Fault):
+    """The store forgets its history."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike."""
+        await world.store.forget_history()
+        return 'store'
+
+
+class ChangedConfiguration(Fault):
+    """The operator adds a route."""
+
+    async def strike(self, world: World, lasting: float) -> str:
+        """Strike."""
+        world.version += world.randomness.randint(1, 3)
+        config = build_config(world.version)
+        config['routes'].append(build_route(f'db-{world.version}', 'primary'))
+        await world.store.write('config', 'main', config)
+        return f'version {world.version}'
+
+
+FAULTS: Final[tuple[Fault, ...]] = (
+    FrozenNode(),
+    KilledNode(),
+    StoppedNode(),
+    ReloadedNodes(),
+    AllKilled(),
+    TroubledLink(),
+    TroubledLink(),
+    TroubledDatabase(),
+    TroubledDatabase(),
+    TroubledDatabase(),
+    LostAnswers(),
+    TroubledStore(),
+    TroubledStore(),
+    ForgottenHistory(),
+    ChangedConfiguration(),
+)
--- /dev/null
+++ b/deckdrum/soak/processes.py
@@ -0,0 +1,136 @@
+"""Node processes, started and signalled from outside."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Final
+
+import curio
+
+from deckdrum.platform.settings import SETTINGS_VARIABLE
+from deckdrum.utils import Address
+from deckdrum.utils.http import HttpClient, Request
+
+_CLIENTS_PORT: Final = 8784
+_READINESS_PORT: Final = 8785
+_PEER_PORTS: Final = (7440, 7455)
+_OCTET: Final = 250
+#: Time between SIGTERM and the kill, in seconds.
+GRACE: Final = 4.0
+#: Longest wait for the answer of a readiness probe, in seconds.
+_PROBE_LIMIT: Final = 0.5
+_POLL: Final = 0.05
+_OK: Final = 200
+
+
+class NodeProcess:
+    """One node: ``python -m deckdrum.platform.program``.
+
+    Parameters
+    ----------
+    number : int
+        Tells the nodes of a soak apart; each has a loopback address.
+    centre : str
+        Its data centre.
+    store, duties : Address
+        The store, as this node reaches it, and the promotion call.
+    folder : Path
+        For its settings and its log.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        centre: str,
+        store: Address,
+        duties: Address,
+        folder: Path,
+    ) -> None:
+        self.name = f'n{number}'
+        self.host = f'127.2.{os.getpid() % _OCTET}.{number + 1}'
+        #: Exit codes that no signal of the soak explains.
+        self.strange_exits: list[int] = []
+        self.log_path = folder / f'{self.name}.log'
+        self._settings_path = folder / f'{self.name}.json'
+        self._process: subprocess.Popen[bytes] | None = None
+        self._settings_path.write_text(
+            json.dumps(self._describe(centre, store, duties)),
+        )
+
+    @property
+    def clients_address(self) -> Address:
+        """Where clients connect."""
+        return Address(self.host, _CLIENTS_PORT)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process; one that has ended by itself is noted."""
+        if self.is_running:
+            return
+        if self._process is not None and self._process.returncode > 0:
+            self.strange_exits.append(self._process.returncode)
+        with self.log_path.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'deckdrum.platform.program'],
+                env=os.environ | {SETTINGS_VARIABLE: str(self._settings_path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if self._process is not None and self.is_running:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+    async def stop(self, limit: float = GRACE) -> None:
+        """Ask the process to stop, and kill it after `limit` seconds."""
+        self.send_signal(signal.SIGTERM)
+        async with curio.ignore_after(limit):
+            while self.is_running:
+                await curio.sleep(_POLL)
+        self.kill()
+
+    async def is_ready(self) -> bool:
+        """Tell whether the node calls for clients."""
+        client = HttpClient(Address(self.host, _READINESS_PORT), _PROBE_LIMIT)
+        try:
+            reply = await client.call(Request('GET', '/-/ready'), _PROBE_LIMIT)
+        except ConnectionError:
+            return False
+        finally:
+            await client.close()
+        return reply.status == _OK
+
+    def _describe(
+        self,
+        centre: str,
+        store: Address,
+        duties: Address,
+    ) -> dict[str, object]:
+        return {
+            'nodeName': self.name,
+            'ip': self.host,
+            'zone': centre,
+            'listen': {
+                'frontend': str(self.clients_address),
+                'readiness': f'{self.host}:{_READINESS_PORT}',
+            },
+            'portRange': _PEER_PORTS,
+            'seeds': [],
+            'bounds': {'graceS': GRACE},
+            'platform': {'address': str(store)},
+            'cloudApi': {'address': str(duties)},
+        }
--- a/deckdrum/standins/users/databases.py
+++ b/deckdrum/standins/users/databases.py
@@ -19,6 +19,8 @@
 from deckdrum.utils.http import HttpServer, Reply, Request
 
 _CONFLICT: Final = 409
+#: Pause between two looks at what the replicas have received, in seconds.
+_RECEIVED_POLL: Final = 0.002
 
 
 @dataclass(slots=True)
@@ -116,13 +118,11 @@
         """Append a change and send it to the replicas."""
         entry = Entry(primary.term, len(primary.log) + 1, writes)
         primary.log.append(entry)
-        sending = [
-            await curio.spawn(self._send, primary, server, daemon=True)
-            for server in self.servers.values()
-            if server is not primary
-        ]
-        for task in sending[: self.synchronous]:
-            await task.join()
+        for server in self.servers.values():
+            if server is not primary:
+                await curio.spawn(self._send, primary, server, daemon=True)
+        while self._count_received(primary, entry) < self.synchronous:
+            await curio.sleep(_RECEIVED_POLL)
 
     async def catch_up(self, server: DatabaseServer) -> None:
         """Give a replica the log that it lacks."""
@@ -135,6 +135,19 @@
             primary = max(leading, key=lambda each: each.term)
             await self._send(primary, server)
 
+    async def rejoin(self, server: DatabaseServer) -> None:
+        """Have a database that is back follow the present primary."""
+        if self.primary is not server:
+            await server.follow(self.primary.term, self.primary.log)
+
+    def _count_received(self, primary: DatabaseServer, entry: Entry) -> int:
+        """Return how many replicas have received a change."""
+        return sum(
+            entry in server.log[entry.number - 1 : entry.number]
+            for server in self.servers.values()
+            if server is not primary
+        )
+
     async def _send(
         self,
         primary: DatabaseServer,
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -119,6 +119,8 @@
         #: Rejections to give before anything else is run.
         self.rejections: list[str] = []
         self.state = 'ready'
+        #: Where others are told to connect, if not straight to it.
+        self.listed_address: Address | None = None
         #: Whether it keeps its entry in the directory.
         self.is_listed = True
         self._connections: set[Stream] = set()
@@ -164,7 +166,7 @@
             self.name,
             {
                 'service': self.group.service,
-                'address': str(self._address),
+                'address': str(self.listed_address or self._address),
                 'zone': self.zone,
                 'version': 'v1',
                 'slots': 3,
--- a/deckdrum/utils/streams.py
+++ b/deckdrum/utils/streams.py
@@ -161,6 +161,12 @@
             linger = struct.pack('ii', 1, 0)
             self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             self.closed = True
+            try:
+                # Wakes a task of ours that waits on the socket; sends nothing.
+                await self._sock.shutdown(socket.SHUT_RD)
+            except OSError:
+                # Not connected any more: whoever waits is woken by that.
+                await curio.sleep(0)
             await self._wait_unused()
             await self._sock.close()
 
--- a/deckdrum/utils/tests/test_streams.py
+++ b/deckdrum/utils/tests/test_streams.py
@@ -73,3 +73,20 @@
         return answer
 
     assert run_virtual(main) == b''
+
+
+def test_aborting_while_another_task_waits() -> None:
+    async def main() -> bytes:
+        listener = Listener(Address('127.0.0.1', 0), _echo)
+        await listener.start()
+        stream = await dial(listener.address, 1)
+        waiting = await curio.spawn(_wait_for_bytes, stream)
+        await curio.sleep(0)
+        # Without an end this turned in the kernel for ever.
+        async with curio.timeout_after(20):
+            await stream.abort()
+            found = await waiting.join()
+        await listener.close()
+        return found
+
+    assert curio.run(main) == b''
