Wait a bounded time for one of few connections, then look elsewhere

A request whose node's one connection rested in somebody's transaction waited all its time for that one, while other nodes had free ones.

Change: one try waits 0.25 s; then the lenders are asked again, or another server. A change that no server took is no longer told to be a read.

--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -103,7 +103,10 @@
             return refuse(Code.PRIMARY_REFUSED, f'{last.cause}: {last.text}')
         if self._runtime.primary is None:
             return refuse(Code.NO_PRIMARY, f'service {self._runtime.name}')
-        return refuse(Code.READ_NOT_POSSIBLE, 'no server took it in time')
+        code = Code.QUEUE_TIMEOUT
+        if search.is_read:
+            code = Code.READ_NOT_POSSIBLE
+        return refuse(code, 'no server took it in time')
 
     async def _weigh_rejection(
         self,
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -45,6 +45,10 @@
 #: Longest wait of such a question for a pooled connection, in seconds; then
 #: one beyond the pool is opened, since all may rest in transactions.
 CONTROL_WAIT: Final = 0.1
+#: Longest wait of one try for one of few connections, in seconds.  A resting
+#: transaction may hold them for seconds: then other lenders, or another server,
+#: are tried instead.
+FEW_WAIT: Final = 0.25
 #: Group under which the product's own questions wait for a connection.
 _CONTROL_GROUP: Final = ''
 _LEARN_RATE: Final = 0.2
@@ -215,6 +219,8 @@
         ConnectionError
             If the server cannot be reached.
         """
+        if self._has_few:
+            limit = min(limit, FEW_WAIT)
         if not self.is_holder:
             return await self.loans.acquire(group, limit)
         borrowed = await self._borrow_beside(group, limit)
--- a/deckdrum/serving/tests/test_dealing.py
+++ b/deckdrum/serving/tests/test_dealing.py
@@ -10,7 +10,14 @@
     RESERVED_CONNECTIONS,
     deal_connections,
 )
-from deckdrum.testing.nodes import BOUNDED, CURRENT, SERVICE, Deployment, play
+from deckdrum.testing.nodes import (
+    BOUNDED,
+    CURRENT,
+    SERVICE,
+    Deployment,
+    Reply,
+    play,
+)
 
 CENTRES = ('a', 'b', 'c')
 
@@ -176,6 +183,37 @@
     play(scenario, nodes=12, max_connections=9, work=0.05)
 
 
+def test_resting_transactions_do_not_keep_others_from_borrowing() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        primary = deployment.group.primary
+        holders = [
+            number
+            for number, running in enumerate(deployment.nodes)
+            if running.node.services[SERVICE].servers[primary.name].is_holder
+        ]
+        # All connections but one rest in transactions, and so does the one
+        # that the last node would have lent itself.
+        resting = []
+        for number in holders:
+            client = await deployment.connect(CURRENT, node=number)
+            await client.ask('BEGIN')
+            await client.ask('WRITE a 1')
+            resting.append(client)
+        waiting = await curio.spawn(_write_at, deployment, holders[0])
+        await curio.sleep(0.6)
+        await resting[-1].ask('ROLLBACK')
+        began = await curio.clock()
+        assert (await waiting.join()).is_done
+        assert await curio.clock() - began < 0.6
+
+    play(scenario, nodes=12, max_connections=9, settle=2.5)
+
+
+async def _write_at(deployment: Deployment, number: int) -> Reply:
+    client = await deployment.connect(CURRENT, node=number)
+    return await client.ask('WRITE b 1')
+
+
 def test_most_nodes_reach_some_replica_without_a_hop() -> None:
     nodes = build_nodes(71)
     held = [
