Take a shortage of connections for no answer of the server

Change: NoneFreeError for what this node or its peers know; only the server's own refusal is an answer of it.

--- a/deckdrum/backends/base.py
+++ b/deckdrum/backends/base.py
@@ -24,6 +24,13 @@
     """The server has as many connections as it allows."""
 
 
+class NoneFreeError(ConnectionLimitError):
+    """No connection is free, as this node or its peers know.
+
+    The server itself was not asked: this tells nothing of its state.
+    """
+
+
 class WrongServerError(ConnectionError):
     """Another server than the expected one answers at the address."""
 
--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -11,6 +11,7 @@
     BackendLink,
     ConnectionLimitError,
     LinkState,
+    NoneFreeError,
 )
 from deckdrum.control import Member
 from deckdrum.fleet.channels import StreamChannel
@@ -107,7 +108,7 @@
         """Open a connection, unless the server has just been found full."""
         now = await curio.clock()
         if now < self.full_until:
-            raise ConnectionLimitError(f'{self.name} was full a moment ago')
+            raise NoneFreeError(f'{self.name} was full a moment ago')
         self._direct.server = self.server
         try:
             return await self._direct.connect(limit)
@@ -159,7 +160,7 @@
             is_answered = is_answered or answer is not None
         if is_answered:
             # A connection beyond the deal would only load the server more.
-            raise ConnectionLimitError(f'{self.name}: the lenders have none')
+            raise NoneFreeError(f'{self.name}: the lenders have none')
         link = await self._own.connect(limit)
         link.is_kept = False
         return link
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -416,3 +416,22 @@
         assert longest < 0.1
 
     play(scenario, promote_time=0.6)
+
+
+def test_dark_primary_of_few_connections_is_replaced() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        clients = [
+            await deployment.connect(CURRENT, node=number)
+            for number in range(12)
+        ]
+        for client in clients:
+            await client.ask('WRITE a 1')
+        deployment.group.primary.is_dark = True
+        async with curio.TaskGroup() as writing:
+            for client in clients:
+                await writing.spawn(client.write_until_done)
+        assert len(deployment.group.promotions) == 1
+        longest = max(task.result for task in writing.tasks)
+        assert longest < GAP_LIMIT + 1
+
+    play(scenario, nodes=12, max_connections=9, settle=2.5)
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -11,6 +11,7 @@
     BackendServer,
     ConnectionLimitError,
     Lease,
+    NoneFreeError,
     Pool,
     ServerStatus,
 )
@@ -192,7 +193,8 @@
     def note_failure(self, now: float, error: BaseException) -> None:
         """Note that a connection broke or could not be had."""
         if isinstance(error, ConnectionLimitError):
-            self.answered_at = now
+            if not isinstance(error, NoneFreeError):
+                self.answered_at = now
             self._avoided_until = now + FULL_AVOIDANCE
             return
         self.is_refusing = isinstance(
