Share samples of the primary; let a read wait for one

Change: where a data centre has many nodes one of them samples for all, as it does for proof; a node that has no young sample asks for one before it sends a read to the primary. Calls that serve all who wait are in one class.

--- a/deckdrum/backends/history.py
+++ b/deckdrum/backends/history.py
@@ -34,6 +34,16 @@
         """Term of the noted positions."""
         return self._term
 
+    @property
+    def latest(self) -> tuple[int, float]:
+        """The latest position and when it was asked for, in kernel seconds.
+
+        The time lies infinitely far back if there is none.
+        """
+        if not self._times:
+            return 0, float('-inf')
+        return self._offsets[-1], self._times[-1]
+
     def note(self, term: int, offset: int, started_at: float) -> None:
         """Remember a position that the primary of `term` had at a time.
 
--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -184,6 +184,8 @@
     questions.ProofAnswer,
     questions.FollowNews,
     questions.FollowAnswer,
+    questions.AskSample,
+    questions.SampleAnswer,
 )
 _NUMBERS: Final = MappingProxyType(
     {message_type: number for number, message_type in enumerate(_TYPES)},
--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -202,3 +202,22 @@
     """
 
     age: float
+
+
+@dataclass(frozen=True, slots=True)
+class AskSample(Message):
+    """Ask a peer where a primary's log stood lately."""
+
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class SampleAnswer(Message):
+    """Where the log stood, and how long ago the peer asked, in seconds.
+
+    A negative age if the peer does not know.
+    """
+
+    term: int
+    offset: int
+    age: float
--- a/deckdrum/node/answering.py
+++ b/deckdrum/node/answering.py
@@ -6,16 +6,18 @@
 
 import curio
 
-from deckdrum.backends import ServerRole, ServerStatus
+from deckdrum.backends import ServerRole
 from deckdrum.control import Kind, StoreFeed
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.questions import (
     AskProof,
+    AskSample,
     AskServer,
     AskTerm,
     EndTerm,
     ProofAnswer,
+    SampleAnswer,
     ServerAnswer,
     TermAnswer,
     TermEnded,
@@ -23,8 +25,6 @@
 from deckdrum.serving.servers import FRESH_ANSWER, ServerHandle
 from deckdrum.serving.service import ServiceRuntime
 
-#: Longest wait for a server that a peer asks about, in seconds.
-SERVER_LIMIT: Final = 0.4
 _NOT_REACHED: Final = ServerAnswer(reached=False, leads_term=0)
 
 
@@ -45,8 +45,6 @@
         feed: StoreFeed,
     ) -> None:
         self._services = services
-        #: Questions to servers that are under way.
-        self._asking: dict[str, Any] = {}
         self._feed = feed
 
     async def answer(self, question: Message) -> Message | None:
@@ -67,7 +65,7 @@
             return ServerAnswer(reached=True, leads_term=runtime.belief.term)
         if handle.is_silent(now):
             return _NOT_REACHED
-        status = await self._ask_once(handle)
+        status = await handle.ask_status_once()
         if status is not None and status.role is ServerRole.PRIMARY:
             return ServerAnswer(reached=True, leads_term=status.term)
         if status is None and _has_answered_as_primary(runtime, handle, now):
@@ -75,22 +73,6 @@
             return ServerAnswer(reached=True, leads_term=runtime.belief.term)
         return _NOT_REACHED
 
-    async def _ask_once(self, handle: ServerHandle) -> ServerStatus | None:
-        """Ask a server for all peers that want to know at the same time."""
-        task: Any = self._asking.get(handle.id)
-        if task is None:
-            task = await curio.spawn(
-                handle.ask_status,
-                SERVER_LIMIT,
-                daemon=True,
-            )
-            self._asking[handle.id] = task
-        await task.wait()
-        if self._asking.get(handle.id) is task:
-            self._asking.pop(handle.id)
-        status: ServerStatus | None = task.result
-        return status
-
     async def _tell_term(self, question: AskTerm) -> Message:
         # A node that has just started may have consented in its last life;
         # the store, where each change is claimed first, knows.
@@ -106,6 +88,12 @@
             return ProofAnswer(-1)
         return ProofAnswer(await runtime.tell_proof(question.term))
 
+    async def _tell_sample(self, question: AskSample) -> Message:
+        runtime = self._services.get(question.service)
+        if runtime is None:
+            return SampleAnswer(0, 0, -1)
+        return await runtime.tell_sample()
+
     async def _end_term(self, question: EndTerm) -> Message:
         runtime = self._services.get(question.service)
         if runtime is not None:
@@ -128,6 +116,7 @@
     {
         Heartbeat: Answerer._send_back,
         AskProof: Answerer._tell_proof,
+        AskSample: Answerer._tell_sample,
         AskServer: Answerer._tell_server,
         AskTerm: Answerer._tell_term,
         EndTerm: Answerer._end_term,
--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -70,7 +70,7 @@
         self._journal = journal
         self._counters = counters
         #: The node of this data centre that is asked for proof, if any.
-        self._collector: Member | None = None
+        self.collector: Member | None = None
         self._renewing: Any = None
 
     def pick_collector(
@@ -84,7 +84,7 @@
         `staying` has the data centres of the nodes that are to stay.
         """
         name = self._belief.service
-        self._collector = _pick_collector(name, own, members, staying)
+        self.collector = _pick_collector(name, own, members, staying)
 
     async def tell_age(self, term: int) -> float:
         """Return the age of this node's proof in seconds; -1 without any."""
@@ -140,7 +140,7 @@
             self._prove_by_store,
             self._prove_by_nodes,
         ]
-        if self._collector is not None:
+        if self.collector is not None:
             sources.insert(0, self._prove_by_collector)
         wanted = await curio.clock() + good_for
         try:
@@ -157,7 +157,7 @@
             self._renewing = None
 
     async def _prove_by_collector(self) -> None:
-        collector = self._collector
+        collector = self.collector
         if collector is None:
             return
         term = self._belief.term
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -19,6 +19,8 @@
 AGE_MARGIN: Final = 0.1
 #: Part of the accepted age after which a new sample of the primary is taken.
 SAMPLE_PART: Final = 0.4
+#: Longest wait of a read for a sample of the primary, in seconds.
+SAMPLE_WAIT: Final = 0.15
 #: What another data centre costs beside a server's time, in seconds: the
 #: longer way there and back, and as much again for the bytes.
 DISTANCE_COST: Final = 0.006
@@ -93,6 +95,11 @@
         if route.guarantee is Guarantee.CURRENT:
             return await self.choose_primary(limit)
         floor = await self._find_floor(route, state)
+        if floor is None:
+            # A sample costs the primary less than the read would.
+            async with curio.ignore_after(min(limit, SAMPLE_WAIT)):
+                await self._runtime.sample_primary()
+            floor = await self._find_floor(route, state)
         if floor is not None:
             replica = await self._pick_replica(floor, passed_over)
             if replica is not None:
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -23,6 +23,7 @@
 from deckdrum.serving.dealing import BORROWED_CONNECTIONS, USEFUL_CONNECTIONS
 from deckdrum.sessions import Position
 from deckdrum.sessions.position import NOWHERE
+from deckdrum.utils.tasks import SharedCall
 
 #: How long a server that failed is passed over, in seconds; doubled with
 #: each failure in a row.
@@ -91,6 +92,7 @@
         #: Whether it has connections of its own; otherwise it only borrows.
         self.is_holder = True
         self._lending = loans
+        self._asking_status = SharedCall(self.ask_status)
         #: Why it last left a question without an answer.
         self.fault = ''
         #: When the server last answered anything, in kernel seconds.
@@ -264,6 +266,11 @@
         """Ask the server about itself; None if it does not say."""
         return await self.instruct('read_status', limit=limit)
 
+    async def ask_status_once(self) -> ServerStatus | None:
+        """Ask as `ask_status`, for all peers that want to know now."""
+        status: ServerStatus | None = await self._asking_status.get()
+        return status
+
     async def instruct(
         self,
         step: str,
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -16,18 +16,20 @@
 from deckdrum.control import ControlStore, Member, Route, ServiceDeclaration
 from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
 from deckdrum.fleet.nodes import NodePeers
-from deckdrum.leadership.belief import LeadershipBelief
+from deckdrum.fleet.questions import AskSample, SampleAnswer
+from deckdrum.leadership.belief import VALIDITY, LeadershipBelief
 from deckdrum.members import GroupShare
 from deckdrum.serving.dealing import (
     USEFUL_CONNECTIONS,
     deal_connections,
 )
-from deckdrum.serving.proofs import ProofSources, Source
+from deckdrum.serving.proofs import SHARED_AGE, ProofSources, Source
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.sessions import Position
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.ranks import weigh
+from deckdrum.utils.tasks import SharedCall
 
 #: Weight of a group of callers by the priority of its route; 0 is the most
 #: urgent.  Twice the weight gets twice the connections when all wait.
@@ -39,6 +41,8 @@
 #: Longest wait for statements under way when a term ends, in seconds; most
 #: statements take 6 to 60 ms.
 FINISH_LIMIT: Final = 0.12
+#: Longest wait for a peer's sample of the primary, in seconds.
+SAMPLE_LIMIT: Final = 0.25
 _FINISH_POLL: Final = 0.005
 
 
@@ -96,6 +100,8 @@
         #: What the connections were last dealt for.
         self._dealt: tuple[int, dict[str, Member], set[str]] | None = None
         self._discovered_at = float('-inf')
+        self._sampling = SharedCall(self._sample)
+        self._asking_primary = SharedCall(self._ask_primary)
 
     @property
     def name(self) -> str:
@@ -205,19 +211,23 @@
         return None if offset is None else Position(self.history.term, offset)
 
     async def sample_primary(self) -> bool:
-        """Ask the primary where its log stands; tell whether it said so."""
-        primary = self.primary
-        if primary is None:
-            return False
-        started_at = await curio.clock()
-        if not self.belief.is_valid(started_at):
-            return False
-        self.counters.count('primary_samples')
-        status = await self.ask(primary)
-        if status is None or status.term != self.belief.term:
-            return False
-        self.note_position(status.received, started_at)
-        return True
+        """Learn where the primary's log stands; tell whether that is known.
+
+        Callers that come meanwhile wait for the same sample.  Where a data
+        centre has many nodes, one of them samples for all: each question
+        takes a place at a server that may be loaded already.
+        """
+        return bool(await self._sampling.get())
+
+    async def tell_sample(self) -> SampleAnswer:
+        """Return the latest sample for a peer, a new one if it is old."""
+        asked_at = await curio.clock()
+        if asked_at - self.history.latest[1] > SHARED_AGE:
+            await self._asking_primary.get()
+        offset, sampled_at = self.history.latest
+        age = await curio.clock() - sampled_at
+        is_known = age < VALIDITY
+        return SampleAnswer(self.history.term, offset, age if is_known else -1)
 
     async def ask(self, handle: ServerHandle) -> ServerStatus | None:
         """Ask a server about itself and take over what it says."""
@@ -314,6 +324,44 @@
         for handle in self.servers.values():
             await handle.pool.close_idle()
 
+    async def _sample(self) -> bool:
+        collector = self._proofs.collector
+        if collector is not None and await self._sample_by(collector):
+            return True
+        return bool(await self._asking_primary.get())
+
+    async def _sample_by(self, collector: Member) -> bool:
+        """Take over a peer's sample; tell whether it has one."""
+        asked_at = await curio.clock()
+        answer = await self._peers.ask(
+            collector.endpoint,
+            AskSample(self.name),
+            SAMPLE_LIMIT,
+        )
+        if not isinstance(answer, SampleAnswer) or answer.age < 0:
+            return False
+        if answer.term != self.belief.term:
+            return False
+        # The peer's sample is at most this much older than the question.
+        self.history.note(answer.term, answer.offset, asked_at - answer.age)
+        self.counters.count('samples_by_collector')
+        return True
+
+    async def _ask_primary(self) -> bool:
+        """Ask the primary where its log stands; tell whether it said so."""
+        primary = self.primary
+        if primary is None:
+            return False
+        started_at = await curio.clock()
+        if not self.belief.is_valid(started_at):
+            return False
+        self.counters.count('primary_samples')
+        status = await self.ask(primary)
+        if status is None or status.term != self.belief.term:
+            return False
+        self.note_position(status.received, started_at)
+        return True
+
     async def _ask_each(self, handles: Iterable[ServerHandle]) -> None:
         async with curio.TaskGroup() as asking:
             for handle in handles:
--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -297,3 +297,36 @@
         assert execution._budget._left == RETRY_RESERVE - 1
 
     play(scenario, work=1.5)
+
+
+def test_one_node_samples_the_primary_for_its_data_centre() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        clients = [
+            await deployment.connect(BOUNDED, node=number)
+            for number in range(9)
+        ]
+        for _ in range(30):
+            for client in clients:
+                assert (await client.ask('READ a')).is_done
+            await curio.sleep(0.1)
+        sampled = sum(
+            running.node.counters.events['primary_samples']
+            for running in deployment.nodes
+        )
+        # One every 0.6 s, and a few at the start.
+        assert sampled <= 12
+
+    play(scenario, nodes=9, centres=1, settle=2.5)
+
+
+def test_read_waits_for_a_sample_rather_than_load_the_primary() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(BOUNDED)
+        await curio.sleep(5)
+        for _ in range(3):
+            await client.ask('READ a')
+            await curio.sleep(2.5)
+        servers = {ran.server for ran in deployment.group.ran}
+        assert deployment.group.primary.name not in servers
+
+    play(scenario)
--- a/deckdrum/utils/tasks.py
+++ b/deckdrum/utils/tasks.py
@@ -45,3 +45,25 @@
             await curio.sleep(RESTART_PAUSE)
         else:
             return
+
+
+class SharedCall:
+    """A call whose result serves all who want it at the same time.
+
+    Parameters
+    ----------
+    call : callable
+        What is called, without arguments.
+    """
+
+    def __init__(self, call: Callable[[], Awaitable[Any]]) -> None:
+        self._call = call
+        self._task: Any = None
+
+    async def get(self) -> Any:
+        """Return the result of a call that ends after now."""
+        if self._task is None or self._task.terminated:
+            self._task = await curio.spawn(self._call, daemon=True)
+        task = self._task
+        await task.wait()
+        return task.result
