Split the long steps of the store feed and of the choice of a feeder

The loop of a kind names what it does after each outcome; the nodes near by and the order of the feeders are functions of their own, and the feeders are looked up by name in place of a second pass over the members.

--- a/deckdrum/control/feed.py
+++ b/deckdrum/control/feed.py
@@ -114,22 +114,18 @@
             try:
                 await self._take_next(kind, is_listed)
             except HistoryGoneError as error:
-                self._journal.record(
-                    'store.history_gone', kind=kind, reason=str(error)
-                )
                 is_listed = False
-                await curio.sleep(FIRST_PAUSE * self._randomness.random())
-                continue
+                await self._start_over(kind, str(error))
             except StoreError as error:
                 await self._note_reachable(kind, False, str(error))
                 await self._rest(kind, pause)
                 pause = min(pause * 2, LONGEST_PAUSE)
-                continue
-            await self._note_reachable(kind, True)
-            is_listed = True
-            pause = FIRST_PAUSE
-            await curio.sleep(BUNDLE_PAUSES.get(kind, 0))
-            await self._await_direct(kind)
+            else:
+                is_listed = True
+                pause = FIRST_PAUSE
+                await self._note_reachable(kind, True)
+                await curio.sleep(BUNDLE_PAUSES.get(kind, 0))
+                await self._await_direct(kind)
 
     async def follow(self) -> None:
         """Leave the watches of some kinds to a peer."""
@@ -163,6 +159,11 @@
         finally:
             self._waiting.discard(changed)
 
+    async def _start_over(self, kind: Kind, reason: str) -> None:
+        """Note that the kind must be listed anew; spread the lists in time."""
+        self._journal.record('store.history_gone', kind=kind, reason=reason)
+        await curio.sleep(FIRST_PAUSE * self._randomness.random())
+
     async def _rest(self, kind: Kind, pause: float) -> None:
         """Pause after a failed call.
 
--- a/deckdrum/control/sharing.py
+++ b/deckdrum/control/sharing.py
@@ -20,7 +20,6 @@
     },
 )
 
-
 #: What a peer hands over of one kind: all of it, or what has changed.
 Update = Listing | Changes
 
--- a/deckdrum/fleet/following.py
+++ b/deckdrum/fleet/following.py
@@ -6,6 +6,7 @@
 peers do not feed it watches the store by itself.
 """
 
+from collections.abc import Sequence
 from functools import partial
 from typing import Final
 
@@ -97,29 +98,18 @@
 
     async def _pick_feeder(self) -> Member | None:
         """Return the peer to follow; None if this node is to watch."""
-        near = [
-            member
-            for member in self._peers.others
-            if member.data_centre == self._settings.data_centre
-            and not member.is_leaving
-        ]
         own = self._settings.name
+        near = self._list_near()
         if len(near) + 1 < FOLLOWED_FROM:
             return None
-        count = max(LEAST_FEEDERS, (len(near) + 1) // NODES_PER_FEEDER)
-        names = sorted(
-            (own, *(member.name for member in near)),
-            key=partial(weigh, _RANK_KEY),
-        )
-        feeders = names[:count]
+        feeders = _rank_feeders((own, *near))
         if own in feeders:
             return None
         now = await curio.clock()
         ready = [
-            member
-            for member in near
-            if member.name in feeders
-            and self._avoided_until.get(member.name, 0) <= now
+            near[name]
+            for name in feeders
+            if self._avoided_until.get(name, 0) <= now
         ]
         return min(
             ready,
@@ -127,7 +117,25 @@
             default=None,
         )
 
+    def _list_near(self) -> dict[str, Member]:
+        """Return the other nodes of this data centre that stay, by name."""
+        return {
+            member.name: member
+            for member in self._peers.others
+            if member.data_centre == self._settings.data_centre
+            and not member.is_leaving
+        }
+
     def _note_followed(self, name: str) -> None:
         if name != self._followed:
             self._journal.record('news.followed', peer=name or 'nobody')
             self._followed = name
+
+
+def _rank_feeders(names: Sequence[str]) -> list[str]:
+    """Return which nodes of a data centre watch the store for the others.
+
+    Every node comes to the same ones, as far as it knows the same nodes.
+    """
+    count = max(LEAST_FEEDERS, len(names) // NODES_PER_FEEDER)
+    return sorted(names, key=partial(weigh, _RANK_KEY))[:count]
