--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -114,7 +114,7 @@
     ) -> Refusal | None:
         handle = ended.target.handle
         if end.cause is RejectionCause.BEHIND and ended.target.floor:
-            handle.note_behind(ended.target.floor, now)
+            handle.lag.note_behind(ended.target.floor, now)
             return None
         if end.cause is RejectionCause.NOT_PRIMARY:
             await self._runtime.belief.lose_primary(
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -129,7 +129,7 @@
             if handle.id not in passed_over
             and not handle.server.is_draining
             and not handle.is_avoided(now)
-            and not handle.is_behind(floor, now)
+            and not handle.lag.is_behind(floor, now)
         ]
         primary = self._runtime.primary
         if not fitting:
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -20,8 +20,7 @@
 from deckdrum.operations import Rejection
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.dealing import BORROWED_CONNECTIONS, USEFUL_CONNECTIONS
-from deckdrum.sessions import Position
-from deckdrum.sessions.position import NOWHERE
+from deckdrum.serving.lags import ReplicaLag
 
 #: How long a server that failed is passed over, in seconds; doubled with
 #: each failure in a row.
@@ -30,10 +29,6 @@
 #: Pause after the server refused a connection for want of room, in seconds.
 #: Connections of a node that was killed linger for up to 3 s.
 FULL_AVOIDANCE: Final = 0.3
-#: How long a replica that lacked a position is passed over for reads that
-#: need as much, in seconds; doubled while it stays behind.
-FIRST_BEHIND: Final = 0.02
-LONGEST_BEHIND: Final = 0.32
 #: Longest wait for the answer to a question of the product's own, in seconds;
 #: far above the round trip (5 ms) and a full queue of short statements.
 QUESTION_LIMIT: Final = 0.4
@@ -98,9 +93,8 @@
         self.usual_time: float = 0
         self._avoided_until = float('-inf')
         self._avoidance = FIRST_AVOIDANCE
-        self._behind_until = float('-inf')
-        self._behind_pause = FIRST_BEHIND
-        self._lacked = NOWHERE
+        #: What its log lacked lately.
+        self.lag = ReplicaLag()
 
     @property
     def id(self) -> str:
@@ -163,19 +157,6 @@
         """
         return self.answered_at >= since
 
-    def is_behind(self, floor: Position, now: float) -> bool:
-        """Tell whether the server has just lacked a position up to `floor`."""
-        return now < self._behind_until and floor >= self._lacked
-
-    def note_behind(self, floor: Position, now: float) -> None:
-        """Note that the server's log lacks a position."""
-        if now < self._behind_until + LONGEST_BEHIND:
-            self._behind_pause = min(self._behind_pause * 2, LONGEST_BEHIND)
-        else:
-            self._behind_pause = FIRST_BEHIND
-        self._behind_until = now + self._behind_pause
-        self._lacked = floor
-
     def note_answer(self, now: float, seconds: float | None = None) -> None:
         """Note that the server answered, after `seconds` if it was work."""
         self.answered_at = now
@@ -282,13 +263,7 @@
             async with curio.timeout_after(limit):
                 reply = await self._call_step(step, arguments)
         except curio.TaskTimeout:
-            queue = self.pool.queue
-            self.fault = (
-                f'no answer to {step} within {limit} s, connections: '
-                f'{queue.held} of {queue.slots} in use, '
-                f'{queue.waiting} waiting, {self.pool.idle} idle, '
-                f'{self.loans.queue.held} borrowed'
-            )
+            self.fault = self._describe_silence(step, limit)
             self.note_silence(await curio.clock())
             return None
         except ConnectionError as error:
@@ -298,6 +273,21 @@
         self.note_answer(await curio.clock())
         return None if isinstance(reply, Rejection) else reply
 
+    @property
+    def _has_few(self) -> bool:
+        """Whether own connections do not serve all requests of this node."""
+        return not self.is_holder or self.pool.queue.slots < USEFUL_CONNECTIONS
+
+    def _describe_silence(self, step: str, limit: float) -> str:
+        """Return what is logged of a question without an answer."""
+        queue = self.pool.queue
+        return (
+            f'no answer to {step} within {limit} s, connections: '
+            f'{queue.held} of {queue.slots} in use, '
+            f'{queue.waiting} waiting, {self.pool.idle} idle, '
+            f'{self.loans.queue.held} borrowed'
+        )
+
     async def _call_step(
         self,
         step: str,
@@ -320,6 +310,7 @@
         step: str,
         arguments: tuple[int, ...],
     ) -> ServerStatus | Rejection:
+        """Use a connection beyond the pool, one that is not kept."""
         backend = self._lending if self._has_few else self.own
         link = await backend.connect(QUESTION_LIMIT)
         is_whole = False
@@ -332,11 +323,6 @@
         await link.hand_back()
         return reply
 
-    @property
-    def _has_few(self) -> bool:
-        """Whether own connections do not serve all requests of this node."""
-        return not self.is_holder or self.pool.queue.slots < USEFUL_CONNECTIONS
-
     async def _borrow_beside(
         self,
         group: str,
