Soak: short steps and named limits

The series of faults, the link before a database and the start of a node are steps of their own; numbers have names; mending waits for nothing and says so; one test of the databases in a fault's hands, where there were two.

--- a/deckdrum/soak/callers.py
+++ b/deckdrum/soak/callers.py
@@ -18,8 +18,11 @@
 #: Pause after an attempt without success, and longest between two, in s.
 _RETRY_PAUSE: Final = 0.1
 _LONGEST_PAUSE: Final = 0.05
-#: Operations of one session.
+#: Most operations of one session, and statements of one transaction.
 _MOST_OPERATIONS: Final = 20
+_MOST_STATEMENTS: Final = 3
+#: Number of things that are read and written.
+_THINGS: Final = 1000
 #: Parts of the operations that are transactions, that write, that roll back.
 _TRANSACTIONS: Final = 0.3
 _WRITES: Final = 0.4
@@ -93,8 +96,7 @@
         attempt = Attempt(session, database)
         self.attempts.append(attempt)
         attempt.began_at = await curio.clock()
-        is_transaction = self._randomness.random() < _TRANSACTIONS
-        if is_transaction:
+        if self._randomness.random() < _TRANSACTIONS:
             attempt.fate = Fate.NOT_ASKED
             await self._run_transaction(client, attempt)
         else:
@@ -109,7 +111,7 @@
         attempt: Attempt,
     ) -> None:
         await self._ask(client, 'BEGIN', attempt)
-        for _ in range(self._randomness.randint(1, 3)):
+        for _ in range(self._randomness.randint(1, _MOST_STATEMENTS)):
             reply = await self._run_statement(client, attempt)
             if not reply.is_done:
                 attempt.fate = _read_fate(reply)
@@ -117,6 +119,7 @@
         if self._randomness.random() < _ROLLBACKS:
             await self._ask(client, 'ROLLBACK', attempt)
             return
+        # It stays in doubt if the answer never comes.
         attempt.fate = Fate.UNKNOWN
         attempt.fate = _read_fate(await self._ask(client, 'COMMIT', attempt))
 
@@ -125,7 +128,7 @@
         client: LineClient,
         attempt: Attempt,
     ) -> Reply:
-        thing = f't{self._randomness.randrange(1000)}'
+        thing = f't{self._randomness.randrange(_THINGS)}'
         if self._randomness.random() < _WRITES:
             text = f'WRITE {thing} x{self._asked}'
             attempt.writes.append(self._next_id())
--- a/deckdrum/soak/faults.py
+++ b/deckdrum/soak/faults.py
@@ -16,6 +16,12 @@
 #: of the product (proof 1.2 s, take-over 5 s).
 SHORTEST: Final = 0.2
 LONGEST: Final = 4.0
+#: Part of that time after which a stopped node, or all nodes, start again.
+_AWAY_PART: Final = 1 / 4
+#: Most answers that a database loses in a row.
+_MOST_LOST: Final = 5
+#: Most versions by which the operator's configuration grows at once.
+_LONGEST_STEP: Final = 3
 #: Delay of a slow link, in seconds.
 _SLOW_DELAY: Final = 0.1
 _STORE_FAULTS: Final = (
@@ -61,14 +67,14 @@
 
 
 class StoppedNode(Fault):
-    """A node is asked to stop, and started again; signals may overlap."""
+    """A node gets one signal, is then asked to stop, and started again."""
 
     async def strike(self, world: World, lasting: float) -> str:
         """Strike and mend."""
         node = world.pick_node()
         node.send_signal(world.randomness.choice(_SIGNALS))
         await node.stop()
-        await curio.sleep(lasting / 4)
+        await curio.sleep(lasting * _AWAY_PART)
         node.start()
         return node.name
 
@@ -90,7 +96,7 @@
         """Strike and mend."""
         for node in world.nodes:
             node.kill()
-        await curio.sleep(lasting / 4)
+        await curio.sleep(lasting * _AWAY_PART)
         for node in world.nodes:
             node.start()
         return 'all'
@@ -138,7 +144,8 @@
     async def strike(self, world: World, lasting: float) -> str:
         """Strike."""
         name = world.randomness.choice(sorted(world.group.servers))
-        world.group.servers[name].lost_answers = world.randomness.randint(1, 5)
+        count = world.randomness.randint(1, _MOST_LOST)
+        world.group.servers[name].lost_answers = count
         return name
 
 
@@ -175,13 +182,14 @@
 
     async def strike(self, world: World, lasting: float) -> str:
         """Strike."""
-        world.version += world.randomness.randint(1, 3)
+        world.version += world.randomness.randint(1, _LONGEST_STEP)
         config = build_config(world.version)
         config['routes'].append(build_route(f'db-{world.version}', 'primary'))
         await world.store.write('config', 'main', config)
         return f'version {world.version}'
 
 
+#: What is drawn from; a kind that stands here more often strikes more often.
 FAULTS: Final[tuple[Fault, ...]] = (
     FrozenNode(),
     KilledNode(),
--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -14,14 +14,17 @@
 from deckdrum.utils import Address
 from deckdrum.utils.http import HttpClient, Request
 
+#: Ports of every node, which has a loopback address to itself.
 _CLIENTS_PORT: Final = 8784
 _READINESS_PORT: Final = 8785
 _PEER_PORTS: Final = (7440, 7455)
-_OCTET: Final = 250
+#: Loopback networks; a soak takes one by the id of its process.
+_NETWORKS: Final = 250
 #: Time between SIGTERM and the kill, in seconds.
 GRACE: Final = 4.0
 #: Longest wait for the answer of a readiness probe, in seconds.
 _PROBE_LIMIT: Final = 0.5
+#: Pause between two looks at a process that is to end, in seconds.
 _POLL: Final = 0.05
 _OK: Final = 200
 
@@ -50,7 +53,7 @@
         folder: Path,
     ) -> None:
         self.name = f'n{number}'
-        self.host = f'127.2.{os.getpid() % _OCTET}.{number + 1}'
+        self.host = f'127.2.{os.getpid() % _NETWORKS}.{number + 1}'
         #: Exit codes that no signal of the soak explains.
         self.strange_exits: list[int] = []
         self.log_path = folder / f'{self.name}.log'
--- a/deckdrum/soak/promises.py
+++ b/deckdrum/soak/promises.py
@@ -16,6 +16,7 @@
     OWN_AGE_MS,
 )
 
+#: Milliseconds in a second.
 _MS: Final = 1000
 #: Accepted age of reads by the name of the route, in seconds.
 _AGES: Final = MappingProxyType(
--- a/deckdrum/soak/runner.py
+++ b/deckdrum/soak/runner.py
@@ -22,6 +22,7 @@
 SERVED_LIMIT: Final = 60.0
 #: Time for late answers and for replicas once the callers are done, in s.
 _SETTLE: Final = 1.0
+#: Pause between two looks whether every node serves, in seconds.
 _POLL: Final = 0.1
 
 
@@ -93,10 +94,23 @@
         return self._report
 
     async def _load(self) -> None:
+        """Have callers at work while faults strike, and after it."""
         calling = [
             await curio.spawn(self._call, number, daemon=True)
             for number in range(self._plan.callers)
         ]
+        await self._strike_all()
+        self._mend()
+        await self._await_served()
+        for caller in self._callers:
+            caller.is_over = True
+        for task in calling:
+            await task.join()
+        await curio.sleep(_SETTLE)
+        self._judge()
+
+    async def _strike_all(self) -> None:
+        """Strike in every series for as long as is planned."""
         striking = [
             await curio.spawn(self._strike, daemon=True)
             for _ in range(self._plan.series)
@@ -105,14 +119,6 @@
         self._are_faults_over = True
         for task in striking:
             await task.join()
-        await self._mend()
-        await self._await_served()
-        for caller in self._callers:
-            caller.is_over = True
-        for task in calling:
-            await task.join()
-        await curio.sleep(_SETTLE)
-        self._judge()
 
     async def _call(self, number: int) -> None:
         caller = Caller(
@@ -133,7 +139,7 @@
             self._report.faults.append(f'{kind} {struck} {lasting:.1f} s')
             await curio.sleep(self._randomness.random())
 
-    async def _mend(self) -> None:
+    def _mend(self) -> None:
         """Make sure that nothing stays broken."""
         self._world.store.fault = StoreFault.NONE
         self._world.store.turned_away.clear()
--- a/deckdrum/soak/world.py
+++ b/deckdrum/soak/world.py
@@ -51,22 +51,10 @@
         """Start databases, links, store and node processes."""
         await self.store.write('config', 'main', build_config())
         await self.group.start(ZONES)
-        for name, server in self.group.servers.items():
-            link = FaultLink(server.address)
-            await link.start()
-            self.links[name] = link
-            server.listed_address = link.address
-            await server.publish()
+        for server in self.group.servers.values():
+            await self._put_link_before(server)
         for number in range(nodes):
-            node = NodeProcess(
-                number,
-                ZONES[number % len(ZONES)],
-                await self.store.open_door(f'n{number}'),
-                self.group.calls_address,
-                self.folder,
-            )
-            self.nodes.append(node)
-            node.start()
+            await self._start_node(number)
 
     async def close(self) -> None:
         """End everything."""
@@ -85,14 +73,16 @@
         self,
         fits: Callable[[DatabaseServer], bool],
     ) -> DatabaseServer | None:
-        """Return a database that fits and that no fault holds, if any."""
+        """Return a database that fits, if any; none while a fault holds one.
+
+        One database at a time: two of three must go on, or nothing can.
+        """
         free = [
             server
-            for name, server in sorted(self.group.servers.items())
-            if name not in self.struck and fits(server)
+            for _, server in sorted(self.group.servers.items())
+            if fits(server)
         ]
-        if not free or self.struck:
-            # One database at a time: two of three must go on, or nothing can.
+        if self.struck or not free:
             return None
         server = self.randomness.choice(free)
         self.struck.add(server.name)
@@ -110,3 +100,22 @@
             link.target = server.address
         await self.group.rejoin(server)
         self.struck.discard(server.name)
+
+    async def _put_link_before(self, server: DatabaseServer) -> None:
+        """Have the nodes reach a database through a link."""
+        link = FaultLink(server.address)
+        await link.start()
+        self.links[server.name] = link
+        server.listed_address = link.address
+        await server.publish()
+
+    async def _start_node(self, number: int) -> None:
+        node = NodeProcess(
+            number,
+            ZONES[number % len(ZONES)],
+            await self.store.open_door(f'n{number}'),
+            self.group.calls_address,
+            self.folder,
+        )
+        self.nodes.append(node)
+        node.start()
