--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -16,7 +16,7 @@
 from deckdrum.bench.relay import measure_relay
 from deckdrum.bench.slopes import describe_slopes, measure_all
 from deckdrum.commands.parsing import EXIT_FAILED, EXIT_OK, make_parser
-from deckdrum.soak import SoakPlan, run_soak
+from deckdrum.soak import SoakPlan, SoakReport, run_soak
 from deckdrum.utils.virtualtime import run_virtual
 
 _DESCRIPTION = """\
@@ -71,15 +71,19 @@
         folder.mkdir(parents=True, exist_ok=True)
         plan = SoakPlan(seed, options.seconds, options.nodes, options.callers)
         report = curio.run(run_soak, plan, folder)
-        fates = ', '.join(
-            f'{count} {fate}' for fate, count in sorted(report.fates.items())
-        )
-        say(f'seed {seed}: {len(report.faults)} faults; {fates}')
-        say(*(f'  BROKEN {each}' for each in report.broken))
+        say(*_describe_soak(seed, report))
         has_failed = has_failed or bool(report.broken)
     return EXIT_FAILED if has_failed else EXIT_OK
 
 
+def _describe_soak(seed: int, report: SoakReport) -> list[str]:
+    fates = ', '.join(
+        f'{count} {fate}' for fate, count in sorted(report.fates.items())
+    )
+    broken = [f'  BROKEN {each}' for each in report.broken]
+    return [f'seed {seed}: {len(report.faults)} faults; {fates}', *broken]
+
+
 def list_names(options: argparse.Namespace) -> int:
     """List the experiments."""
     for name, experiment in runner.EXPERIMENTS.items():
--- a/deckdrum/control/sharing.py
+++ b/deckdrum/control/sharing.py
@@ -7,7 +7,7 @@
 
 from deckdrum.backends.base import BackendServer
 from deckdrum.control.records import Member
-from deckdrum.control.store import Changes, Entry, Kind, Listing
+from deckdrum.control.store import Changes, Entry, Kind, Listing, Record
 from deckdrum.store.records import GroupRecord
 
 #: Kinds that peers hand over as lists; the configuration goes as it lies.
@@ -71,7 +71,8 @@
     return msgspec.msgpack.encode(entry.record)
 
 
-def _decode_record(kind: Kind, body: bytes | None) -> Any:
+def _decode_record(kind: Kind, body: bytes | None) -> Record | None:
     if body is None:
         return None
-    return msgspec.msgpack.decode(body, type=_RECORD_TYPES[kind])
+    record: Record = msgspec.msgpack.decode(body, type=_RECORD_TYPES[kind])
+    return record
