Try a statement that could not be sent another way before its time is up

Change: a try gives up after 0.4 s without a connection that is ready; the path is looked at while the peers are asked.

Figures: with a limit of 1 s the write after a cut was refused before, and is done now (test).

--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -205,10 +205,13 @@
         self._tools.dialer.detours.pop(primary.id, None)
         question = AskServer(self._runtime.name, primary.id)
         peers = self._tools.peers
+        # Meanwhile, so that a detour is not found too late for what waits.
+        trying = await curio.spawn(self._has_path, primary)
         if everybody:
             answers = await peers.ask_all(question)
         else:
             answers = await peers.ask_some(question, DETOUR_QUESTIONS)
+        has_path = await trying.join()
         members = self._tools.view.members
         reaching = [
             members[name]
@@ -219,7 +222,7 @@
         ]
         if not reaching:
             return False
-        if await self._has_path(primary):
+        if has_path:
             # It is loaded: another way would only load it more.
             self._runtime.journal.record_often(
                 'primary.slow',
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -15,6 +15,8 @@
     OWN,
     SERVICE,
     Deployment,
+    build_config,
+    build_route,
     play,
 )
 
@@ -435,3 +437,18 @@
         assert longest < GAP_LIMIT + 1
 
     play(scenario, nodes=12, max_connections=9, settle=2.5)
+
+
+def test_statement_that_was_not_sent_is_tried_on_another_way() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        routes = [build_route(CURRENT, 'primary', timeoutMs=1000)]
+        config = build_config(2, routes=routes)
+        await deployment.store.write('config', 'main', config)
+        await curio.sleep(0.5)
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        await deployment.cut_off(0, deployment.group.primary.name)
+        assert (await client.ask('WRITE a 2')).is_done
+        assert _count(deployment, 'detours_taken') == 1
+
+    play(scenario)
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -19,12 +19,17 @@
     Standing,
 )
 from deckdrum.outcomes import Refusal
+from deckdrum.outcomes.errors import BrokenInvariantError
 from deckdrum.serving.servers import ServerHandle, ServerLease
 from deckdrum.serving.state import PreparedStatement, SessionState
 from deckdrum.sessions import Position
 
 #: Least time for a connection and a statement, in seconds.
 _LEAST_TIME: Final = 0.005
+#: Longest wait until a statement can be sent, in seconds: more than that for
+#: one of few connections (0.25).  What was not sent may be tried another way,
+#: and with a limit of 1 s twice.
+PREPARE_LIMIT: Final = 0.4
 #: Longest wait for a rollback that frees a connection, in seconds.
 _ROLLBACK_LIMIT: Final = 0.3
 
@@ -102,7 +107,7 @@
         except curio.CancelledError:
             await self._lose('cancelled', is_late=True)
             raise
-        if isinstance(end, Refusal):
+        if isinstance(end, Refusal | Lost):
             return end
         now = await curio.clock()
         is_work = isinstance(end, Answer)
@@ -111,7 +116,35 @@
             await self._finish(end.standing)
         return end
 
-    async def _run(self, limit: float) -> Answer | Rejection | Refusal:
+    async def _run(self, limit: float) -> AttemptEnd:
+        try:
+            async with curio.timeout_after(min(limit, PREPARE_LIMIT)):
+                refused = await self._make_ready(limit)
+        except curio.TaskTimeout:
+            self.handle.note_silence(await curio.clock())
+            return await self._lose('no connection in time', is_late=False)
+        if refused is not None:
+            return refused
+        lease = self.lease
+        if lease is None:
+            raise BrokenInvariantError('a try that is ready has a connection')
+        self.was_sent = True
+        return await run_on_link(
+            lease.link,
+            self.state,
+            self.operation,
+            self.request_id,
+            self.floor if self.begin is None else None,
+        )
+
+    async def _make_ready(self, limit: float) -> Rejection | Refusal | None:
+        """Get a connection that is ready for the statement.
+
+        Returns
+        -------
+        Rejection, Refusal or None
+            Why there is none.
+        """
         lease = await self.handle.acquire(
             self.state.database,
             limit,
@@ -121,22 +154,10 @@
             return lease
         self.lease = lease
         rejection = await prepare_link(lease.link, self.state, self.operation)
-        if rejection is not None:
+        if rejection is not None or self.begin is None:
             return rejection
-        floor = self.floor
-        if self.begin is not None:
-            opened = await lease.link.run(Call(self.begin, floor=floor))
-            if isinstance(opened, Rejection):
-                return opened
-            floor = None
-        self.was_sent = True
-        return await run_on_link(
-            lease.link,
-            self.state,
-            self.operation,
-            self.request_id,
-            floor,
-        )
+        opened = await lease.link.run(Call(self.begin, floor=self.floor))
+        return opened if isinstance(opened, Rejection) else None
 
     async def _lose(self, reason: str, *, is_late: bool) -> Lost:
         lease = self.lease
