Take the position that an overloaded primary tells as a sample of its log

Change: a refusal for want of room tells the end of the log too, and is taken as a sample of the moment in which it was asked.

Figures: in the new test bounded reads were refused 1.5 s after a primary became overloaded; now its replicas serve them on.

--- a/deckdrum/operations/answers.py
+++ b/deckdrum/operations/answers.py
@@ -78,3 +78,12 @@
     text: str = ''
     standing: Standing = Standing.IDLE
     position: Position | None = None
+
+    @property
+    def tells_position(self) -> bool:
+        """Whether it tells where the log of a primary stands.
+
+        An overloaded one tells so too, and then nothing else does.
+        """
+        is_loaded = self.cause is RejectionCause.OVERLOADED
+        return is_loaded and self.position is not None
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -272,8 +272,15 @@
         target: Target,
         end: Answer | Rejection,
     ) -> None:
-        if target.is_primary and isinstance(end, Answer) and end.position:
-            self.runtime.note_position(end.position, attempt.started_at)
+        """Take an answer of the primary as a sample of its log.
+
+        So is a refusal for want of room: an overloaded primary gives no other.
+        """
+        if not target.is_primary or end.position is None:
+            return
+        if isinstance(end, Rejection) and not end.tells_position:
+            return
+        self.runtime.note_position(end.position, attempt.started_at)
 
     async def _await_end(self, search: Search) -> EndedTry | None:
         """Return the next end of a try; None to try another server too."""
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -1,6 +1,7 @@
 """One backend server as a node uses it: its pool and how it has behaved."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Final
 
 import curio
@@ -22,6 +23,7 @@
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.dealing import BORROWED_CONNECTIONS, USEFUL_CONNECTIONS
 from deckdrum.serving.lags import ReplicaLag
+from deckdrum.sessions import Position
 from deckdrum.utils.tasks import SharedCall
 
 #: How long a server that failed is passed over, in seconds; doubled with
@@ -53,6 +55,14 @@
 ServerLease = Lease[Backend, BackendLink]
 
 
+@dataclass(frozen=True, slots=True)
+class ToldPosition:
+    """Where a server's log stood after it was asked, in kernel seconds."""
+
+    position: Position
+    asked_at: float
+
+
 class ServerHandle:
     """A node's end of one backend server.
 
@@ -96,6 +106,8 @@
         self.silent_at = float('-inf')
         #: Whether its address last refused or reset a connection.
         self.is_refusing = False
+        #: Where its log stood when it last refused a question.
+        self.told: ToldPosition | None = None
         #: Usual time of a statement, in seconds.
         self.usual_time: float = 0
         self._avoided_until = float('-inf')
@@ -274,6 +286,7 @@
         ServerStatus or None
             None if the server did not answer or refused.
         """
+        asked_at = await curio.clock()
         try:
             async with curio.timeout_after(limit):
                 reply = await self._call_step(step, arguments)
@@ -286,7 +299,11 @@
             self.note_failure(await curio.clock(), error)
             return None
         self.note_answer(await curio.clock())
-        return None if isinstance(reply, Rejection) else reply
+        if not isinstance(reply, Rejection):
+            return reply
+        if reply.position is not None and reply.tells_position:
+            self.told = ToldPosition(reply.position, asked_at)
+        return None
 
     @property
     def _has_few(self) -> bool:
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -355,9 +355,14 @@
         started_at = await curio.clock()
         self.counters.count('primary_samples')
         status = await self.ask(primary)
-        if status is None or status.term != self.belief.term:
+        position = None if status is None else status.received
+        told = primary.told
+        if position is None and told and told.asked_at >= started_at:
+            # It refused the question, and told where its log stands.
+            position = told.position
+        if position is None or position.term != self.belief.term:
             return False
-        self.note_position(status.received, started_at)
+        self.note_position(position, started_at)
         return True
 
     async def _ask_each(self, handles: Iterable[ServerHandle]) -> None:
--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -330,3 +330,15 @@
         assert deployment.group.primary.name not in servers
 
     play(scenario)
+
+
+def test_overloaded_primary_does_not_draw_the_reads_of_its_replicas() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(BOUNDED)
+        await client.ask('READ a')
+        deployment.group.primary.load.is_full = True
+        for _ in range(40):
+            assert (await client.ask('READ a')).is_done
+            await curio.sleep(0.1)
+
+    play(scenario)
