--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -138,7 +138,7 @@
 class LinkLent(Message):
     """The answer: whether a connection is lent, and its state.
 
-    `is_full` tells that the lender has none to lend, but reaches the server.
+    `is_full` tells that the lender holds connections and has none to lend now.
     `prepared` has the effect, shape and name of each prepared statement.
     """
 
