Ignore SIGHUP while a node starts

They had been killed and were starting again when they were told to reload; the handler is installed only after the node's modules are imported, and until then SIGHUP ends a process. On the platform the settings may change at any moment.

Change: the program ignores SIGHUP first and imports the node then; the settings are read afterwards, so nothing is lost. The soak sends no SIGHUP to an interpreter that has not reached the program, which no program can survive.

Figures: test_reload_during_the_start_does_not_end_a_node fails without the first line of main.

--- a/deckdrum/platform/program.py
+++ b/deckdrum/platform/program.py
@@ -1,138 +1,21 @@
-"""One node on the platform: ``python3 -m deckdrum.platform.program``."""
+"""One node on the platform: ``python3 -m deckdrum.platform.program``.
+
+Importing the node is a good part of the start.  A SIGHUP that comes meanwhile
+would end the process; it is ignored until somebody listens, which loses
+nothing, since the settings are read afterwards.
+"""
 
 import signal
 import sys
-from functools import partial
-from pathlib import Path
-from typing import Any, Final
-
-import curio
-
-from deckdrum.commands.signals import STOPPING, catch_signals
-from deckdrum.node import Node
-from deckdrum.node.stopping import PlannedStop
-from deckdrum.outcomes.errors import SettingsError
-from deckdrum.platform.backends import PlatformBackend
-from deckdrum.platform.duties import PlatformDuty
-from deckdrum.platform.frontend import Frontend
-from deckdrum.platform.settings import (
-    PlatformSettings,
-    find_settings,
-    load_settings,
-)
-from deckdrum.platform.store import PlatformStore
-from deckdrum.utils import Journal
-from deckdrum.utils.counters import Counters
-from deckdrum.utils.http import HttpServer, Reply, Request
-from deckdrum.utils.journal import open_patient_journal
-
-_READY_PATH: Final = '/-/ready'
-_METRICS_PATH: Final = '/metrics'
-_EXIT_USAGE: Final = 2
-_NOT_FOUND: Final = 404
-_UNAVAILABLE: Final = 503
-_SIGNAL_BYTES: Final = 16
-
-
-class Program:
-    """A node with its addresses on the platform.
-
-    Parameters
-    ----------
-    path : Path
-        The settings file, read again at SIGHUP.
-    settings : PlatformSettings
-        What it held at the start.
-    journal : Journal
-        For logs.
-    """
-
-    def __init__(
-        self,
-        path: Path,
-        settings: PlatformSettings,
-        journal: Journal,
-    ) -> None:
-        self._path = path
-        self._settings = settings
-        self._journal = journal
-        node_settings = settings.make_node_settings()
-        counters = Counters()
-        store = PlatformStore(settings.store_address, journal, counters)
-        self.node = Node(
-            node_settings,
-            store,
-            PlatformDuty(settings.duties_address),
-            partial(PlatformBackend, node=node_settings.name),
-            journal,
-            counters,
-        )
-        self.frontend = Frontend(self.node, settings.clients_address)
-        self._readiness = HttpServer(
-            settings.readiness_address,
-            self._answer_readiness,
-        )
-        self._metrics = HttpServer(
-            settings.metrics_address,
-            self._answer_metrics,
-        )
-
-    async def run(self, signals: Any) -> None:
-        """Work until a signal asks to stop, then stop."""
-        await self._readiness.start()
-        await self._metrics.start()
-        await self.node.start()
-        await self.frontend.start()
-        while True:
-            for number in await signals.recv(_SIGNAL_BYTES):
-                if number in STOPPING:
-                    stop = PlannedStop(self.node, self.frontend)
-                    await stop.run(self._settings.grace)
-                    return
-                self._reload()
-
-    def _reload(self) -> None:
-        """Read the settings file again; what is wrong stays out of force."""
-        try:
-            settings = load_settings(self._path)
-        except SettingsError as error:
-            self._journal.record('settings.unreadable', reason=str(error))
-            return
-        has_changed = settings != self._settings
-        self._settings = settings
-        self._journal.record('settings.reloaded', changed=has_changed)
-
-    async def _answer_readiness(self, request: Request) -> Reply:
-        if request.path != _READY_PATH:
-            return Reply.from_text('not found', _NOT_FOUND)
-        if self.node.is_ready:
-            return Reply.from_text('ready')
-        return Reply.from_text('not ready', _UNAVAILABLE)
-
-    async def _answer_metrics(self, request: Request) -> Reply:
-        if request.path != _METRICS_PATH:
-            return Reply.from_text('not found', _NOT_FOUND)
-        return Reply.from_text(self.node.counters.render().decode())
-
-
-async def run_program(path: Path, settings: PlatformSettings) -> None:
-    """Run a node until a signal asks to stop."""
-    journal = open_patient_journal(settings.node_name, sys.stdout.fileno())
-    program = Program(path, settings, journal)
-    with catch_signals((*STOPPING, signal.SIGHUP)) as signals:
-        await program.run(signals)
+from importlib import import_module
 
 
 def main() -> int:
-    """Run the program and return its exit code."""
-    try:
-        path = find_settings()
-        settings = load_settings(path)
-    except SettingsError as error:
-        sys.stderr.write(f'{error}\n')
-        return _EXIT_USAGE
-    curio.run(run_program, path, settings)
-    return 0
+    """Run a node and return its exit code."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    service = import_module('deckdrum.platform.service')
+    code: int = service.main()
+    return code
 
 
 if __name__ == '__main__':
--- a/deckdrum/soak/faults.py
+++ b/deckdrum/soak/faults.py
@@ -71,7 +71,11 @@
     async def strike(self, world: World, lasting: float) -> str:
         """Strike and mend."""
         node = world.pick_node()
-        node.send_signal(world.randomness.choice(_SIGNALS))
+        number = world.randomness.choice(_SIGNALS)
+        if number is signal.SIGHUP:
+            node.reload()
+        else:
+            node.send_signal(number)
         await node.stop()
         await curio.sleep(lasting * _AWAY_PART)
         node.start()
@@ -84,7 +88,7 @@
     async def strike(self, world: World, lasting: float) -> str:
         """Strike."""
         for node in world.nodes:
-            node.send_signal(signal.SIGHUP)
+            node.reload()
         return 'all'
 
 
--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -28,6 +28,7 @@
 #: Pause between two looks at a process that is to end, in seconds.
 _POLL: Final = 0.05
 _OK: Final = 200
+_HEXADECIMAL: Final = 16
 
 
 class NodeProcess:
@@ -110,6 +111,22 @@
         self.send_signal(signal.SIGKILL)
         self.wait()
 
+    def reload(self) -> None:
+        """Send SIGHUP, unless the interpreter itself is still starting.
+
+        Until its program runs, a process has no say in what a signal does.
+        """
+        if self.is_running and self.expects_reloads():
+            self.send_signal(signal.SIGHUP)
+
+    def ignores_reloads(self) -> bool:
+        """Tell whether the process ignores SIGHUP."""
+        return self._has_mask('SigIgn')
+
+    def expects_reloads(self) -> bool:
+        """Tell whether the process ignores or handles SIGHUP by now."""
+        return self.ignores_reloads() or self._has_mask('SigCgt')
+
     def wait(self) -> None:
         """Wait until the process has ended."""
         if self._process is not None:
@@ -134,6 +151,20 @@
             await client.close()
         return reply.status == _OK
 
+    def _has_mask(self, field: str) -> bool:
+        """Tell whether SIGHUP is in a mask of the process's status."""
+        if self._process is None:
+            return False
+        path = Path(f'/proc/{self._process.pid}/status')
+        try:
+            text = path.read_text()
+        except OSError:
+            # It ends in this moment.
+            return False
+        _, _, rest = text.partition(f'{field}:')
+        mask = int(rest.split()[0], _HEXADECIMAL) if rest else 0
+        return bool(mask & 1 << (signal.SIGHUP - 1))
+
     def _describe(
         self,
         centre: str,
--- a/deckdrum/soak/tests/test_processes.py
+++ b/deckdrum/soak/tests/test_processes.py
@@ -1,12 +1,16 @@
 """Ends of node processes that nobody asked for are noted."""
 
 import signal
+import time
 from pathlib import Path
+from typing import Final
 
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.utils import Address
 
 _NOWHERE = Address('127.0.0.1', 9)
+#: Pause between two looks at a process, in seconds.
+_POLL: Final = 0.001
 
 
 def build_node(folder: Path) -> NodeProcess:
@@ -29,3 +33,22 @@
     node.wait()
     node.note_exit()
     assert node.strange_exits == [-signal.SIGABRT]
+
+
+def test_reload_during_the_start_does_not_end_a_node(tmp_path: Path) -> None:
+    node = build_node(tmp_path)
+    node.start()
+    # As early as the program has a say: long before the node has started.
+    while node.is_running and not node.expects_reloads():
+        time.sleep(_POLL)
+    # The node's own handler comes only after its modules have been imported.
+    is_early = node.ignores_reloads()
+    for _ in range(3):
+        node.reload()
+        time.sleep(_POLL)
+    is_running = node.is_running
+    node.kill()
+    node.note_exit()
+    assert is_early
+    assert is_running
+    assert not node.strange_exits
