--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import signal
 import sys
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict
@@ -19,6 +20,8 @@
 from deckdrum.soak import SoakPlan, SoakReport, run_soak
 from deckdrum.utils.virtualtime import run_virtual
 
+#: Exit code of a program that a signal ended is this and its number.
+_SIGNALLED: Final = 128
 _DESCRIPTION = """\
 Runs proxies and stand-ins in one process.
 
@@ -66,6 +69,8 @@
 def soak(options: argparse.Namespace) -> int:
     """Run node processes under random faults."""
     has_failed = False
+    # An exit, so that the nodes are ended too.
+    signal.signal(signal.SIGTERM, _leave)
     for seed in range(options.first, options.first + options.seeds):
         folder = options.output / f'soak-{seed}'
         folder.mkdir(parents=True, exist_ok=True)
@@ -84,6 +89,11 @@
     return [f'seed {seed}: {len(report.faults)} faults; {fates}', *broken]
 
 
+def _leave(number: int, frame: object) -> None:
+    """End the program as asked by a signal."""
+    sys.exit(_SIGNALLED + number)
+
+
 def list_names(options: argparse.Namespace) -> int:
     """List the experiments."""
     for name, experiment in runner.EXPERIMENTS.items():
--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -1,5 +1,6 @@
 """Node processes, started and signalled from outside."""
 
+import atexit
 import json
 import os
 import signal
@@ -65,6 +66,8 @@
         self._settings_path.write_text(
             json.dumps(self._describe(centre, store, duties)),
         )
+        # A soak that is ended early must leave no node behind.
+        atexit.register(self.kill)
 
     @property
     def clients_address(self) -> Address:
