--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -25,7 +25,7 @@
 #: longer way there and back, and as much again for the bytes.
 DISTANCE_COST: Final = 0.006
 #: What a borrowed connection costs beside, in seconds: the messages of a loan,
-#: there and back, and the work of two nodes.
+#: there and back, and the work of two nodes.  An estimate, not measured.
 LOAN_COST: Final = 0.005
 #: What the primary costs beside its time, in seconds; it alone can change
 #: data, so reads leave it alone while replicas have room.
