Take proof of a primary's term from the answers of replicas

Cause: each node asks a replica of each group every 0.7 s whether it holds its log. Each question takes a place at a server, and with few nodes they are most of the questions that the product asks.

Hypothesis: the position that a replica tells with each answer proves as much. A change made after the primary was last seen below that position has been received since; a replica that holds receives nothing. So where statements flow nobody needs to be asked.

Change: History.find_last_below, LeadershipBelief.note_received. Test: test_proof_comes_with_the_answers_of_replicas fails without it; unit tests of both.

--- a/deckdrum/backends/history.py
+++ b/deckdrum/backends/history.py
@@ -85,6 +85,25 @@
             return float('inf')
         return now - self._times[place - 1]
 
+    def find_last_below(self, offset: int) -> float:
+        """Return when the primary was last seen below `offset`.
+
+        What stands at `offset` was appended after that time, in kernel
+        seconds; it lies infinitely far back if the primary was not seen there.
+
+        Examples
+        --------
+        >>> history = History()
+        >>> history.note(term=1, offset=10, started_at=5.0)
+        >>> history.note(term=1, offset=30, started_at=6.0)
+        >>> history.find_last_below(offset=30)
+        5.0
+        >>> history.find_last_below(offset=31)
+        6.0
+        """
+        place = bisect_left(self._offsets, offset)
+        return self._times[place - 1] if place else float('-inf')
+
     def find_floor(self, max_age: float, now: float) -> int | None:
         """Return the lowest offset that is at most `max_age` seconds old.
 
--- a/deckdrum/backends/tests/test_history.py
+++ b/deckdrum/backends/tests/test_history.py
@@ -39,3 +39,15 @@
     history.note(1, 100, 1)
     history.note(2, 101, 2)
     assert history.bound_age(100, 3) == float('inf')
+
+
+def test_place_in_the_log_is_younger_than_the_last_look_below_it() -> None:
+    history = History()
+    history.note(1, 10, 5.0)
+    history.note(1, 10, 8.0)
+    history.note(1, 30, 9.0)
+    history.note(1, 40, 10.0)
+    assert history.find_last_below(10) == float('-inf')
+    assert history.find_last_below(11) == 8.0
+    assert history.find_last_below(30) == 8.0
+    assert history.find_last_below(41) == 10.0
--- a/deckdrum/leadership/belief.py
+++ b/deckdrum/leadership/belief.py
@@ -140,11 +140,20 @@
             # It follows a primary that this node does not know yet.
             await self.end_term(status.term - 1, f'{name} follows a later one')
         if max(status.term, status.held_term) <= self.term:
-            known = self._proofs.get(name, float('-inf'))
-            self._proofs[name] = max(known, asked_at)
+            self._note_proof(name, asked_at)
         else:
             self._proofs.pop(name, None)
 
+    def note_received(self, name: str, term: int, since: float) -> None:
+        """Take over that a replica has received a change made after `since`.
+
+        It did not hold when it received that, so this proves as much as its
+        word would have, asked at `since`.  It comes with the answers to reads:
+        where statements flow, few replicas need to be asked.
+        """
+        if term == self.term and name != self.primary:
+            self._note_proof(name, since)
+
     async def note_store(
         self,
         revision: int,
@@ -226,6 +235,10 @@
             await self.changed.wait()
         self.changed.clear()
 
+    def _note_proof(self, name: str, asked_at: float) -> None:
+        known = self._proofs.get(name, float('-inf'))
+        self._proofs[name] = max(known, asked_at)
+
     async def _adopt(self, term: int, name: str, reason: str) -> None:
         if (term, name) == (self.term, self.primary):
             return
--- a/deckdrum/leadership/tests/test_belief.py
+++ b/deckdrum/leadership/tests/test_belief.py
@@ -185,3 +185,24 @@
             assert proofs + holds > servers - 1
 
     curio.run(main)
+
+
+def test_replica_that_received_a_change_gives_proof_as_of_before_it() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        belief.note_received('b', 1, 10.0)
+        assert belief.is_valid(10.0 + VALIDITY - 0.01)
+        assert not belief.is_valid(10.0 + VALIDITY)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(('name', 'term'), [('a', 1), ('b', 2), ('b', 0)])
+def test_change_of_the_primary_or_of_another_term_is_no_proof(
+    name: str,
+    term: int,
+) -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        belief.note_received(name, term, 10.0)
+        assert not belief.is_valid(10.0)
+
+    run(scenario)
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -15,6 +15,7 @@
 from deckdrum.serving.searches import EndedTry, Search, drop_late
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.state import Pin, SessionState
+from deckdrum.sessions import Position
 
 #: Time kept at the end of a statement's limit for the answer to arrive, in s.
 ANSWER_MARGIN: Final = 0.04
@@ -272,16 +273,27 @@
         target: Target,
         end: Answer | Rejection,
     ) -> None:
-        """Take an answer of the primary as a sample of its log.
+        """Take what an answer tells of a log.
 
-        So is a refusal for want of room: an overloaded primary gives no other.
+        Of the primary it is a sample, and so is a refusal for want of room: an
+        overloaded primary gives no other.
         """
-        if not target.is_primary or end.position is None:
+        if end.position is None:
+            return
+        if not target.is_primary:
+            self._note_replica(target.handle.id, end.position)
             return
         if isinstance(end, Rejection) and not end.tells_position:
             return
         self.runtime.note_position(end.position, attempt.started_at)
 
+    def _note_replica(self, name: str, position: Position) -> None:
+        """Take where a replica's log stands as proof of the term."""
+        history = self.runtime.history
+        if position.term == history.term:
+            since = history.find_last_below(position.offset)
+            self.runtime.belief.note_received(name, position.term, since)
+
     async def _await_end(self, search: Search) -> EndedTry | None:
         """Return the next end of a try; None to try another server too."""
         began = await curio.clock()
--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -342,3 +342,19 @@
             await curio.sleep(0.1)
 
     play(scenario)
+
+
+def test_proof_comes_with_the_answers_of_replicas() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        writer = await deployment.connect(CURRENT)
+        reader = await deployment.connect(BOUNDED)
+        events = deployment.nodes[0].node.counters.events
+        before = events['status_questions']
+        for _ in range(60):
+            assert (await writer.ask('WRITE a 1')).is_done
+            assert (await reader.ask('READ a')).is_done
+            await curio.sleep(0.1)
+        # One every 0.7 s without it.
+        assert events['status_questions'] - before <= 2
+
+    play(scenario)
