Let a node start sooner

Cause: after power comes back a node is not up for 0.35 to 0.5 s; importing is most of that, and callers are refused meanwhile.

Tried and left: importlib's LazyLoader (CPython 3.11 loads such a module at the import of it); multiprocessing (curio looks into it while it is imported); listening before the rest is loaded (not tried: a caller of a single node that restarts is better off refused, since another node takes it).

--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field, fields
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -18,8 +17,7 @@
 MAX_MESSAGE_BYTES: Final = 64_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class OpenChannel(Message):
+class OpenChannel(Message, frozen=True):
     """A caller's proxy opens a channel to the keeper of a service."""
 
     channel: str
@@ -27,8 +25,7 @@
     group: str
 
 
-@dataclass(frozen=True, slots=True)
-class PreparedStatement(Message):
+class PreparedStatement(Message, frozen=True):
     """A statement that a caller has prepared: its Parse, without a name."""
 
     name: str
@@ -36,8 +33,7 @@
     parse: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class RunBatch(Message):
+class RunBatch(Message, frozen=True):
     """Messages of a caller up to Sync or Flush, or one simple query.
 
     Attributes
@@ -64,18 +60,16 @@
     floor: Sequence[int] = (0, 0)
     repeatable: bool = True
     settings: Sequence[Sequence[str]] = ()
-    statements: Sequence[Any] = field(default=())
+    statements: Sequence[Any] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Rows(Message):
+class Rows(Message, frozen=True):
     """Part of an answer, as the database sent it."""
 
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class BatchEnd(Message):
+class BatchEnd(Message, frozen=True):
     """A batch is done.
 
     `status` is the transaction status, or empty after Flush.  `database`
@@ -88,8 +82,7 @@
     floor: Sequence[int] = (0, 0)
 
 
-@dataclass(frozen=True, slots=True)
-class BatchRefused(Message):
+class BatchRefused(Message, frozen=True):
     """A batch did not end as done.
 
     `lost_transaction` tells that the open transaction is gone with it.
@@ -100,50 +93,43 @@
     lost_transaction: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class CancelChannel(Message):
+class CancelChannel(Message, frozen=True):
     """Cancel what runs on a channel."""
 
     channel: str
 
 
-@dataclass(frozen=True, slots=True)
-class CancelCaller(Message):
+class CancelCaller(Message, frozen=True):
     """A cancel request came to a proxy that does not know the key."""
 
     process: int
     secret: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class AskProbe(Message):
+class AskProbe(Message, frozen=True):
     """Ask a peer whether it reaches a database."""
 
     service: str
     database: str
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeAnswer(Message):
+class ProbeAnswer(Message, frozen=True):
     """Whether the peer reached the database."""
 
     reached: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat(Message):
+class Heartbeat(Message, frozen=True):
     """Sent back as it came, to show that a proxy runs."""
 
 
-@dataclass(frozen=True, slots=True)
-class AskConfiguration(Message):
+class AskConfiguration(Message, frozen=True):
     """Ask a peer for its configuration if newer than `number`."""
 
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationAnswer(Message):
+class ConfigurationAnswer(Message, frozen=True):
     """A peer's configuration and records; `number` 0 if nothing newer."""
 
     number: int
@@ -191,7 +177,7 @@
     {message_type: number for number, message_type in enumerate(_TYPES)},
 )
 _FIELD_NAMES: Final = tuple(
-    tuple(each.name for each in fields(message_type)) for message_type in _TYPES
+    message_type.__struct_fields__ for message_type in _TYPES
 )
 
 
--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -1,13 +1,11 @@
 """Questions between nodes on the platform, and their answers."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 
 from deckdrum.fleet.base import Message
 
 
-@dataclass(frozen=True, slots=True)
-class AskNews(Message):
+class AskNews(Message, frozen=True):
     """Ask a peer for what it knows beyond the given revisions.
 
     `version` is the asker's configuration; `revisions` maps kinds of record
@@ -18,8 +16,7 @@
     revisions: Mapping[str, int]
 
 
-@dataclass(frozen=True, slots=True)
-class News(Message):
+class News(Message, frozen=True):
     """What a peer knows and the asker does not; empty parts have no news.
 
     `configuration` is as the store holds it; `updates` maps kinds of record
@@ -30,8 +27,7 @@
     updates: Mapping[str, bytes]
 
 
-@dataclass(frozen=True, slots=True)
-class FollowNews(Message):
+class FollowNews(Message, frozen=True):
     """Ask a peer that watches the store for news as soon as it has some.
 
     Attributes
@@ -46,32 +42,28 @@
     limit: float
 
 
-@dataclass(frozen=True, slots=True)
-class FollowAnswer(Message):
+class FollowAnswer(Message, frozen=True):
     """The answer: whether the peer watches the store, and its news."""
 
     is_feeding: bool
     updates: Mapping[str, bytes]
 
 
-@dataclass(frozen=True, slots=True)
-class AskServer(Message):
+class AskServer(Message, frozen=True):
     """Ask a peer whether it reaches a backend server as a primary."""
 
     service: str
     server: str
 
 
-@dataclass(frozen=True, slots=True)
-class ServerAnswer(Message):
+class ServerAnswer(Message, frozen=True):
     """What the peer found out: whether it was reached, and leads a term."""
 
     reached: bool
     leads_term: int
 
 
-@dataclass(frozen=True, slots=True)
-class EndTerm(Message):
+class EndTerm(Message, frozen=True):
     """Ask a peer to stop using the primary of a term.
 
     `may_finish` tells that the primary still answers, so that statements
@@ -83,16 +75,14 @@
     may_finish: bool
 
 
-@dataclass(frozen=True, slots=True)
-class TermEnded(Message):
+class TermEnded(Message, frozen=True):
     """The peer has stopped: it releases no change of that term any more."""
 
     service: str
     term: int
 
 
-@dataclass(frozen=True, slots=True)
-class OpenDetour(Message):
+class OpenDetour(Message, frozen=True):
     """Ask a peer to pass bytes on to a backend server, both ways.
 
     After a `DetourOpened` that says so the stream carries nothing else.
@@ -101,15 +91,13 @@
     server: str
 
 
-@dataclass(frozen=True, slots=True)
-class DetourOpened(Message):
+class DetourOpened(Message, frozen=True):
     """Whether the peer has a connection to the server."""
 
     is_open: bool
 
 
-@dataclass(frozen=True, slots=True)
-class BorrowLink(Message):
+class BorrowLink(Message, frozen=True):
     """Ask a node that holds connections to a server to lend one.
 
     After a `LinkLent` that says so both ends send `Carried` until the
@@ -134,8 +122,7 @@
     values: Mapping[str, str]
 
 
-@dataclass(frozen=True, slots=True)
-class LinkLent(Message):
+class LinkLent(Message, frozen=True):
     """The answer: whether a connection is lent, and its state.
 
     `is_full` tells that the lender holds connections and has none to lend now.
@@ -148,15 +135,13 @@
     prepared: Sequence[Sequence[str]]
 
 
-@dataclass(frozen=True, slots=True)
-class Carried(Message):
+class Carried(Message, frozen=True):
     """Bytes to or from the server."""
 
     payload: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ReturnLink(Message):
+class ReturnLink(Message, frozen=True):
     """The borrower is done; the whole answer has arrived.
 
     A borrower that is not sure closes the stream instead.
@@ -166,36 +151,31 @@
     prepared: Sequence[Sequence[str]]
 
 
-@dataclass(frozen=True, slots=True)
-class LinkReturned(Message):
+class LinkReturned(Message, frozen=True):
     """The lender carries nothing more."""
 
 
-@dataclass(frozen=True, slots=True)
-class AskTerm(Message):
+class AskTerm(Message, frozen=True):
     """Ask a peer whether it knows of a change that ends a term."""
 
     service: str
     term: int
 
 
-@dataclass(frozen=True, slots=True)
-class TermAnswer(Message):
+class TermAnswer(Message, frozen=True):
     """Whether the peer knows of no such change."""
 
     is_open: bool
 
 
-@dataclass(frozen=True, slots=True)
-class AskProof(Message):
+class AskProof(Message, frozen=True):
     """Ask a peer for its proof that a term goes on."""
 
     service: str
     term: int
 
 
-@dataclass(frozen=True, slots=True)
-class ProofAnswer(Message):
+class ProofAnswer(Message, frozen=True):
     """How long ago the peer asked for its proof, in seconds.
 
     Negative if it has none.
@@ -204,15 +184,13 @@
     age: float
 
 
-@dataclass(frozen=True, slots=True)
-class AskSample(Message):
+class AskSample(Message, frozen=True):
     """Ask a peer where a primary's log stood lately."""
 
     service: str
 
 
-@dataclass(frozen=True, slots=True)
-class SampleAnswer(Message):
+class SampleAnswer(Message, frozen=True):
     """Where the log stood, and how long ago the peer asked, in seconds.
 
     A negative age if the peer does not know.
--- a/deckdrum/platform/program.py
+++ b/deckdrum/platform/program.py
@@ -9,10 +9,13 @@
 import sys
 from importlib import import_module
 
+from deckdrum.deferral import UNUSED_BY_NODES, defer_imports
+
 
 def main() -> int:
     """Run a node and return its exit code."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    defer_imports(UNUSED_BY_NODES)
     service = import_module('deckdrum.platform.service')
     code: int = service.main()
     return code
