Notice lost answers by the usual times of their server

Cause: a lost answer holds a statement, and one of its node's few connections, for all of the statement's time.

Hypothesis: an answer that is overdue by the server's own times (RFC 6298), while the server answers others, will not come. Giving it up frees the connection; reads are asked for again, the caller of a transaction begins anew while it has time, and a change in doubt is told so.

Change: serving.times; tries are cut after 3 times the patience with a server (8 for a change, which is in doubt then); reads go to a second server once nearly every answer would have come, and not after 0.25 s; statements in a transaction get 6 times the patience, at least 0.25 s. Both within the budget of retries. Tests: four in test_statements.py that fail without it.

--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -30,6 +30,11 @@
 #: one of few connections (0.25).  What was not sent may be tried another way,
 #: and with a limit of 1 s twice.
 PREPARE_LIMIT: Final = 0.4
+#: Times the patience with a server after which an answer counts as lost, if
+#: the server has answered others meanwhile; of a statement that leaves nothing
+#: behind, and of a change, which is in doubt then.
+LOST_AFTER: Final = 3
+CHANGE_LOST_AFTER: Final = 8
 #: Longest wait for a rollback that frees a connection, in seconds.
 _ROLLBACK_LIMIT: Final = 0.3
 
@@ -56,7 +61,7 @@
 AttemptEnd = Answer | Rejection | Refusal | Lost
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Attempt:
     """A try to run one statement on one server.
 
@@ -89,6 +94,10 @@
     lease: ServerLease | None = None
     started_at: float = 0
     was_sent: bool = False
+    #: When it was sent, in kernel seconds; infinite if it waits for no answer.
+    sent_at: float = float('inf')
+    #: Whether it was given up because its answer is lost.
+    is_cut: bool = False
 
     async def run(self) -> AttemptEnd:
         """Run the statement; the connection is given back or kept."""
@@ -102,6 +111,8 @@
                 self.handle.note_silence(await curio.clock())
             return await self._lose('no answer in time', is_late=True)
         except ConnectionError as error:
+            if self.is_cut:
+                return await self._lose('the answer is lost', is_late=True)
             self.handle.note_failure(await curio.clock(), error)
             return await self._lose(repr(error), is_late=False)
         except curio.CancelledError:
@@ -116,6 +127,31 @@
             await self._finish(end.standing)
         return end
 
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether nearly every answer would have come by now."""
+        return now > self.sent_at + self.handle.times.patience
+
+    def is_lost(self, now: float, patience: float) -> bool:
+        """Tell whether the answer is lost, as far as can be told.
+
+        Parameters
+        ----------
+        now : float
+            In kernel seconds.
+        patience : float
+            How overdue it must be, in times of the server's usual.
+        """
+        usual = self.handle.times.patience
+        has_answered_since = self.handle.answered_at > self.sent_at + usual
+        return has_answered_since and now > self.sent_at + usual * patience
+
+    async def cut(self) -> None:
+        """Give up the wait for an answer: the connection is closed."""
+        lease = self.lease
+        if lease is not None and not self.is_cut:
+            self.is_cut = True
+            await lease.link.close()
+
     async def _run(self, limit: float) -> AttemptEnd:
         try:
             async with curio.timeout_after(min(limit, PREPARE_LIMIT)):
@@ -129,13 +165,18 @@
         if lease is None:
             raise BrokenInvariantError('a try that is ready has a connection')
         self.was_sent = True
-        return await run_on_link(
+        self.sent_at = await curio.clock()
+        end = await run_on_link(
             lease.link,
             self.state,
             self.operation,
             self.request_id,
             self.floor if self.begin is None else None,
         )
+        if isinstance(end, Answer):
+            self.handle.times.note(await curio.clock() - self.sent_at)
+        self.sent_at = float('inf')
+        return end
 
     async def _make_ready(self, limit: float) -> Rejection | Refusal | None:
         """Get a connection that is ready for the statement.
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -9,7 +9,12 @@
 from deckdrum.operations import Answer, Begin, Effect, Rejection, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
-from deckdrum.serving.attempts import Attempt, Lost
+from deckdrum.serving.attempts import (
+    CHANGE_LOST_AFTER,
+    LOST_AFTER,
+    Attempt,
+    Lost,
+)
 from deckdrum.serving.retries import RetryBudget, RetryPolicy
 from deckdrum.serving.routing import Router, Target
 from deckdrum.serving.searches import EndedTry, Search, drop_late
@@ -207,7 +212,6 @@
             # The only server that may run it works on it already.
             return None
         search.tries += 1
-        search.running += 1
         # A second try beside this one goes to another server.
         search.passed_over.add(target.handle.id)
         if not target.is_primary:
@@ -221,6 +225,7 @@
             search.deadline,
             search.begin,
         )
+        search.running.append(attempt)
         await curio.spawn(
             self._run_attempt, search, attempt, target, daemon=True
         )
@@ -298,14 +303,34 @@
         """Return the next end of a try; None to try another server too."""
         began = await curio.clock()
         while True:
-            async with curio.ignore_after(SILENCE):
+            async with curio.ignore_after(search.find_pause(SILENCE)):
                 ended: EndedTry = await search.ends.get()
-                search.running -= 1
+                search.running.remove(ended.attempt)
                 return ended
             now = await curio.clock()
+            await self._cut_lost(search, now)
             if self._should_try_another(search, began, now):
                 return None
 
+    async def _cut_lost(self, search: Search, now: float) -> None:
+        """Give up tries whose answers are lost; each frees a connection."""
+        patience = LOST_AFTER if search.is_repeatable else CHANGE_LOST_AFTER
+        for attempt in search.running:
+            if not attempt.is_lost(now, patience):
+                continue
+            if search.is_repeatable and not self._budget.take():
+                return
+            self.runtime.counters.count('answers_lost')
+            self.runtime.journal.record_often(
+                'answer.lost',
+                request=search.request.id,
+                service=self.runtime.name,
+                server=attempt.handle.id,
+                seconds=round(now - attempt.sent_at, 3),
+                patience=round(attempt.handle.times.patience, 3),
+            )
+            await attempt.cut()
+
     def _should_try_another(
         self,
         search: Search,
@@ -318,13 +343,15 @@
             for handle in self.runtime.servers.values()
             if handle.load and handle.answered_at <= began
         ]
+        if now - began < SILENCE:
+            silent = []
         for handle in silent:
             self.runtime.report_trouble(handle)
-        if not search.may_spread or search.running >= MAX_RUNNING:
+        if not search.may_spread or len(search.running) >= MAX_RUNNING:
             return False
-        is_silent = bool(silent)
+        is_overdue = any(each.is_overdue(now) for each in search.running)
         half_time = (search.deadline - began) * LOST_ANSWER_PART
-        if not is_silent and now - began < half_time:
+        if not silent and not is_overdue and now - began < half_time:
             return False
         return now < search.deadline and self._budget.take()
 
--- a/deckdrum/serving/searches.py
+++ b/deckdrum/serving/searches.py
@@ -43,7 +43,7 @@
         The latest end of a try without success.
     ends : curio.Queue of EndedTry
         Ends of tries, in the order in which they came.
-    running : int
+    running : list of Attempt
         Tries that have not ended.
     is_over : bool
         Whether nobody waits for further ends.
@@ -61,7 +61,7 @@
     passed_over: set[str] = field(default_factory=set)
     last: Rejection | Lost | Refusal | None = None
     ends: Any = field(default_factory=curio.Queue)
-    running: int = 0
+    running: list[Attempt] = field(default_factory=list)
     is_over: bool = False
 
     @property
@@ -73,6 +73,14 @@
         """
         return self.is_read or self.begin is not None
 
+    def find_pause(self, longest: float) -> float:
+        """Return how long to wait before the tries are looked at again, in s.
+
+        That is as long as nearly every answer takes, and at most `longest`.
+        """
+        patience = (each.handle.times.patience for each in self.running)
+        return min(longest, *patience) if self.running else longest
+
     def describe(self) -> str:
         """Return what was done, for the log."""
         return f'{self.tries} tries, last: {self.last}'
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -23,6 +23,7 @@
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.dealing import BORROWED_CONNECTIONS, USEFUL_CONNECTIONS
 from deckdrum.serving.lags import ReplicaLag
+from deckdrum.serving.times import AnswerTimes
 from deckdrum.sessions import Position
 from deckdrum.utils.tasks import SharedCall
 
@@ -114,6 +115,8 @@
         self._avoidance = FIRST_AVOIDANCE
         #: What its log lacked lately.
         self.lag = ReplicaLag()
+        #: How long it takes to answer what was sent.
+        self.times = AnswerTimes()
 
     @property
     def id(self) -> str:
--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -231,6 +231,78 @@
     play(scenario)
 
 
+def test_lost_answer_of_a_current_read_is_asked_for_again() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        other = await deployment.connect(CURRENT)
+        for _ in range(6):
+            await client.ask('READ a')
+        deployment.group.primary.lost_answers = 1
+        reading = await curio.spawn(client.ask, 'READ a')
+        began = await curio.clock()
+        await curio.sleep(0.001)
+        while not reading.terminated:
+            assert (await other.ask('READ b')).is_done
+            await curio.sleep(0.01)
+        assert (await reading.join()).is_done
+        assert await curio.clock() - began < 0.25
+
+    play(scenario)
+
+
+def test_doubt_of_a_write_is_told_once_waiting_cannot_help() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        other = await deployment.connect(CURRENT)
+        for _ in range(6):
+            await client.ask('READ a')
+        deployment.group.primary.lost_answers = 1
+        writing = await curio.spawn(client.ask, 'WRITE a 1')
+        began = await curio.clock()
+        await curio.sleep(0.001)
+        while not writing.terminated:
+            assert (await other.ask('READ b')).is_done
+            await curio.sleep(0.01)
+        assert (await writing.join()).text.startswith('TIMEOUT')
+        assert await curio.clock() - began < 0.6
+        assert len(deployment.group.primary.log) == 1
+
+    play(scenario)
+
+
+def test_lost_answer_in_a_transaction_ends_it_early() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        for _ in range(6):
+            await client.ask('READ a')
+        await client.ask('BEGIN')
+        await client.ask('WRITE a 1')
+        deployment.group.primary.lost_answers = 1
+        began = await curio.clock()
+        lost = await client.ask('READ a')
+        assert lost.text.startswith('ABORTED')
+        assert await curio.clock() - began < 0.4
+        await client.ask('ROLLBACK')
+        assert not deployment.group.primary.log
+
+    play(scenario)
+
+
+def test_lost_answer_of_a_read_is_soon_replaced() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(BOUNDED)
+        for _ in range(12):
+            await client.ask('READ a')
+        for server in deployment.group.servers.values():
+            if server is not deployment.group.primary:
+                server.lost_answers = 1
+        began = await curio.clock()
+        assert (await client.ask('READ a')).is_done
+        assert await curio.clock() - began < 0.2
+
+    play(scenario)
+
+
 def test_transaction_that_rests_too_long_is_ended_and_told() -> None:
     async def scenario(deployment: Deployment) -> None:
         client = await deployment.connect(CURRENT)
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -1,5 +1,7 @@
 """A caller's transaction on the one connection that it holds."""
 
+from typing import Final
+
 import curio
 
 from deckdrum.operations import (
@@ -17,6 +19,12 @@
 from deckdrum.serving.host import Outcome, SessionHost
 from deckdrum.serving.state import Pin, SessionState, Transaction
 
+#: Times the patience with a server, and least time in seconds, after which a
+#: statement of an open transaction is given up.  Nothing of it is kept, so its
+#: caller may begin anew while there is time.
+PINNED_PATIENCE: Final = 6
+LEAST_PINNED_WAIT: Final = 0.25
+
 
 class TransactionRunner:
     """Runs the statements of one session's transactions.
@@ -110,7 +118,8 @@
         transaction: Transaction,
         pin: Pin,
     ) -> Outcome:
-        limit = transaction.route.statement_limit - ANSWER_MARGIN
+        limit = _find_limit(request, transaction, pin)
+        sent_at = await curio.clock()
         try:
             async with curio.timeout_after(limit):
                 reply = await self._send_pinned(request, pin)
@@ -120,7 +129,10 @@
         except ConnectionError as error:
             pin.handle.note_failure(await curio.clock(), error)
             return await self._lose_pinned(request, repr(error))
-        pin.handle.note_answer(await curio.clock())
+        now = await curio.clock()
+        pin.handle.note_answer(now)
+        if isinstance(reply, Answer):
+            pin.handle.times.note(now - sent_at)
         if isinstance(reply, Rejection):
             return await self._reject_pinned(request, reply)
         if isinstance(request.operation, Commit):
@@ -186,3 +198,19 @@
             code = Code.CONNECTION_LOST if may_last else Code.TRANSACTION_LOST
             return refuse(code, rejection.text)
         return await self.fail(rejection.text, rejection.standing)
+
+
+def _find_limit(
+    request: Request,
+    transaction: Transaction,
+    pin: Pin,
+) -> float:
+    """Return how long a statement may go without an answer, in seconds.
+
+    The end of a transaction with changes gets all its time: it may last.
+    """
+    limit = transaction.route.statement_limit - ANSWER_MARGIN
+    if isinstance(request.operation, Commit) and transaction.has_written:
+        return limit
+    patience = pin.handle.times.patience * PINNED_PATIENCE
+    return min(limit, max(LEAST_PINNED_WAIT, patience))
