Let reads wait for a near replica by their objective

Cause: bytes between data centres are half of the prices, and nine tenths of them are statements.

Change: another data centre counts a tenth of the route's objective. Test: test_read_waits_for_a_near_replica_rather_than_go_far.

--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -21,9 +21,10 @@
 SAMPLE_PART: Final = 0.4
 #: Longest wait of a read for a sample of the primary, in seconds.
 SAMPLE_WAIT: Final = 0.15
-#: What another data centre costs beside a server's time, in seconds: the
-#: longer way there and back, and as much again for the bytes.
-DISTANCE_COST: Final = 0.006
+#: What another data centre costs beside a server's time, as a part of the
+#: route's objective: a read waits as long for a near server if that leaves it
+#: well within its time, since the bytes of its answer are paid for.
+DISTANCE_PART: Final = 0.1
 #: What a borrowed connection costs beside, in seconds: the messages of a loan,
 #: there and back, and the work of two nodes.  An estimate, not measured.
 LOAN_COST: Final = 0.005
@@ -101,7 +102,9 @@
                 await self._runtime.sample_primary()
             floor = await self._find_floor(route, state)
         if floor is not None:
-            replica = await self._pick_replica(floor, passed_over)
+            replica = await self._pick_replica(
+                floor, passed_over, route.objective
+            )
             if replica is not None:
                 return Target(replica, floor, False, floor.term)
         return await self.choose_primary(limit)
@@ -128,8 +131,10 @@
         self,
         floor: Position,
         passed_over: Container[str],
+        objective: float,
     ) -> ServerHandle | None:
         now = await curio.clock()
+        distance = DISTANCE_PART * objective
         fitting = [
             handle
             for handle in self._runtime.replicas
@@ -141,19 +146,31 @@
         primary = self._runtime.primary
         if not fitting:
             return None
-        best = min(fitting, key=lambda handle: self._rank(handle, now))
+        best = min(
+            fitting,
+            key=lambda handle: self._rank(handle, now, distance),
+        )
         if primary is None or primary.server.is_draining:
             return best
         # A busy replica leaves the read to an idle primary.
+        # Distance does not count here: bytes are no reason to load a primary.
         cost = self._rank(primary, now) + PRIMARY_COST
         return None if cost < self._rank(best, now) else best
 
-    def _rank(self, handle: ServerHandle, now: float) -> float:
-        """Return the expected cost of a read in seconds."""
+    def _rank(
+        self,
+        handle: ServerHandle,
+        now: float,
+        distance: float = 0,
+    ) -> float:
+        """Return the expected cost of a read in seconds.
+
+        `distance` is what another data centre costs.
+        """
         idle = max(0, now - handle.answered_at)
         fade = math.exp2(-idle / _FADE_TIME)
         usual = max(_FIRST_TIME, handle.usual_time * fade)
         is_far = handle.server.data_centre != self._data_centre
-        distance = DISTANCE_COST if is_far else 0
+        way = distance if is_far else 0
         hop = 0 if handle.is_holder else LOAN_COST
-        return (handle.load + 1) * usual + distance + hop
+        return (handle.load + 1) * usual + way + hop
--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -11,6 +11,7 @@
     CURRENT,
     OWN,
     SERVICE,
+    ZONES,
     Deployment,
     build_config,
     play,
@@ -430,3 +431,24 @@
         assert events['status_questions'] - before <= 2
 
     play(scenario)
+
+
+def test_read_waits_for_a_near_replica_rather_than_go_far() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        first = await deployment.connect(BOUNDED, node=1)
+        second = await deployment.connect(BOUNDED, node=1)
+        for _ in range(10):
+            reading = await curio.spawn(first.ask, 'READ a')
+            await curio.sleep(0.005)
+            assert (await second.ask('READ a')).is_done
+            assert (await reading.join()).is_done
+        near = next(
+            server.name
+            for server in deployment.group.servers.values()
+            if server.zone == ZONES[1]
+        )
+        # The first ones go before the servers' times are known.
+        readers = [ran.server for ran in deployment.group.ran]
+        assert set(readers[4:]) == {near}
+
+    play(scenario, work=0.015)
