Deal connections that do not go round to the nearest nodes

Cause: with 16 connections, a reserve of 4 and seven nodes each node gets one, and five are dealt to nobody. A transaction or a wait then holds a node's only connection.

Change: what is left over goes round once more, the nearest nodes first. Tests: test_what_does_not_go_round_goes_to_the_nearest_nodes; test_connections_are_shared_between_nodes expected that one of 19 stays unused, and now that every one is dealt.

--- a/deckdrum/node/tests/test_life.py
+++ b/deckdrum/node/tests/test_life.py
@@ -49,8 +49,8 @@
             for running in deployment.nodes
             for handle in running.node.services[SERVICE].servers.values()
         ]
-        assert set(slots) == {3}
-        assert sum(slots) <= 3 * (23 - RESERVED_CONNECTIONS)
+        assert set(slots) == {3, 4}
+        assert sum(slots) == 3 * (23 - RESERVED_CONNECTIONS)
 
     play(scenario, nodes=6, max_connections=23)
 
--- a/deckdrum/serving/dealing.py
+++ b/deckdrum/serving/dealing.py
@@ -4,6 +4,7 @@
 and a frozen or cut neighbour costs nothing.  Otherwise as many nodes as can
 hold one each, spread over the data centres and different for each server, and
 the others borrow.  So most nodes reach some server of each group directly.
+What does not go round goes to the nodes that are nearest to the server.
 """
 
 from collections import defaultdict
@@ -33,20 +34,18 @@
 
     Attributes
     ----------
-    holders : tuple of str
-        Nodes that hold connections.
-    slots : int
-        Connections of each holder.
+    holders : mapping of str to int
+        Connections by the names of the nodes that hold some.
     """
 
-    holders: tuple[str, ...]
-    slots: int
+    holders: Mapping[str, int]
 
 
 def deal_connections(
     server: str,
     nodes: Mapping[str, str],
     max_connections: int,
+    data_centre: str = '',
 ) -> Deal:
     """Return who holds a server's connections.
 
@@ -58,18 +57,27 @@
         Data centres by the names of the nodes.
     max_connections : int
         Connections that the server accepts.
+    data_centre : str
+        Where the server runs.
 
     Examples
     --------
     >>> nodes = {'n1': 'a', 'n2': 'b', 'n3': 'a'}
-    >>> deal_connections('i-1', nodes, max_connections=11).slots
-    2
+    >>> deal_connections('i-1', nodes, max_connections=11, data_centre='b')
+    Deal(holders={'n2': 3, 'n3': 2, 'n1': 2})
     """
     shared = max(1, max_connections - RESERVED_CONNECTIONS)
-    count = len(nodes)
-    if shared >= count:
-        return Deal(tuple(nodes), min(MOST_CONNECTIONS, shared // count))
-    return Deal(tuple(_spread(server, nodes)[:shared]), 1)
+    spread = _spread(server, nodes)
+    if shared < len(nodes):
+        return Deal(dict.fromkeys(spread[:shared], 1))
+    nearest = sorted(spread, key=lambda name: nodes[name] != data_centre)
+    each, left = divmod(shared, len(nodes))
+    return Deal(
+        {
+            name: min(MOST_CONNECTIONS, each + (place < left))
+            for place, name in enumerate(nearest)
+        },
+    )
 
 
 def _spread(server: str, nodes: Mapping[str, str]) -> list[str]:
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -144,15 +144,13 @@
         lenders: list[Member],
         slots: int,
         shares: Mapping[str, GroupShare],
-        *,
-        is_holder: bool,
     ) -> None:
         """Hold up to `slots` connections, or none, and borrow the others."""
         self._lending.lenders = lenders
-        self.is_holder = is_holder
-        await self.pool.queue.resize(slots, shares)
+        self.is_holder = slots > 0
+        await self.pool.queue.resize(max(1, slots), shares)
         await self.loans.queue.resize(BORROWED_CONNECTIONS, shares)
-        if is_holder:
+        if self.is_holder:
             await self.pool.trim()
         else:
             await self.pool.close_idle()
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -164,19 +164,18 @@
         self._dealt = dealt
         self._proofs.pick_collector(own, members, staying)
         for name, handle in self.servers.items():
-            deal = deal_connections(name, staying, limit)
+            centre = handle.server.data_centre
+            deal = deal_connections(name, staying, limit, centre)
             lenders = [
                 members[holder]
                 for holder in deal.holders
                 if holder != own.name and holder in members
             ]
             lenders.sort(key=partial(_rank_lender, own))
-            is_holder = own.name in deal.holders
             await handle.adopt_deal(
                 lenders,
-                deal.slots,
+                deal.holders.get(own.name, 0),
                 self._shares,
-                is_holder=is_holder,
             )
 
     async def admit_group(self, route: Route) -> None:
--- a/deckdrum/serving/tests/test_dealing.py
+++ b/deckdrum/serving/tests/test_dealing.py
@@ -31,19 +31,29 @@
 @pytest.mark.parametrize('limit', [3, 12, 23, 53, 283])
 def test_deal_keeps_the_reserve(count: int, limit: int) -> None:
     deal = deal_connections('i-1', build_nodes(count), limit)
-    used = len(deal.holders) * deal.slots
+    used = sum(deal.holders.values())
     assert used <= max(1, limit - RESERVED_CONNECTIONS)
-    assert 1 <= deal.slots
-    assert deal.holders
+    assert min(deal.holders.values()) >= 1
 
 
 def test_every_node_holds_where_there_is_enough() -> None:
     deal = deal_connections('i-1', build_nodes(9), 23)
     assert len(deal.holders) == 9
-    assert deal.slots == 2
-    assert deal_connections('i-1', build_nodes(2), 100).slots == (
-        MOST_CONNECTIONS
-    )
+    assert min(deal.holders.values()) == 2
+    plenty = deal_connections('i-1', build_nodes(2), 100)
+    assert set(plenty.holders.values()) == {MOST_CONNECTIONS}
+
+
+@pytest.mark.parametrize('count', [2, 5, 7, 9, 12])
+def test_what_does_not_go_round_goes_to_the_nearest_nodes(count: int) -> None:
+    nodes = build_nodes(count)
+    limit = RESERVED_CONNECTIONS + count + 2
+    deal = deal_connections('i-1', nodes, limit, data_centre='b')
+    assert sum(deal.holders.values()) == limit - RESERVED_CONNECTIONS
+    most = max(deal.holders.values())
+    near = [name for name, centre in nodes.items() if centre == 'b']
+    favoured = [name for name, held in deal.holders.items() if held == most]
+    assert set(near) <= set(favoured) or set(favoured) <= set(near)
 
 
 def test_few_holders_are_spread_over_the_data_centres() -> None:
@@ -64,7 +74,7 @@
 def test_one_node_that_goes_changes_one_holder() -> None:
     nodes = build_nodes(71)
     before = deal_connections('i-1', nodes, 53).holders
-    nodes.pop(before[0])
+    nodes.pop(next(iter(before)))
     after = deal_connections('i-1', nodes, 53).holders
     assert len(set(after) - set(before)) <= 1
 
