Share proof and samples where a data centre has two nodes or more

Cause: sharing began with eight nodes, since with fewer "each asking by itself costs as little". With two slots a server that is not so: questions take places and are priced; a message within a data centre is not.

Change: COLLECTED_FROM is 2.

--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -21,9 +21,10 @@
 from deckdrum.utils.ranks import weigh
 
 Source = Callable[[], Awaitable[object]]
-#: Nodes of one data centre from which on one of them asks for proof for all:
-#: with fewer, each asking by itself costs as little.
-COLLECTED_FROM: Final = 8
+#: Nodes of one data centre from which on one of them asks for proof, and
+#: samples the primary, for all.  Messages within a data centre cost next to
+#: nothing; a question takes a place at a server.
+COLLECTED_FROM: Final = 2
 #: Age of proof up to which it is handed to peers without asking again, in s.
 SHARED_AGE: Final = 0.3
 #: Silence of one source of proof after which the next is asked, in seconds;
