Give each mechanism of a node a switch

Cause: what a mechanism is worth is found by leaving it out; until now that took an edit of the code.

None keeps a promise; the look at proof before an answer is released, the news of the configuration among peers and the proof itself keep rules, and have no switch.

Measured: nothing; the default is as before.

--- a/deckdrum/fleet/settings.py
+++ b/deckdrum/fleet/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.utils import Address
 
 
@@ -21,6 +22,8 @@
         Nodes that may be asked first.
     seed : int
         Of its randomness; 0 takes a fresh one.
+    policies : frozenset of Policy
+        Mechanisms in force.
     """
 
     name: str
@@ -28,3 +31,4 @@
     peer_address: Address
     seeds: tuple[Address, ...] = ()
     seed: int = 0
+    policies: frozenset[Policy] = ALL_POLICIES
--- a/deckdrum/leadership/changes.py
+++ b/deckdrum/leadership/changes.py
@@ -9,6 +9,7 @@
 from deckdrum.control import ControlStore, ControlView
 from deckdrum.fleet.detours import DetourDialer
 from deckdrum.fleet.nodes import NodePeers
+from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
@@ -114,6 +115,8 @@
         Takes the detours that are found.
     randomness : random.Random
         Source of operation ids.
+    policies : frozenset of Policy
+        Mechanisms in force.
     """
 
     node: str
@@ -123,3 +126,4 @@
     peers: NodePeers
     dialer: DetourDialer
     randomness: Random
+    policies: frozenset[Policy] = ALL_POLICIES
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -9,6 +9,7 @@
 import curio
 
 from deckdrum.control import Member
+from deckdrum.fleet.policies import Policy
 from deckdrum.fleet.questions import (
     AskServer,
     ServerAnswer,
@@ -231,8 +232,9 @@
                 reached_by=reaching[0].name,
             )
             return True
-        member = self._tools.randomness.choice(reaching)
-        await self._take_detour(primary, member)
+        if Policy.DETOURS in self._tools.policies:
+            member = self._tools.randomness.choice(reaching)
+            await self._take_detour(primary, member)
         return True
 
     async def _has_path(self, primary: ServerHandle) -> bool:
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -76,6 +76,7 @@
         dial_straight: Dial = dial,
     ) -> None:
         self.settings = settings
+        self.policies = settings.policies
         self.journal = journal
         self.counters = counters
         self.is_stopping = False
@@ -106,6 +107,7 @@
             self.peers,
             self._dialer,
             self._randomness,
+            settings.policies,
         )
         self._book = ServiceBook(
             self.tools,
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -99,6 +99,7 @@
             self._tools.peers,
             self._journal,
             self._counters,
+            self._tools.policies,
         )
         supervisor = Supervisor(runtime, self._tools)
         runtime.on_trouble = supervisor.note_trouble
--- a/deckdrum/platform/service.py
+++ b/deckdrum/platform/service.py
@@ -9,6 +9,7 @@
 import curio
 
 from deckdrum.commands.signals import STOPPING, catch_signals
+from deckdrum.fleet.policies import ALL_POLICIES, Policy, leave_out
 from deckdrum.node import Node
 from deckdrum.node.stopping import PlannedStop
 from deckdrum.outcomes.errors import SettingsError
@@ -45,6 +46,8 @@
         What it held at the start.
     journal : Journal
         For logs.
+    policies : frozenset of Policy
+        Mechanisms in force.
     """
 
     def __init__(
@@ -52,11 +55,12 @@
         path: Path,
         settings: PlatformSettings,
         journal: Journal,
+        policies: frozenset[Policy] = ALL_POLICIES,
     ) -> None:
         self._path = path
         self._settings = settings
         self._journal = journal
-        node_settings = settings.make_node_settings()
+        node_settings = settings.make_node_settings(policies)
         counters = Counters()
         store = PlatformStore(settings.store_address, journal, counters)
         self.node = Node(
@@ -115,21 +119,48 @@
         return Reply.from_text(self.node.counters.render().decode())
 
 
-async def run_program(path: Path, settings: PlatformSettings) -> None:
+async def run_program(
+    path: Path,
+    settings: PlatformSettings,
+    policies: frozenset[Policy],
+) -> None:
     """Run a node until a signal asks to stop."""
     journal = open_patient_journal(settings.node_name, sys.stdout.fileno())
-    program = Program(path, settings, journal)
+    program = Program(path, settings, journal, policies)
     with catch_signals((*STOPPING, signal.SIGHUP)) as signals:
         await program.run(signals)
 
 
+def parse_arguments(arguments: list[str]) -> frozenset[Policy]:
+    """Return the policies in force: ``--without NAME,...`` leaves some out.
+
+    Raises
+    ------
+    SettingsError
+        If the arguments are wrong.
+
+    Examples
+    --------
+    >>> parse_arguments(['--without', 'borrowing']) < ALL_POLICIES
+    True
+    """
+    if not arguments:
+        return ALL_POLICIES
+    option, *names = arguments
+    if option != '--without' or len(names) != 1:
+        given = ' '.join(arguments)
+        raise SettingsError(f'{given!r}, expected --without NAME,...')
+    return leave_out(names[0].split(','))
+
+
 def main() -> int:
     """Run the program and return its exit code."""
     try:
         path = find_settings()
         settings = load_settings(path)
+        policies = parse_arguments(sys.argv[1:])
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return _EXIT_USAGE
-    curio.run(run_program, path, settings)
+    curio.run(run_program, path, settings, policies)
     return 0
--- a/deckdrum/platform/settings.py
+++ b/deckdrum/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.fleet.settings import NodeSettings
 from deckdrum.outcomes.errors import SettingsError
 from deckdrum.utils import Address
@@ -96,7 +97,10 @@
         """Time between the request to stop and the kill, in seconds."""
         return self.bounds.grace_s
 
-    def make_node_settings(self) -> NodeSettings:
+    def make_node_settings(
+        self,
+        policies: frozenset[Policy] = ALL_POLICIES,
+    ) -> NodeSettings:
         """Return what the node itself must know."""
         seeds = tuple(
             Address(Address.parse(seed).host, self.peer_port)
@@ -107,6 +111,7 @@
             data_centre=self.zone,
             peer_address=Address(self.ip, self.peer_port),
             seeds=seeds,
+            policies=policies,
         )
 
 
--- a/deckdrum/serving/dealing.py
+++ b/deckdrum/serving/dealing.py
@@ -40,6 +40,11 @@
 
     holders: Mapping[str, int]
 
+    def level(self) -> 'Deal':
+        """Return the deal in which every holder has as many as the last."""
+        least = min(self.holders.values())
+        return Deal(dict.fromkeys(self.holders, least))
+
 
 def deal_connections(
     server: str,
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -1,11 +1,13 @@
 """Running statements with retries, until an answer or the end of the time."""
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
 import curio
 
 from deckdrum.control import Guarantee, Route
+from deckdrum.fleet.policies import Policy
 from deckdrum.operations import Answer, Begin, Effect, Rejection, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
@@ -15,7 +17,7 @@
     Attempt,
     Lost,
 )
-from deckdrum.serving.retries import RetryBudget, RetryPolicy
+from deckdrum.serving.retries import RETRY_RESERVE, RetryBudget, RetryPolicy
 from deckdrum.serving.routing import Router, Target
 from deckdrum.serving.searches import EndedTry, Search, drop_late
 from deckdrum.serving.service import ServiceRuntime
@@ -60,7 +62,11 @@
     def __init__(self, runtime: ServiceRuntime, router: Router) -> None:
         self.runtime = runtime
         self._router = router
-        self._budget = RetryBudget()
+        self._policies = runtime.policies
+        reserve = RETRY_RESERVE
+        if Policy.RETRY_BUDGET not in self._policies:
+            reserve = math.inf
+        self._budget = RetryBudget(reserve)
         self._retries = RetryPolicy(runtime, self._budget)
 
     async def run_single(
@@ -294,6 +300,8 @@
 
     def _note_replica(self, name: str, position: Position) -> None:
         """Take where a replica's log stands as proof of the term."""
+        if Policy.PROOF_FROM_READS not in self._policies:
+            return
         history = self.runtime.history
         if position.term == history.term:
             since = history.find_last_below(position.offset)
@@ -314,6 +322,8 @@
 
     async def _cut_lost(self, search: Search, now: float) -> None:
         """Give up tries whose answers are lost; each frees a connection."""
+        if Policy.LOST_ANSWERS not in self._policies:
+            return
         patience = LOST_AFTER if search.is_repeatable else CHANGE_LOST_AFTER
         for attempt in search.running:
             if not attempt.is_lost(now, patience):
@@ -347,6 +357,8 @@
             silent = []
         for handle in silent:
             self.runtime.report_trouble(handle)
+        if Policy.HEDGED_READS not in self._policies:
+            return False
         if not search.may_spread or len(search.running) >= MAX_RUNNING:
             return False
         is_overdue = any(each.is_overdue(now) for each in search.running)
--- a/deckdrum/serving/host.py
+++ b/deckdrum/serving/host.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from deckdrum.control import Route
+from deckdrum.fleet.policies import Policy
 from deckdrum.operations import Answer, Request
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.execution import Execution
@@ -15,7 +16,15 @@
 
 
 class SessionHost(ABC):
-    """What a session needs of its node."""
+    """What a session needs of its node.
+
+    Attributes
+    ----------
+    policies : frozenset of Policy
+        Mechanisms in force.
+    """
+
+    policies: frozenset[Policy]
 
     @abstractmethod
     def find_route(self, database: str) -> Route | None:
--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from deckdrum.fleet.policies import Policy
 from deckdrum.operations import Answer, Rejection, RejectionCause
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
@@ -117,7 +118,8 @@
     ) -> Refusal | None:
         handle = ended.target.handle
         if end.cause is RejectionCause.BEHIND and ended.target.floor:
-            handle.lag.note_behind(ended.target.floor, now)
+            if Policy.REPLICA_PAUSES in self._runtime.policies:
+                handle.lag.note_behind(ended.target.floor, now)
             return None
         if end.cause is RejectionCause.NOT_PRIMARY:
             await self._runtime.belief.lose_primary(
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -8,6 +8,7 @@
 import curio
 
 from deckdrum.control import Guarantee, Route
+from deckdrum.fleet.policies import Policy
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.state import SessionState
@@ -96,7 +97,7 @@
         if route.guarantee is Guarantee.CURRENT:
             return await self.choose_primary(limit)
         floor = await self._find_floor(route, state)
-        if floor is None:
+        if floor is None and Policy.SAMPLE_WAIT in self._runtime.policies:
             # A sample costs the primary less than the read would.
             async with curio.ignore_after(min(limit, SAMPLE_WAIT)):
                 await self._runtime.sample_primary()
@@ -135,6 +136,8 @@
     ) -> ServerHandle | None:
         now = await curio.clock()
         distance = DISTANCE_PART * objective
+        if Policy.NEAR_READS not in self._runtime.policies:
+            distance = 0
         fitting = [
             handle
             for handle in self._runtime.replicas
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -18,6 +18,7 @@
 )
 from deckdrum.control import Member
 from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
+from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.members import GroupShare
 from deckdrum.operations import Rejection
 from deckdrum.outcomes import Refusal
@@ -77,6 +78,8 @@
         Most connections of its own.
     shares : mapping of str to GroupShare
         Shares of the groups of callers.
+    policies : frozenset of Policy
+        Mechanisms in force.
     """
 
     def __init__(
@@ -85,7 +88,9 @@
         loans: LoanBackend,
         slots: int,
         shares: Mapping[str, GroupShare],
+        policies: frozenset[Policy] = ALL_POLICIES,
     ) -> None:
+        self._policies = policies
         self.own = own
         #: Connections of this node's own.
         self.pool: Pool[Backend, BackendLink] = Pool(own, slots, shares)
@@ -217,7 +222,7 @@
         ConnectionError
             If the server cannot be reached.
         """
-        if self._has_few:
+        if self._has_few and Policy.FEW_WAIT in self._policies:
             limit = min(limit, FEW_WAIT)
         if not self.is_holder:
             return await self.loans.acquire(group, limit)
@@ -362,6 +367,8 @@
         limit: float,
     ) -> ServerLease | None:
         """Borrow if the few own connections are busy and others are not."""
+        if Policy.BORROWING not in self._policies:
+            return None
         if not self._has_few or not self.pool.queue.is_busy:
             return None
         try:
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -16,6 +16,7 @@
 from deckdrum.control import ControlStore, Member, Route, ServiceDeclaration
 from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
 from deckdrum.fleet.nodes import NodePeers
+from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.fleet.questions import AskSample, SampleAnswer
 from deckdrum.leadership.belief import VALIDITY, LeadershipBelief
 from deckdrum.members import GroupShare
@@ -63,6 +64,8 @@
         For decisions and changes of belief.
     counters : Counters
         For metrics.
+    policies : frozenset of Policy
+        Mechanisms in force.
     """
 
     def __init__(
@@ -73,8 +76,10 @@
         peers: NodePeers,
         journal: Journal,
         counters: Counters,
+        policies: frozenset[Policy] = ALL_POLICIES,
     ) -> None:
         self.declaration = declaration
+        self.policies = policies
         self.servers: dict[str, ServerHandle] = {}
         self.belief = LeadershipBelief(declaration.name, journal)
         self.history = History()
@@ -135,6 +140,7 @@
                     LoanBackend(own, self._peers.loans),
                     USEFUL_CONNECTIONS,
                     self._shares,
+                    self.policies,
                 )
             else:
                 handle.update(server)
@@ -162,15 +168,20 @@
         if dealt == self._dealt:
             return
         self._dealt = dealt
-        self._proofs.pick_collector(own, members, staying)
+        if Policy.SHARED_PROOF in self.policies:
+            self._proofs.pick_collector(own, members, staying)
         for name, handle in self.servers.items():
             centre = handle.server.data_centre
             deal = deal_connections(name, staying, limit, centre)
+            if Policy.NEAREST_CONNECTIONS not in self.policies:
+                deal = deal.level()
             lenders = [
                 members[holder]
                 for holder in deal.holders
                 if holder != own.name and holder in members
             ]
+            if Policy.BORROWING not in self.policies:
+                lenders = []
             lenders.sort(key=partial(_rank_lender, own))
             await handle.adopt_deal(
                 lenders,
@@ -325,6 +336,8 @@
 
     async def _sample(self) -> bool:
         collector = self._proofs.collector
+        if Policy.SHARED_SAMPLES not in self.policies:
+            collector = None
         if collector is not None and await self._sample_by(collector):
             return True
         return bool(await self._asking_primary.get())
--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -5,6 +5,7 @@
 import curio
 import pytest
 
+from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.serving.retries import RETRY_RESERVE
 from deckdrum.testing.nodes import (
     BOUNDED,
@@ -433,6 +434,28 @@
     play(scenario)
 
 
+@pytest.mark.parametrize('policy', list(Policy))
+def test_statements_are_served_without_any_one_policy(policy: Policy) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        clients = [
+            await deployment.connect(database, node=number)
+            for number in range(5)
+            for database in (CURRENT, BOUNDED, OWN)
+        ]
+        for client in clients:
+            assert (await client.ask('WRITE a 1')).is_done
+            assert (await client.ask('READ a')).is_done
+        primary = deployment.group.primary
+        deployment.group.servers['i-stalls-2'].lost_answers = 1
+        await primary.crash()
+        assert await clients[0].write_until_done() < 4
+        for client in clients:
+            assert (await client.ask('READ a')).is_done
+
+    left = ALL_POLICIES - {policy}
+    play(scenario, nodes=5, policies=left, max_connections=11)
+
+
 def test_read_waits_for_a_near_replica_rather_than_go_far() -> None:
     async def scenario(deployment: Deployment) -> None:
         first = await deployment.connect(BOUNDED, node=1)
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -1,9 +1,11 @@
 """A caller's transaction on the one connection that it holds."""
 
+import math
 from typing import Final
 
 import curio
 
+from deckdrum.fleet.policies import Policy
 from deckdrum.operations import (
     Answer,
     Begin,
@@ -118,7 +120,9 @@
         transaction: Transaction,
         pin: Pin,
     ) -> Outcome:
-        limit = _find_limit(request, transaction, pin)
+        limit = transaction.route.statement_limit - ANSWER_MARGIN
+        if Policy.LOST_ANSWERS in self._host.policies:
+            limit = min(limit, _find_patience(request, transaction, pin))
         sent_at = await curio.clock()
         try:
             async with curio.timeout_after(limit):
@@ -200,7 +204,7 @@
         return await self.fail(rejection.text, rejection.standing)
 
 
-def _find_limit(
+def _find_patience(
     request: Request,
     transaction: Transaction,
     pin: Pin,
@@ -209,8 +213,7 @@
 
     The end of a transaction with changes gets all its time: it may last.
     """
-    limit = transaction.route.statement_limit - ANSWER_MARGIN
     if isinstance(request.operation, Commit) and transaction.has_written:
-        return limit
+        return math.inf
     patience = pin.handle.times.patience * PINNED_PATIENCE
-    return min(limit, max(LEAST_PINNED_WAIT, patience))
+    return max(LEAST_PINNED_WAIT, patience)
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.node import Node, NodeSettings
 from deckdrum.platform.backends import PlatformBackend
 from deckdrum.platform.duties import PlatformDuty
@@ -180,6 +181,8 @@
         Data centres in which the nodes run.
     logs : sequence of TextIO
         Where the nodes log, in their order; the others log nowhere.
+    policies : frozenset of Policy
+        Mechanisms in force.
     **group : object
         Fields of the `DatabaseGroup`.
     """
@@ -190,6 +193,7 @@
         settle: float = SETTLE,
         centres: int = 3,
         logs: Sequence[TextIO] = (),
+        policies: frozenset[Policy] = ALL_POLICIES,
         **group: Any,
     ) -> None:
         self.store = StandinStore()
@@ -199,6 +203,7 @@
         self._settle = settle
         self._centres = centres
         self._logs = dict(enumerate(logs))
+        self._policies = policies
         #: Databases that a node does not reach, by the node's number.
         self._cuts: dict[int, set[str]] = {}
 
@@ -243,6 +248,7 @@
             peer_address=take_address(),
             seeds=seeds,
             seed=number + 1,
+            policies=self._policies,
         )
         node = Node(
             settings,
