Record who leads a group before any change

Cause: 71 nodes that start together know no primary; each asks the servers, over connections that nobody has yet. In the log of such a start half of the nodes had been up for 0.99 s before they knew the first primary, and the last for 2.0 s; the median node served 1.14 s after it was up, the last 2.18 s, and refused with DD003 (no primary, nothing tried) meanwhile. 1,250 questions went unanswered, most since "the lenders have none".

Hypothesis: the store can tell who leads, and a list of the records that shows no change under way is as good a proof as a record read by itself. Both come with the list that each node reads anyway.

Change: the first node by rank records the primary of a group that was never changed (ClaimBook.record_first, on the condition that there is no record); a node takes the time of its list of leadership as proof. Tests: test_leader_is_recorded_before_any_change and test_node_that_starts_asks_no_server_who_leads, both fail without it.

--- a/deckdrum/control/feed.py
+++ b/deckdrum/control/feed.py
@@ -178,9 +178,10 @@
 
     async def _take_next(self, kind: Kind, is_listed: bool) -> None:
         if not is_listed:
-            await self._view.adopt_update(
-                kind, await self._store.list_records(kind)
-            )
+            asked_at = await curio.clock()
+            listing = await self._store.list_records(kind)
+            self._view.listed_at[kind] = asked_at
+            await self._view.adopt_update(kind, listing)
             self._listed.add(kind)
             return
         since = self._view.read_revision(kind)
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -60,6 +60,9 @@
         self.configuration: Configuration | None = None
         #: Called after each change of what is known.
         self.on_change: list[_ChangeCall] = []
+        #: When the store was last asked for the whole list of a kind, and
+        #: answered, in kernel seconds.
+        self.listed_at: dict[Kind, float] = {}
         self._journal = journal
         self._known = {kind: KnownRecords() for kind in Kind}
         #: Servers that left the list, with the time of their removal.
--- a/deckdrum/leadership/claims.py
+++ b/deckdrum/leadership/claims.py
@@ -87,6 +87,23 @@
         )
         await self._put(record, claim.fence)
 
+    async def record_first(self) -> None:
+        """Record who leads a group whose primary was never changed.
+
+        Nodes that start learn it from the store then, and need not ask the
+        servers all at once.
+        """
+        belief = self._runtime.belief
+        number = self._tools.randomness.getrandbits(_OPERATION_BITS)
+        record = GroupRecord(
+            service=self._runtime.name,
+            term=belief.term,
+            primary=belief.primary,
+            phase=Phase.SETTLED,
+            operation=str(uuid.UUID(int=number)),
+        )
+        await self._put(record, 0)
+
     async def undo(self, report: ChangeReport, claim: Claim) -> None:
         """Record that the former term goes on."""
         record = GroupRecord(
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -8,14 +8,14 @@
 
 import curio
 
-from deckdrum.control import Member
+from deckdrum.control import Kind, Member
 from deckdrum.fleet.policies import Policy
 from deckdrum.fleet.questions import (
     AskServer,
     ServerAnswer,
 )
 from deckdrum.leadership.changes import ChangeReport, ChangeTools
-from deckdrum.leadership.claims import TAKE_OVER_AFTER
+from deckdrum.leadership.claims import TAKE_OVER_AFTER, ClaimBook
 from deckdrum.leadership.promotion import Promotion
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.service import ServiceRuntime
@@ -44,6 +44,8 @@
 DETOUR_TIME: Final = 1.0
 #: Pause after a change that failed or that the peers refused, in seconds.
 RETRY_PAUSE: Final = 0.4
+#: Pause between two tries to record who leads, in seconds.
+RECORD_PAUSE: Final = 1.0
 #: How long a group may be without a known primary before it is given one.
 UNKNOWN_LIMIT: Final = 1.0
 #: How long a node has been registered before it changes a primary, in s.  A
@@ -69,6 +71,8 @@
         self._runtime = runtime
         self._tools = tools
         self._promotion = Promotion(runtime, tools)
+        self._claims = ClaimBook(runtime, tools)
+        self._record_after = float('-inf')
         self._without_since: float | None = None
         self._claim_seen: tuple[str, float] = ('', 0)
         self._mend_until = float('-inf')
@@ -98,6 +102,8 @@
         if primary is None:
             return await self._look_without()
         self._without_since = None
+        if record is None:
+            await self._record_first()
         if primary.server.is_draining:
             return await self._replace_leaving(primary)
         if self._troubled is primary:
@@ -120,6 +126,17 @@
             self._registered_since = now
         return now - self._registered_since >= SETTLE_TIME
 
+    async def _record_first(self) -> None:
+        """Record who leads, if the store is known to have no record."""
+        now = await curio.clock()
+        is_listed = Kind.LEADERSHIP in self._tools.view.listed_at
+        if not is_listed or now < self._record_after:
+            return
+        self._record_after = now + RECORD_PAUSE
+        if self._rank() == 0:
+            # Beside the looks: the store may be away.
+            await curio.spawn(self._claims.record_first, daemon=True)
+
     async def _look_at_claim(self, record: GroupRecord) -> float:
         """Take a change over whose driver has not finished it."""
         now = await curio.clock()
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -358,3 +358,33 @@
         assert await curio.clock() - began > VALIDITY
 
     play(scenario)
+
+
+def test_leader_is_recorded_before_any_change() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await curio.sleep(1)
+        record = deployment.store.read('deckdrum-leadership', SERVICE)
+        assert record['primary'] == deployment.group.primary.name
+        assert record['phase'] == 'settled'
+        assert not deployment.group.promotions
+
+    play(scenario)
+
+
+def test_node_that_starts_asks_no_server_who_leads() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await curio.sleep(1)
+        started = await deployment.start_node(3)
+        deployment.nodes.append(started)
+        runtime_by_name = started.node.services
+        seconds = await deployment.wait_for(
+            lambda: (
+                SERVICE in runtime_by_name
+                and runtime_by_name[SERVICE].belief.has_primary
+            ),
+        )
+        assert seconds < 0.1
+        assert runtime_by_name[SERVICE].belief.is_valid(await curio.clock())
+        assert not started.node.counters.events['status_questions']
+
+    play(scenario)
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -6,7 +6,7 @@
 import curio
 
 from deckdrum.backends import Backend, BackendServer
-from deckdrum.control import Member, ServiceDeclaration
+from deckdrum.control import Kind, Member, ServiceDeclaration
 from deckdrum.leadership.changes import ChangeTools
 from deckdrum.leadership.supervision import Supervisor
 from deckdrum.serving.execution import Execution
@@ -83,9 +83,14 @@
         }
         await runtime.adopt_servers(listed)
         await runtime.deal(declaration, own, view.members)
-        known = view.find_leadership(name)
-        if known is not None:
-            await runtime.belief.adopt_record(*known)
+        revision, record = view.find_leadership(name) or (0, None)
+        if record is not None:
+            await runtime.belief.adopt_record(revision, record)
+        listed_at = view.listed_at.get(Kind.LEADERSHIP)
+        if listed_at is not None:
+            # The list is as good a proof as a record read by itself, so a
+            # node that has just started needs to ask no server.
+            await runtime.belief.note_store(revision, record, listed_at)
 
     async def _open(
         self,
