Tell the users' own figures from logs: deckdrumctl report

Cause: the share of reads by replicas and the failover gap, which the users measure, had to be worked out by hand from logs.

Tests: test_reporting.py.

Not done: which requests lose how much for what reason, as a table that adds up to the worth that is lost; the command tells codes and counts only.

--- /dev/null
+++ b/deckdrum/commands/arguments.py
@@ -0,0 +1,103 @@
+"""Arguments of the commands of ``deckdrumctl``."""
+
+import argparse
+import getpass
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from types import MappingProxyType
+from typing import Final
+
+from deckdrum.utils import Address
+
+#: Kinds of file that `validate` checks.
+CHECKED_KINDS: Final = ('document', 'platform', 'settings')
+
+
+def add_arguments(command: argparse.ArgumentParser, name: str) -> None:
+    """Give the command of that name its arguments."""
+    for add in _ADDERS.get(name, ()):
+        add(command)
+
+
+def _add_file(command: argparse.ArgumentParser) -> None:
+    command.add_argument('file', type=Path, help='the file')
+
+
+def _add_kind(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        '--kind',
+        choices=CHECKED_KINDS,
+        default='document',
+        help="a configuration document, a proxy's settings or the "
+        "settings that the users' platform gives a node",
+    )
+
+
+def _add_platform(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        '--platform',
+        type=Address.parse,
+        required=True,
+        help='host:port of the object API',
+    )
+
+
+def _add_proxies(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        '--admin',
+        type=Address.parse,
+        required=True,
+        nargs='+',
+        help='host:port of the admin ports of proxies',
+    )
+
+
+def _add_subject(command: argparse.ArgumentParser) -> None:
+    command.add_argument('service', nargs='?', help='name of the service')
+    command.add_argument(
+        '--admin',
+        type=Address.parse,
+        nargs='+',
+        help='host:port of the admin ports of proxies',
+    )
+    command.add_argument('--request', help='id of a request in the logs')
+
+
+def _add_logs(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        '--logs',
+        type=Path,
+        nargs='+',
+        help='log files of nodes; standard input without any',
+    )
+
+
+def _add_json(command: argparse.ArgumentParser) -> None:
+    command.add_argument('--json', action='store_true')
+
+
+def _add_origin(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        '--base',
+        type=int,
+        help='number of the configuration that you looked at',
+    )
+    command.add_argument('--author', default=getpass.getuser())
+    command.add_argument(
+        '--operation',
+        help='id of an earlier try whose outcome was unknown',
+    )
+
+
+_Adders = tuple[Callable[[argparse.ArgumentParser], None], ...]
+_ADDERS: Final[Mapping[str, _Adders]] = MappingProxyType(
+    {
+        'validate': (_add_file, _add_kind),
+        'diff': (_add_file, _add_platform),
+        'apply': (_add_file, _add_platform, _add_origin),
+        'status': (_add_proxies, _add_json),
+        'explain': (_add_subject, _add_logs, _add_json),
+        'report': (_add_logs, _add_json),
+        'drain': (_add_proxies,),
+    },
+)
--- a/deckdrum/commands/control.py
+++ b/deckdrum/commands/control.py
@@ -1,7 +1,6 @@
 """``deckdrumctl``: the operators' program."""
 
 import argparse
-import getpass
 import json
 import os
 import sys
@@ -14,6 +13,7 @@
 import curio
 
 from deckdrum.callers.login import make_verifier
+from deckdrum.commands.arguments import add_arguments
 from deckdrum.commands.explaining import (
     Question,
     tell_story,
@@ -26,6 +26,7 @@
     EXIT_USAGE,
     make_parser,
 )
+from deckdrum.commands.reporting import tell_report
 from deckdrum.configuration import Difference, compare_documents, parse_document
 from deckdrum.configuration.applying import (
     ApplyOutcome,
@@ -173,6 +174,12 @@
     return EXIT_OK if found else EXIT_FAILED
 
 
+async def report(options: argparse.Namespace) -> int:
+    """Show figures of a while from the logs of nodes."""
+    found = tell_report(options.logs or (), options.json, say)
+    return EXIT_OK if found else EXIT_FAILED
+
+
 async def drain(options: argparse.Namespace) -> int:
     """Begin the planned stop of a proxy."""
     answer = await _ask(options.admin[0], 'POST', '/drain')
@@ -272,13 +279,11 @@
         'apply': apply,
         'status': status,
         'explain': explain,
+        'report': report,
         'drain': drain,
         'password': password,
     }
 )
-_WITH_FILE: Final = ('validate', 'diff', 'apply')
-_WITH_PLATFORM: Final = ('diff', 'apply')
-_WITH_ADMIN: Final = ('status', 'drain')
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -288,75 +293,10 @@
     for name, step in _STEPS.items():
         about = (step.__doc__ or '').strip()
         command = commands.add_parser(name, help=about, description=about)
-        _add_places(command, name)
-        if name == 'apply':
-            _add_apply(command)
-        elif name == 'validate':
-            command.add_argument(
-                '--kind',
-                choices=sorted(_CHECKS),
-                default='document',
-                help="a configuration document, a proxy's settings or the "
-                "settings that the users' platform gives a node",
-            )
-        elif name == 'explain':
-            _add_explain(command)
-        elif name == 'status':
-            command.add_argument('--json', action='store_true')
+        add_arguments(command, name)
     return parser
 
 
-def _add_places(command: argparse.ArgumentParser, name: str) -> None:
-    if name in _WITH_FILE:
-        command.add_argument('file', type=Path, help='the file')
-    if name in _WITH_PLATFORM:
-        command.add_argument(
-            '--platform',
-            type=Address.parse,
-            required=True,
-            help='host:port of the object API',
-        )
-    if name in _WITH_ADMIN:
-        command.add_argument(
-            '--admin',
-            type=Address.parse,
-            required=True,
-            nargs='+',
-            help='host:port of the admin ports of proxies',
-        )
-
-
-def _add_explain(command: argparse.ArgumentParser) -> None:
-    command.add_argument('service', nargs='?', help='name of the service')
-    command.add_argument(
-        '--admin',
-        type=Address.parse,
-        nargs='+',
-        help='host:port of the admin ports of proxies',
-    )
-    command.add_argument(
-        '--logs',
-        type=Path,
-        nargs='+',
-        help='log files of nodes; standard input if neither is given',
-    )
-    command.add_argument('--request', help='id of a request in the logs')
-    command.add_argument('--json', action='store_true')
-
-
-def _add_apply(command: argparse.ArgumentParser) -> None:
-    command.add_argument(
-        '--base',
-        type=int,
-        help='number of the configuration that you looked at',
-    )
-    command.add_argument('--author', default=getpass.getuser())
-    command.add_argument(
-        '--operation',
-        help='id of an earlier try whose outcome was unknown',
-    )
-
-
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the program and return its exit code."""
     options = build_parser().parse_args(arguments)
--- /dev/null
+++ b/deckdrum/commands/reporting.py
@@ -0,0 +1,163 @@
+"""Figures of a while from the logs of several nodes.
+
+Lines of requests are bounded to ten a second a node for each event, so counts
+are of what was logged; shares and gaps hold within what that leaves out.
+"""
+
+import json
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import asdict, dataclass
+from datetime import datetime
+from pathlib import Path
+from statistics import quantiles
+from typing import Final
+
+from deckdrum.commands.explaining import LogLine, read_lines
+
+_PERCENT: Final = 100
+_MEDIAN: Final = 50
+_HIGH: Final = 99
+_PLACES: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """Median, 99th percentile and most of some times, in seconds."""
+
+    count: int
+    median: float
+    high: float
+    most: float
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What the logs of a while tell.
+
+    Attributes
+    ----------
+    reads : mapping of str to int
+        Reads that were answered, by the role of their server.
+    replica_share : float or None
+        Part of them that replicas answered; None without reads.
+    failover : Spread or None
+        Times from the last answered change of one term of a group to the
+        first of a later one; None without changes of primary.
+    starts : Spread or None
+        Times from a node's start to its first answered statement.
+    refusals : mapping of str to int
+        Statements without success, by code.
+    late : int
+        Operations over their route's objective.
+    answers_lost : int
+        Tries that were given up because their answers are lost.
+    """
+
+    reads: Mapping[str, int]
+    replica_share: float | None
+    failover: Spread | None
+    starts: Spread | None
+    refusals: Mapping[str, int]
+    late: int
+    answers_lost: int
+
+
+def summarize_lines(lines: Iterable[LogLine]) -> Report:
+    """Return the figures of log lines, given in any order."""
+    ordered = sorted(lines, key=lambda line: line.time)
+    events = Counter(line.event for line in ordered)
+    served = [line for line in ordered if line.event == 'request.served']
+    reads = Counter(
+        str(line.fields['role'])
+        for line in served
+        if line.fields['kind'] == 'read'
+    )
+    refusals = Counter(
+        str(line.fields['code'])
+        for line in ordered
+        if line.event == 'request.refused'
+    )
+    share = reads['replica'] / reads.total() if reads else None
+    return Report(
+        dict(reads),
+        share,
+        measure_spread(_find_gaps(served)),
+        measure_spread(_find_starts(ordered)),
+        dict(refusals),
+        events['request.late'],
+        events['answer.lost'],
+    )
+
+
+def measure_spread(times: Sequence[float]) -> Spread | None:
+    """Return the spread of times in seconds; None of none.
+
+    Examples
+    --------
+    >>> measure_spread([0.5, 1.0, 4.0])
+    Spread(count=3, median=1.0, high=4.0, most=4.0)
+    """
+    if not times:
+        return None
+    # One time alone has no quantiles: it stands for all of them.
+    cuts = quantiles([*times, *times], n=_PERCENT, method='inclusive')
+    return Spread(
+        len(times),
+        round(cuts[_MEDIAN - 1], _PLACES),
+        round(cuts[_HIGH - 1], _PLACES),
+        round(max(times), _PLACES),
+    )
+
+
+def tell_report(
+    paths: Sequence[Path],
+    as_json: bool,
+    say: Callable[[str], None],
+) -> bool:
+    """Say the figures of logs; return whether they hold any."""
+    report = summarize_lines(read_lines(paths))
+    figures = asdict(report)
+    if as_json:
+        say(json.dumps(figures))
+    else:
+        for name, figure in figures.items():
+            say(f'{name}: {"none" if figure is None else figure}')
+    return bool(report.reads or report.refusals)
+
+
+def _find_gaps(served: Iterable[LogLine]) -> list[float]:
+    """Return the times without answered changes around changes of primary.
+
+    A group is told by the database name of its callers; one with several
+    names counts once for each.
+    """
+    gaps = []
+    latest: dict[str, tuple[int, datetime]] = {}
+    for line in served:
+        if line.fields['kind'] != 'change':
+            continue
+        group = str(line.fields['database'])
+        term = int(line.fields['term'])
+        former = latest.get(group)
+        if former is not None and term < former[0]:
+            # Logged late: the next term has begun to answer already.
+            continue
+        if former is not None and term > former[0]:
+            gaps.append((line.time - former[1]).total_seconds())
+        latest[group] = (term, line.time)
+    return gaps
+
+
+def _find_starts(ordered: Iterable[LogLine]) -> list[float]:
+    """Return the times from nodes' starts to their first answers."""
+    started: defaultdict[str, datetime | None] = defaultdict(lambda: None)
+    times = []
+    for line in ordered:
+        if line.event == 'node.started':
+            started[line.source] = line.time
+        began = started[line.source]
+        if line.event == 'request.served' and began is not None:
+            times.append((line.time - began).total_seconds())
+            started[line.source] = None
+    return times
--- /dev/null
+++ b/deckdrum/commands/tests/test_reporting.py
@@ -0,0 +1,109 @@
+"""Figures from the log lines of several nodes."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from deckdrum.commands import control
+from deckdrum.commands.explaining import read_lines
+from deckdrum.commands.reporting import summarize_lines
+
+
+def build_line(seconds: float, event: str, **fields: Any) -> str:
+    """Return a log line of node n1."""
+    time = f'2026-01-01 00:00:{seconds:06.3f}'.replace('.', ',')
+    line = {'time': time, 'event': event, 'source': 'n1', **fields}
+    return json.dumps(line)
+
+
+def build_served(seconds: float, **fields: Any) -> str:
+    """Return the line of a change answered by the primary of term 1."""
+    defaults: dict[str, Any] = {
+        'database': 'stalls',
+        'kind': 'change',
+        'role': 'primary',
+        'term': 1,
+    }
+    return build_line(seconds, 'request.served', **(defaults | fields))
+
+
+def write_log(folder: Path, *lines: str) -> Path:
+    """Write lines between those of another program."""
+    path = folder / 'n1.log'
+    path.write_text('\n'.join(('not ours', *lines)))
+    return path
+
+
+def test_reads_are_told_by_the_role_of_their_server(tmp_path: Path) -> None:
+    path = write_log(
+        tmp_path,
+        build_served(1, kind='read', role='replica'),
+        build_served(2, kind='read', role='replica'),
+        build_served(3, kind='read', role='replica'),
+        build_served(4, kind='read'),
+        build_served(5),
+    )
+    report = summarize_lines(read_lines([path]))
+    assert report.reads == {'replica': 3, 'primary': 1}
+    assert report.replica_share == 0.75
+
+
+def test_gap_lies_between_changes_of_two_terms(tmp_path: Path) -> None:
+    path = write_log(
+        tmp_path,
+        build_served(1),
+        build_served(2),
+        # A group of its own, whose primary stays.
+        build_served(2.5, database='payouts'),
+        build_served(3.25, term=2),
+        # Logged by a node that is behind: no second change of primary.
+        build_served(3.5),
+        build_served(4, term=2),
+    )
+    failover = summarize_lines(read_lines([path])).failover
+    assert failover is not None
+    assert failover.count == 1
+    assert failover.most == 1.25
+
+
+def test_start_lasts_until_the_first_answer(tmp_path: Path) -> None:
+    path = write_log(
+        tmp_path,
+        build_line(1, 'node.started'),
+        build_served(1.5),
+        build_served(2),
+        build_line(10, 'node.started'),
+        build_served(10.1),
+    )
+    starts = summarize_lines(read_lines([path])).starts
+    assert starts is not None
+    assert (starts.count, starts.most) == (2, 0.5)
+
+
+def test_command_tells_refusals_as_json(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = write_log(
+        tmp_path,
+        build_line(1, 'request.refused', code='DD002'),
+        build_line(2, 'request.refused', code='DD002'),
+        build_line(3, 'request.late'),
+        build_line(4, 'answer.lost'),
+    )
+    assert control.main(['report', '--json', '--logs', str(path)]) == 0
+    told = json.loads(capsys.readouterr().out)
+    assert told['refusals'] == {'DD002': 2}
+    assert (told['late'], told['answers_lost']) == (1, 1)
+    assert told['failover'] is None
+
+
+def test_logs_without_requests_are_a_failure(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = write_log(tmp_path, build_line(1, 'node.started'))
+    assert control.main(['report', '--logs', str(path)]) != 0
+    assert 'replica_share: none' in capsys.readouterr().out
