Let only returning nodes take the list of leadership as proof

Cause, found by reading the change again: a change of primary asks the nodes that are registered, and waits for proof to run out only if one of them may have some. A node that lists the records just before the claim and registers just after the driver has listed the members would use the former primary for up to 1.2 s while nobody waits for it. A node that was registered in a former life is asked, and a change that asks it while it does not run has made its claim before the node lists.

Change: Registration.is_returning; new nodes ask the servers, as before. Also: a try that was given up is not given up again; distance counts 50 ms at most, so that reads with much time do not queue where others have little.

--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -272,6 +272,7 @@
 
     async def _note_change(self, _: Kind) -> None:
         """Have a change of the view taken over."""
+        self._registration.note_change()
         await self._changed.set()
 
     async def _follow_changes(self) -> None:
@@ -279,7 +280,10 @@
             await self._changed.wait()
             await curio.sleep(FOLLOW_PAUSE)
             self._changed.clear()
-            await self._book.adopt(self._registration.member)
+            await self._book.adopt(
+                self._registration.member,
+                is_returning=self._registration.is_returning,
+            )
 
     async def _run_upkeep(self) -> None:
         """End transactions that rest too long; forget removed servers."""
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -44,6 +44,10 @@
         self._store = store
         self._journal = journal
         self._is_leaving = False
+        #: Whether the store has known this node since a former life, so that
+        #: changes of primary ask it since before this one began.
+        self.is_returning = False
+        self._has_looked = False
         self._member = Member(
             settings.name,
             str(settings.peer_address),
@@ -61,6 +65,16 @@
                 await self._register(entry)
             await curio.sleep(LOOK_PAUSE if is_known else LOOK_PAUSE / 10)
 
+    def note_change(self) -> None:
+        """Learn from the first list whether there was a former life."""
+        if self._has_looked or not self._view.read_revision(Kind.MEMBERS):
+            return
+        self._has_looked = True
+        entry = self._view.find_member(self._settings.name)
+        # The entry may be this life's own if the list was empty.
+        is_own = entry is not None and entry.record == self._member
+        self.is_returning = entry is not None and not is_own
+
     @property
     def member(self) -> Member:
         """The node, as it registers itself."""
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -51,13 +51,19 @@
         """Return what runs statements of a group."""
         return self._executions.get(service)
 
-    async def adopt(self, own: Member) -> None:
-        """Take over the view: groups, servers, leadership and members."""
+    async def adopt(self, own: Member, *, is_returning: bool) -> None:
+        """Take over the view: groups, servers, leadership and members.
+
+        `is_returning` tells that the store has known this node since before
+        it listed anything.
+        """
         configuration = self._tools.view.configuration
         if configuration is None:
             return
         for declaration in configuration.services.values():
             await self._adopt_service(declaration, own)
+            if is_returning:
+                await self._take_proof(declaration.name)
 
     async def close(self) -> None:
         """Stop to watch the groups, and close idle connections."""
@@ -83,14 +89,23 @@
         }
         await runtime.adopt_servers(listed)
         await runtime.deal(declaration, own, view.members)
-        revision, record = view.find_leadership(name) or (0, None)
-        if record is not None:
-            await runtime.belief.adopt_record(revision, record)
+        known = view.find_leadership(name)
+        if known is not None:
+            await runtime.belief.adopt_record(*known)
+
+    async def _take_proof(self, service: str) -> None:
+        """Take the list of leadership as proof, so that no server is asked.
+
+        It is as good as a record read by itself, but only to a node that was
+        registered when it asked: a change that began in between has asked
+        every registered node, and waited for no other.
+        """
+        view = self._tools.view
         listed_at = view.listed_at.get(Kind.LEADERSHIP)
         if listed_at is not None:
-            # The list is as good a proof as a record read by itself, so a
-            # node that has just started needs to ask no server.
-            await runtime.belief.note_store(revision, record, listed_at)
+            revision, record = view.find_leadership(service) or (0, None)
+            belief = self.services[service].belief
+            await belief.note_store(revision, record, listed_at)
 
     async def _open(
         self,
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -143,7 +143,9 @@
         """
         usual = self.handle.times.patience
         has_answered_since = self.handle.answered_at > self.sent_at + usual
-        return has_answered_since and now > self.sent_at + usual * patience
+        if self.is_cut or not has_answered_since:
+            return False
+        return now > self.sent_at + usual * patience
 
     async def cut(self) -> None:
         """Give up the wait for an answer: the connection is closed."""
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -26,6 +26,9 @@
 #: route's objective: a read waits as long for a near server if that leaves it
 #: well within its time, since the bytes of its answer are paid for.
 DISTANCE_PART: Final = 0.1
+#: The most that it counts, in seconds: about three times a usual statement, so
+#: that reads with much time do not queue where others have little.
+MOST_DISTANCE: Final = 0.05
 #: What a borrowed connection costs beside, in seconds: the messages of a loan,
 #: there and back, and the work of two nodes.  An estimate, not measured.
 LOAN_COST: Final = 0.005
@@ -135,7 +138,7 @@
         objective: float,
     ) -> ServerHandle | None:
         now = await curio.clock()
-        distance = DISTANCE_PART * objective
+        distance = min(DISTANCE_PART * objective, MOST_DISTANCE)
         if Policy.NEAR_READS not in self._runtime.policies:
             distance = 0
         fitting = [
