--- /dev/null
+++ b/deckdrum/serving/tests/test_lost_answers.py
@@ -0,0 +1,145 @@
+"""Answers that are lost or late, through whole nodes in virtual time."""
+
+import curio
+
+from deckdrum.serving.retries import RETRY_RESERVE
+from deckdrum.testing.nodes import (
+    BOUNDED,
+    CURRENT,
+    SERVICE,
+    Deployment,
+    LineClient,
+    Reply,
+    play,
+)
+
+
+async def connect_known(
+    deployment: Deployment,
+    database: str = CURRENT,
+) -> LineClient:
+    """Open a session at a node that knows the usual times of servers."""
+    client = await deployment.connect(database)
+    for _ in range(12):
+        await client.ask('READ a')
+    return client
+
+
+async def ask_beside_others(
+    deployment: Deployment,
+    client: LineClient,
+    text: str,
+) -> Reply:
+    """Ask a statement while the primary answers another caller."""
+    other = await deployment.connect(CURRENT)
+    asking = await curio.spawn(client.ask, text)
+    await curio.sleep(0.001)
+    while not asking.terminated:
+        assert (await other.ask('READ b')).is_done
+        await curio.sleep(0.01)
+    reply: Reply = await asking.join()
+    return reply
+
+
+def test_lost_answer_of_a_current_read_is_asked_for_again() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await connect_known(deployment)
+        deployment.group.primary.lost_answers = 1
+        began = await curio.clock()
+        reply = await ask_beside_others(deployment, client, 'READ a')
+        assert reply.is_done
+        assert await curio.clock() - began < 0.25
+
+    play(scenario)
+
+
+def test_doubt_of_a_write_is_told_once_waiting_cannot_help() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await connect_known(deployment)
+        deployment.group.primary.lost_answers = 1
+        began = await curio.clock()
+        reply = await ask_beside_others(deployment, client, 'WRITE a 1')
+        assert reply.text.startswith('TIMEOUT')
+        assert await curio.clock() - began < 0.6
+        assert len(deployment.group.primary.log) == 1
+
+    play(scenario)
+
+
+def test_lost_answer_in_a_transaction_ends_it_early() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await connect_known(deployment)
+        await client.ask('BEGIN')
+        await client.ask('WRITE a 1')
+        deployment.group.primary.lost_answers = 1
+        began = await curio.clock()
+        lost = await client.ask('READ a')
+        assert lost.text.startswith('ABORTED')
+        assert await curio.clock() - began < 0.4
+        await client.ask('ROLLBACK')
+        assert not deployment.group.primary.log
+
+    play(scenario)
+
+
+def test_lost_answer_of_a_read_is_soon_replaced() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await connect_known(deployment, BOUNDED)
+        for server in deployment.group.servers.values():
+            if server is not deployment.group.primary:
+                server.lost_answers = 1
+        began = await curio.clock()
+        assert (await client.ask('READ a')).is_done
+        assert await curio.clock() - began < 0.2
+
+    play(scenario)
+
+
+def test_write_whose_answer_is_lost_is_in_doubt_and_not_repeated() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        deployment.group.primary.lost_answers = 1
+        reply = await client.ask('WRITE a 1')
+        assert reply.text.startswith('TIMEOUT')
+        assert len(deployment.group.primary.log) == 1
+
+    play(scenario)
+
+
+def test_read_whose_answer_is_lost_is_answered_by_another_server() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(BOUNDED)
+        await client.ask('READ a')
+        for server in deployment.group.servers.values():
+            if server is not deployment.group.primary:
+                server.lost_answers = 1
+        began = await curio.clock()
+        assert (await client.ask('READ a')).is_done
+        assert await curio.clock() - began < 0.6
+
+    play(scenario)
+
+
+def test_slow_current_read_is_not_run_twice() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        assert (await client.ask('READ a')).is_done
+        # A second run would end later than the first.
+        await curio.sleep(2)
+        assert len(deployment.group.ran) == 1
+
+    play(scenario, work=0.9)
+
+
+def test_slow_current_reads_spend_no_retries() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        node = deployment.nodes[0].node
+        execution = node.find_execution(SERVICE)
+        assert execution is not None
+        for _ in range(3):
+            assert (await client.ask('READ a')).is_done
+        assert execution._budget.take()
+        assert execution._budget._left == RETRY_RESERVE - 1
+
+    play(scenario, work=1.5)
