--- a/deckdrum/serving/dealing.py
+++ b/deckdrum/serving/dealing.py
@@ -18,9 +18,9 @@
 
 #: Part of a server's connections that is dealt.  Those of nodes that lost power
 #: linger for up to 3 s, and all may lose it at once: the other half is for
-#: their next lives.  Of the operations in the second and third second after power
-#: came back to 71 nodes, 97 % were in time with 26 of 53 dealt, 80 % with 49
-#: (one run each).
+#: their next lives.  Of the operations in the second and third second after
+#: power came back to 71 nodes, 97 % were in time with 26 of 53 dealt, 80 % with
+#: 49 (one run each).
 DEALT_PART: Final = 0.5
 #: Connections kept back at least, for newcomers and questions of the product's
 #: own, where half of them does not go round once.
