Count calls to the store by kind and outcome; one line for many members

`member.listed` was written once for each pair of nodes at a start. Nodes that are listed together share one line, which names the first eight.

--- a/deckdrum/control/descriptions.py
+++ b/deckdrum/control/descriptions.py
@@ -5,7 +5,6 @@
 from typing import Any, Final
 
 from deckdrum.backends.base import BackendServer
-from deckdrum.control.records import Member
 from deckdrum.control.store import Record
 from deckdrum.store.records import GroupRecord, Phase
 
@@ -40,15 +39,10 @@
     }
 
 
-def _describe_member(member: Member, _: int) -> _Description:
-    return 'member.listed', {'member': member.name}
-
-
 _Describers = MappingProxyType[type, Callable[[Any, int], _Description]]
 _DESCRIBERS: Final[_Describers] = MappingProxyType(
     {
         BackendServer: _describe_server,
         GroupRecord: _describe_group,
-        Member: _describe_member,
     },
 )
--- a/deckdrum/control/tests/test_view.py
+++ b/deckdrum/control/tests/test_view.py
@@ -1,5 +1,8 @@
 """The view of the store, through whole nodes in virtual time."""
 
+import io
+import json
+
 import curio
 import pytest
 
@@ -222,3 +225,19 @@
         assert old.name not in deployment.nodes[0].node.view.servers
 
     play(scenario)
+
+
+def test_members_that_are_listed_together_share_a_line() -> None:
+    lines = io.StringIO()
+
+    async def scenario(deployment: Deployment) -> None:
+        await curio.sleep(1.0)
+
+    play(scenario, nodes=12, logs=[lines])
+    listed = [
+        event
+        for event in map(json.loads, lines.getvalue().splitlines())
+        if event['event'] == 'members.listed'
+    ]
+    assert sum(event['count'] for event in listed) >= 12
+    assert len(listed) <= 6
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -37,6 +37,9 @@
 #: well below the time for which such a server serves on (7 s).
 LEAVING_TIME: Final = 2.0
 
+#: Nodes that a line of the log names.
+MEMBERS_SHOWN: Final = 8
+
 _ChangeCall = Callable[[Kind], Awaitable[None]]
 
 
@@ -221,6 +224,7 @@
         self, kind: Kind, entries: Iterable[Entry]
     ) -> None:
         has_changed = False
+        joined: list[str] = []
         for entry in entries:
             known = self._known[kind].entries.get(entry.name)
             if known is not None and known.revision > entry.revision:
@@ -230,6 +234,15 @@
                 continue
             has_changed = True
             await self._adopt(kind, entry, known)
+            if isinstance(entry.record, Member):
+                joined.append(entry.name)
+        if joined:
+            # One line for all: each node lists every other at a start.
+            self._journal.record(
+                'members.listed',
+                count=len(joined),
+                members=joined[:MEMBERS_SHOWN],
+            )
         if has_changed and kind is not Kind.CONFIGURATION:
             await self._tell(kind)
 
--- a/deckdrum/platform/store.py
+++ b/deckdrum/platform/store.py
@@ -44,6 +44,8 @@
 _NOT_FOUND: Final = 404
 _CONFLICT: Final = 409
 _GONE: Final = 410
+#: Statuses of calls that were paid for and did nothing.
+_REFUSED: Final = frozenset((429, 503))
 _Decoded = TypeVar('_Decoded')
 
 
@@ -81,7 +83,7 @@
         path = _locate(kind)
         revision = 0
         while True:
-            reply = await self._call(Request('GET', path))
+            reply = await self._call('list', kind, Request('GET', path))
             page = _decode(_check(reply), ObjectList)
             entries.extend(self._decode_all(kind, page.found))
             revision = revision or page.current_rev
@@ -94,11 +96,8 @@
         """Return what changed after `revision`."""
         query = urlencode({'watch': revision, 'waitMs': int(wait * _MS)})
         request = Request('GET', f'{_locate(kind)}?{query}')
-        self._counters.count('store_watches')
-        try:
-            reply = await self._watching.call(request, wait + WATCH_SLACK)
-        except ConnectionError as error:
-            raise StoreError(f'the watch broke: {error}') from error
+        limit = wait + WATCH_SLACK
+        reply = await self._call('watch', kind, request, limit)
         if reply.status == _GONE:
             raise HistoryGoneError(f'no history since {revision}')
         found = _decode(_check(reply), EventList)
@@ -113,7 +112,8 @@
 
     async def fetch(self, kind: Kind, name: str) -> Entry | None:
         """Return a record as it is now, or None if there is none."""
-        reply = await self._call(Request('GET', _locate(kind, name)))
+        request = Request('GET', _locate(kind, name))
+        reply = await self._call('fetch', kind, request)
         if reply.status == _NOT_FOUND:
             return None
         found = _decode(_check(reply), StoreObject)
@@ -141,7 +141,8 @@
         }
         encoded = msgspec.json.encode(body)
         headers = {'content-type': 'application/json'}
-        reply = await self._call(Request(method, path, {}, headers, encoded))
+        request = Request(method, path, {}, headers, encoded)
+        reply = await self._call('put', kind, request)
         if reply.status in {_CONFLICT, _NOT_FOUND}:
             return Conflict()
         stored = _decode(_check(reply), StoreObject)
@@ -151,7 +152,7 @@
         """Remove a record if it still has `revision`; tell whether done."""
         query = urlencode({'revision': revision})
         path = f'{_locate(kind, name)}?{query}'
-        reply = await self._call(Request('DELETE', path))
+        reply = await self._call('remove', kind, Request('DELETE', path))
         return reply.status == _OK
 
     def decode_configuration(self, encoded: bytes) -> Configuration:
@@ -163,12 +164,24 @@
         await self._client.close()
         await self._watching.close()
 
-    async def _call(self, request: Request) -> Reply:
-        self._counters.count('store_calls')
+    async def _call(
+        self,
+        call: str,
+        kind: Kind,
+        request: Request,
+        limit: float = CALL_LIMIT,
+    ) -> Reply:
+        """Make one call, and count it by what came of it."""
+        client = self._watching if call == 'watch' else self._client
+        outcome = 'lost'
         try:
-            return await self._client.call(request, CALL_LIMIT)
+            reply = await client.call(request, limit)
+            outcome = 'refused' if reply.status in _REFUSED else 'answered'
         except ConnectionError as error:
             raise StoreError(f'no answer: {error}') from error
+        finally:
+            self._counters.count_store_call(call, kind, outcome)
+        return reply
 
     def _decode_all(self, kind: Kind, found: list[StoreObject]) -> list[Entry]:
         entries = [self._decode_one(kind, each) for each in found]
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -16,6 +16,7 @@
 _PREFIX: Final = 'deckdrum_node_'
 _SERVED_LABELS: Final = ('database', 'kind', 'role')
 _LATENCY_LABELS: Final = ('guarantee', 'outcome')
+_CALL_LABELS: Final = ('call', 'kind', 'outcome')
 
 
 class Counters:
@@ -27,15 +28,19 @@
     >>> counters.count('status_questions')
     >>> counters.count_served('stalls', 'read', 'replica')
     >>> counters.note_latency('bounded', 'done', 0.03)
+    >>> counters.count_store_call('watch', 'members', 'answered')
     >>> b'deckdrum_node_events_total{event="status_questions"} 1.0' in (
     ...     counters.render()
     ... )
     True
+    >>> counters.describe_store_calls()
+    {'watch members answered': 1}
     """
 
     def __init__(self) -> None:
         self.events: Counter[str] = Counter()
         self.served: Counter[tuple[str, str, str]] = Counter()
+        self.store_calls: Counter[tuple[str, str, str]] = Counter()
         #: Present values by name, read when they are rendered.
         self.gauges: dict[str, Callable[[], float]] = {}
         self._latency: dict[tuple[str, str], list[int]] = {}
@@ -49,6 +54,27 @@
         """Count a statement that a server with a role has answered."""
         self.served[database, kind, role] += 1
 
+    def count_store_call(self, call: str, kind: str, outcome: str) -> None:
+        """Count a call to the store, which is paid for whatever its outcome.
+
+        Parameters
+        ----------
+        call : str
+            What was asked: list, watch, fetch, put or remove.
+        kind : str
+            Of which kind of record.
+        outcome : str
+            Whether it was answered, refused or lost.
+        """
+        self.store_calls[call, kind, outcome] += 1
+
+    def describe_store_calls(self) -> dict[str, int]:
+        """Return the calls to the store so far, as they stand in logs."""
+        return {
+            ' '.join(labels): number
+            for labels, number in sorted(self.store_calls.items())
+        }
+
     def note_latency(
         self,
         guarantee: str,
@@ -70,6 +96,7 @@
 
         yield self._collect_events(core)
         yield self._collect_served(core)
+        yield self._collect_store_calls(core)
         yield self._collect_latency(core)
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
@@ -104,6 +131,16 @@
             family.add_metric(labels, number)
         return family
 
+    def _collect_store_calls(self, core: Any) -> Any:
+        family = core.CounterMetricFamily(
+            f'{_PREFIX}store_calls',
+            'Calls to the store by what they asked and what came of them',
+            labels=_CALL_LABELS,
+        )
+        for labels, number in self.store_calls.items():
+            family.add_metric(labels, number)
+        return family
+
     def _collect_latency(self, core: Any) -> Any:
         family = core.HistogramMetricFamily(
             f'{_PREFIX}request_seconds',
