Hand the configuration on where few nodes watch the store

Cause: each node watched the configuration by itself, so each version cost a call a node, and an absent store was probed by every node. Change: the configuration is followed like the other kinds of record, compressed (a drawn one of 400 routes from 83 to 8 kB); pauses before an absent store is probed again grow with the nodes of the data centre over eight. Tests, failing before: a version costs two calls a feeder in a data centre of nine nodes; 24 nodes probe an absent store at most 1.25 times as often as eight.

--- a/deckdrum/control/feed.py
+++ b/deckdrum/control/feed.py
@@ -21,18 +21,18 @@
 #: calls; the store allows up to 30 s.
 WATCH_WAIT: Final = 25.0
 #: First and longest pause after a failed call, in seconds; doubled between.
-#: The longest stays well below the bound for a configuration (3 s).
+#: The longest stays well below the bound for a configuration (3 s).  Where a
+#: data centre has many nodes it grows with them, so that all together probe an
+#: absent store no more often; what one of them learns, peers spread.
 FIRST_PAUSE: Final = 0.1
 LONGEST_PAUSE: Final = 0.8
-#: Kinds whose watches a node may leave to a peer.  The configuration is not
-#: among them: it may be large, and peers have thin links.
-FOLLOWED_KINDS: Final = frozenset(
-    (Kind.SERVERS, Kind.LEADERSHIP, Kind.MEMBERS),
-)
+#: Kinds whose watches a node may leave to a peer: all, since each answer to a
+#: watch is a call that is paid for, and each version would cost one a node.
+FOLLOWED_KINDS: Final = frozenset(Kind)
 #: The kind whose calls find out for all whether an absent store is back: the
 #: one whose news is urgent.  Each call is priced, refused ones included.
 PROBING_KIND: Final = Kind.CONFIGURATION
-#: Longest wait of the other kinds for that, in seconds.
+#: Longest wait of the other kinds for that, in seconds; grows with the nodes.
 PROBE_LIMIT: Final = 5.0
 #: Pause after each change of a kind whose news is not urgent, in seconds.  It
 #: bundles the entries of nodes or servers that start together; otherwise each
@@ -77,6 +77,8 @@
         #: Whether it is known who watches; until then this node lists, and
         #: watches only for the nodes that start with it.
         self._is_decided = False
+        #: Times the longest pauses while the store is absent.
+        self.sharing: float = 1
         #: Set at the next change, for peers that wait for one.
         self._waiting: set[Any] = set()
         view.on_change.append(self._wake)
@@ -119,7 +121,7 @@
             except StoreError as error:
                 await self._note_reachable(kind, False, str(error))
                 await self._rest(kind, pause)
-                pause = min(pause * 2, LONGEST_PAUSE)
+                pause = min(pause * 2, LONGEST_PAUSE * self.sharing)
             else:
                 is_listed = True
                 pause = FIRST_PAUSE
@@ -141,19 +143,33 @@
             # What a peer said is no answer of the store: the first watch
             # must come back at once.
             self._reachable[kind] = False
+        self._regained.clear()
         await self._direct.set()
 
     async def wait_news(
         self,
         revisions: Mapping[Kind, int],
+        version: int,
         limit: float,
     ) -> None:
-        """Wait until this node feeds others, and knows more of some kind."""
+        """Wait until this node feeds others, and knows more than they do.
+
+        Parameters
+        ----------
+        revisions : mapping of Kind to int
+            Up to where the others know some kinds.
+        version : int
+            Their configuration.
+        limit : float
+            Longest wait in seconds.
+        """
         changed = curio.Event()
         self._waiting.add(changed)
         try:
             async with curio.ignore_after(limit):
-                while not (self.is_feeding and self._is_ahead(revisions)):
+                while not (
+                    self.is_feeding and self._is_ahead(revisions, version)
+                ):
                     await changed.wait()
                     changed.clear()
         finally:
@@ -173,7 +189,7 @@
         if kind is PROBING_KIND or self._reachable[PROBING_KIND]:
             await curio.sleep(pause * (0.5 + self._randomness.random()))
             return
-        async with curio.ignore_after(PROBE_LIMIT):
+        async with curio.ignore_after(PROBE_LIMIT * self.sharing):
             await self._regained.wait()
 
     async def _take_next(self, kind: Kind, is_listed: bool) -> None:
@@ -192,15 +208,18 @@
         # A peer may have told more meanwhile; what is known stays.
         await self._view.adopt_update(kind, changes)
 
-    def _is_ahead(self, revisions: Mapping[Kind, int]) -> bool:
-        return any(
+    def _is_ahead(self, revisions: Mapping[Kind, int], version: int) -> bool:
+        return self._view.version > version or any(
             self._view.read_revision(kind) > revision
             for kind, revision in revisions.items()
         )
 
     async def _await_direct(self, kind: Kind) -> None:
         """Wait while a peer's watch of the kind stands for the own one."""
-        is_awaited = kind is Kind.MEMBERS and not self._is_decided
+        is_awaited = not self._is_decided and (
+            kind is Kind.MEMBERS
+            or (kind is Kind.CONFIGURATION and not self._view.version)
+        )
         if kind in FOLLOWED_KINDS and not is_awaited:
             await self._direct.wait()
 
--- a/deckdrum/control/sharing.py
+++ b/deckdrum/control/sharing.py
@@ -1,5 +1,6 @@
-"""Lists of records, and changes of them, on their way between peers."""
+"""Records on their way between peers: lists, changes and configurations."""
 
+import zlib
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
@@ -23,6 +24,46 @@
 #: What a peer hands over of one kind: all of it, or what has changed.
 Update = Listing | Changes
 
+#: Effort of the compression: the least, since a node compresses each version
+#: once while callers wait for its processor.
+_EFFORT: Final = 1
+#: Largest configuration that is taken from a peer, in bytes: the store's own
+#: limit for one record.
+MOST_CONFIGURATION_BYTES: Final = 1024 * 1024
+
+
+def compress_configuration(encoded: bytes) -> bytes:
+    """Return a configuration as it goes to peers.
+
+    One node hands it to the others of its data centre over its own link; of a
+    drawn configuration of 400 routes (83 kB) a tenth is sent.
+
+    Examples
+    --------
+    >>> decompress_configuration(compress_configuration(b'{"version": 7}'))
+    b'{"version": 7}'
+    """
+    return zlib.compress(encoded, _EFFORT)
+
+
+def decompress_configuration(body: bytes) -> bytes:
+    """Return a configuration as the store holds it.
+
+    Raises
+    ------
+    ValueError
+        If it is damaged, or larger than the store takes.
+    """
+    unpacking = zlib.decompressobj()
+    try:
+        encoded = unpacking.decompress(body, MOST_CONFIGURATION_BYTES)
+    except zlib.error as error:
+        raise ValueError(f'no compressed configuration: {error}') from error
+    if not unpacking.eof:
+        most = MOST_CONFIGURATION_BYTES
+        raise ValueError(f'a configuration over {most} bytes, or cut short')
+    return encoded
+
 
 class _SharedEntry(NamedTuple):
     name: str
--- a/deckdrum/fleet/following.py
+++ b/deckdrum/fleet/following.py
@@ -14,7 +14,7 @@
 
 from deckdrum.control import Member, StoreFeed
 from deckdrum.fleet.nodes import ASK_LIMIT, NodePeers
-from deckdrum.fleet.questions import FollowAnswer, FollowNews
+from deckdrum.fleet.questions import FollowAnswer
 from deckdrum.fleet.settings import NodeSettings
 from deckdrum.utils import Journal
 from deckdrum.utils.ranks import weigh
@@ -88,18 +88,19 @@
         """Get news from a peer; tell whether it feeds this node."""
         answer = await self._peers.ask(
             feeder.endpoint,
-            FollowNews(self._peers.read_revisions(), FOLLOW_WAIT),
+            self._peers.ask_to_follow(FOLLOW_WAIT),
             FOLLOW_WAIT + ASK_LIMIT,
         )
         if not isinstance(answer, FollowAnswer) or not answer.is_feeding:
             return False
-        await self._peers.adopt_updates(answer.updates, feeder.endpoint)
+        await self._peers.adopt_news(answer, feeder.endpoint)
         return True
 
     async def _pick_feeder(self) -> Member | None:
         """Return the peer to follow; None if this node is to watch."""
         own = self._settings.name
         near = self._list_near()
+        self._feed.sharing = max(1, (len(near) + 1) / FOLLOWED_FROM)
         if len(near) + 1 < FOLLOWED_FROM:
             return None
         feeders = _rank_feeders((own, *near))
--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -22,7 +22,9 @@
 )
 from deckdrum.control.sharing import (
     SHARED_KINDS,
+    compress_configuration,
     decode_update,
+    decompress_configuration,
     encode_update,
 )
 from deckdrum.fleet.base import Message
@@ -107,6 +109,8 @@
         #: Streams on which connections are borrowed.
         self.loans = StreamPool()
         self._streams = StreamPool()
+        #: The configuration in force as peers get it, and its version.
+        self._compressed = (0, b'')
         self._carrier = DetourCarrier(view, dialer, journal)
         self._listener = Listener(settings.peer_address, self._serve)
 
@@ -224,31 +228,19 @@
         names.add(self._settings.name)
         return len(names)
 
-    def read_revisions(self) -> dict[str, int]:
-        """Return up to where this node knows each kind that peers share."""
-        return {
-            kind.value: self._view.read_revision(kind) for kind in SHARED_KINDS
-        }
+    def ask_to_follow(self, limit: float) -> FollowNews:
+        """Return the question for news that this node lacks."""
+        return FollowNews(self._read_revisions(), limit, self._view.version)
 
     def tell_news(self, question: AskNews) -> News:
         """Return what this node knows beyond an asker's revisions."""
-        configuration = self._view.configuration
-        encoded = b''
-        if configuration and configuration.version > question.version:
-            encoded = configuration.encoded
-        return News(encoded, self._encode_updates(question.revisions))
+        return self._gather_news(question.version, question.revisions)
 
-    async def adopt_updates(
-        self,
-        updates: Mapping[str, bytes],
-        address: Address,
-    ) -> None:
-        """Take over a peer's news of records; what cannot be read is told."""
+    async def adopt_news(self, news: News, address: Address) -> None:
+        """Take over a peer's news; what cannot be read is told."""
         try:
-            for name, body in updates.items():
-                kind = Kind(name)
-                await self._view.adopt_update(kind, decode_update(kind, body))
-        except (DecodeError, ValueError) as error:
+            await self._adopt(news)
+        except (DecodeError, DocumentError, ValueError) as error:
             self._journal.record(
                 'peer.bad_news', peer=str(address), reason=str(error)
             )
@@ -271,45 +263,64 @@
         return {name: await task.join() for name, task in tasks.items()}
 
     async def _fetch_from(self, address: Address) -> None:
-        question = AskNews(self._view.version, self.read_revisions())
+        question = AskNews(self._view.version, self._read_revisions())
         answer = await self.ask(address, question)
         if isinstance(answer, News):
-            await self._adopt(answer, address)
-
-    async def _adopt(self, news: News, address: Address) -> None:
-        try:
-            if news.configuration:
-                await self._view.adopt_configuration(
-                    self._store.decode_configuration(news.configuration),
-                )
-        except DocumentError as error:
-            self._journal.record(
-                'peer.bad_news', peer=str(address), reason=str(error)
-            )
-        await self.adopt_updates(news.updates, address)
-
-    def _encode_updates(self, known: Mapping[str, int]) -> dict[str, bytes]:
-        """Return what a peer lacks that knows kinds up to some revisions."""
+            await self.adopt_news(answer, address)
+
+    async def _adopt(self, news: News) -> None:
+        # The records first: a damaged configuration must not hide them.
+        for name, body in news.updates.items():
+            kind = Kind(name)
+            await self._view.adopt_update(kind, decode_update(kind, body))
+        if news.configuration:
+            encoded = decompress_configuration(news.configuration)
+            configuration = self._store.decode_configuration(encoded)
+            await self._view.adopt_configuration(configuration)
+
+    def _read_revisions(self) -> dict[str, int]:
+        """Return up to where this node knows each kind that peers share."""
         return {
+            kind.value: self._view.read_revision(kind) for kind in SHARED_KINDS
+        }
+
+    def _gather_news(self, version: int, known: Mapping[str, int]) -> News:
+        """Return what a peer lacks that knows so much of each kind."""
+        is_newer = self._view.version > version
+        configuration = self._compress_configuration() if is_newer else b''
+        updates = {
             kind.value: encode_update(
                 self._view.read_update(kind, known.get(kind.value, 0)),
             )
             for kind in SHARED_KINDS
             if self._view.read_revision(kind) > known.get(kind.value, 0)
         }
+        return News(configuration, updates)
+
+    def _compress_configuration(self) -> bytes:
+        """Return the configuration in force as peers get it."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return b''
+        if self._compressed[0] != configuration.version:
+            body = compress_configuration(configuration.encoded)
+            self._compressed = (configuration.version, body)
+        return self._compressed[1]
 
     async def _answer_follower(self, question: FollowNews) -> FollowAnswer:
         """Answer a peer that follows this node once there is news."""
         revisions = {
             kind: question.revisions.get(kind.value, 0) for kind in SHARED_KINDS
         }
-        await self._feed.wait_news(revisions, question.limit)
-        if not self._feed.is_feeding:
-            return FollowAnswer(is_feeding=False, updates={})
-        return FollowAnswer(
-            is_feeding=True,
-            updates=self._encode_updates(question.revisions),
+        await self._feed.wait_news(
+            revisions,
+            question.version,
+            question.limit,
         )
+        if not self._feed.is_feeding:
+            return FollowAnswer(b'', {}, is_feeding=False)
+        news = self._gather_news(question.version, question.revisions)
+        return FollowAnswer(news.configuration, news.updates, is_feeding=True)
 
     async def _serve(self, stream: Stream) -> None:
         channel = StreamChannel(stream)
--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -19,8 +19,8 @@
 class News(Message, frozen=True):
     """What a peer knows and the asker does not; empty parts have no news.
 
-    `configuration` is as the store holds it; `updates` maps kinds of record
-    to encoded lists, or to changes of them.
+    `configuration` is as the store holds it, compressed; `updates` maps kinds
+    of record to encoded lists, or to changes of them.
     """
 
     configuration: bytes
@@ -36,17 +36,19 @@
         Up to where the asker knows each kind that it follows.
     limit : float
         Longest wait for news, in seconds.
+    version : int
+        The asker's configuration.
     """
 
     revisions: Mapping[str, int]
     limit: float
+    version: int
 
 
-class FollowAnswer(Message, frozen=True):
+class FollowAnswer(News, frozen=True):
     """The answer: whether the peer watches the store, and its news."""
 
     is_feeding: bool
-    updates: Mapping[str, bytes]
 
 
 class AskServer(Message, frozen=True):
--- a/deckdrum/fleet/tests/test_following.py
+++ b/deckdrum/fleet/tests/test_following.py
@@ -3,8 +3,14 @@
 import curio
 
 from deckdrum.fleet.following import LEAST_FEEDERS
+from deckdrum.fleet.questions import News
 from deckdrum.standins.users import StoreFault
-from deckdrum.testing.nodes import Deployment, RunningNode, play
+from deckdrum.testing.nodes import (
+    Deployment,
+    RunningNode,
+    build_config,
+    play,
+)
 
 #: Enough nodes of one data centre for some to follow others.
 NODES = 9
@@ -104,3 +110,66 @@
         assert await _drain_one(deployment) < 2.0
 
     play(scenario, nodes=NODES, centres=1, settle=SETTLED)
+
+
+def test_one_configuration_costs_a_call_a_feeder() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        before = deployment.store.calls.total()
+        await deployment.store.write('config', 'main', build_config(9))
+        took = await deployment.wait_for(
+            lambda: all(
+                running.node.view.version == 9 for running in deployment.nodes
+            ),
+        )
+        assert took < 0.2
+        # The watch of each feeder is answered and begun again.
+        assert deployment.store.calls.total() - before <= 2 * LEAST_FEEDERS
+
+    play(scenario, nodes=NODES, centres=1, settle=SETTLED)
+
+
+def test_first_configuration_after_the_start_reaches_followers() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        for version in range(2, 6):
+            config = build_config(version)
+            await deployment.store.write('config', 'main', config)
+            await curio.sleep(0.3)
+        versions = {running.node.view.version for running in deployment.nodes}
+        assert versions == {5}
+
+    # Written while the nodes have not decided yet who watches.
+    play(scenario, nodes=NODES, centres=1, settle=0)
+
+
+def test_many_nodes_probe_an_absent_store_no_more_than_few() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        deployment.store.fault = StoreFault.BUSY
+        for kind in ('config', 'servers', 'deckdrum-members'):
+            await deployment.store.write(kind, 'unreadable', {})
+        # Until the pauses between two tries have grown.
+        await curio.sleep(8.0)
+        before = deployment.store.calls.total()
+        await curio.sleep(10.0)
+        # As eight nodes would, each every 0.4 to 1.2 s, and three kinds of
+        # record every 5 s beside.
+        asked = deployment.store.calls.total() - before
+        assert asked <= 8 * (10 / 0.8 + 3 * 2) * 1.25
+        deployment.store.fault = StoreFault.NONE
+        back = await deployment.wait_for(
+            lambda: all(
+                running.node.feed.is_fed for running in deployment.nodes
+            )
+        )
+        assert back < 5.0
+
+    play(scenario, nodes=24, centres=1, settle=SETTLED, max_connections=60)
+
+
+def test_damaged_configuration_of_a_peer_is_told_and_not_taken() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        node = deployment.nodes[0].node
+        news = News(b'no zlib', {})
+        await node.peers.adopt_news(news, node.settings.peer_address)
+        assert node.view.version == 1
+
+    play(scenario)
