Let what can be in time go first, and tell the rest at once

Cause: while replicas are far behind, a primary is asked for as much as it can do or more. First come, first served, its queue grew until nearly all answers were late; what had no connection was tried up to twelve times and told after 0.72 s (median) that it had none. Change: in the queue of a server those that can still be in time go first; of the late only one for each connection may wait (`load.waiting`). A refusal of the primary's queue is final and tells when the queue will have emptied, spread over eight parts; nobody waits longer than 0.3 s in it.

--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -1,5 +1,6 @@
 """Pooled connections to one backend server."""
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -108,6 +109,7 @@
         group: str,
         limit: float,
         fits: Callable[[LinkT], bool] | None = None,
+        patience: float = math.inf,
     ) -> Lease[ServerT, LinkT] | Refusal:
         """Lend a connection to a request of `group`.
 
@@ -119,13 +121,15 @@
             Longest wait in the queue, in seconds.
         fits : callable, optional
             Tells which idle connections suit the request best.
+        patience : float, optional
+            Longest wait after which the request can be in time, in seconds.
 
         Raises
         ------
         ConnectionError
             If the database cannot be reached.
         """
-        permit = await self.queue.acquire(group, limit)
+        permit = await self.queue.acquire(group, limit, patience)
         if isinstance(permit, Refusal):
             return permit
         try:
--- a/deckdrum/bench/experiments/shares.py
+++ b/deckdrum/bench/experiments/shares.py
@@ -1,5 +1,6 @@
 """``fair-share``: one group bursts beside another."""
 
+import math
 from dataclasses import replace
 from typing import Final
 
@@ -136,7 +137,12 @@
 class _OneLine(FairQueue):
     """Serves all groups in one line: the naive policy."""
 
-    async def acquire(self, group: str, limit: float) -> Permit | Refusal:
+    async def acquire(
+        self,
+        group: str,
+        limit: float,
+        patience: float = math.inf,
+    ) -> Permit | Refusal:
         """Wait behind everybody who came before."""
         return await super().acquire('everybody', limit)
 
--- a/deckdrum/members/queue.py
+++ b/deckdrum/members/queue.py
@@ -3,6 +3,8 @@
 The free connection goes to the waiting group that holds the fewest
 connections for its weight; among equals to the one that has used the least.
 
+Within a group those that can still be in time go first (`load.waiting`).
+
 Beyond its share a group borrows.  What other groups have lately needed, up to
 their shares, is not lent: they find it free.  A need that is not felt again
 fades within seconds, so that a group alone uses every connection.
@@ -16,6 +18,12 @@
 
 import curio
 
+from deckdrum.load.waiting import (
+    count_before,
+    find_return,
+    may_wait_late,
+    pick_next,
+)
 from deckdrum.outcomes import Code, Refusal, refuse
 
 #: Time in which a need that is not felt again fades by half, in seconds.
@@ -46,6 +54,8 @@
 @dataclass(slots=True, eq=False)
 class _Waiter:
     group: str
+    #: Until when it must have its turn to be in time, in kernel seconds.
+    due: float
     ready: Any = field(default_factory=curio.Event)
     permit: Permit | None = None
 
@@ -65,6 +75,18 @@
     needed_at: float = 0
     waiting: deque[_Waiter] = field(default_factory=deque)
 
+    @property
+    def dues(self) -> list[float]:
+        """Until when each waiter must have its turn, in their order."""
+        return [waiter.due for waiter in self.waiting]
+
+    def take_next(self, now: float) -> _Waiter:
+        """Remove the waiter that is next and return it."""
+        place = pick_next(self.dues, now)
+        waiter = self.waiting[place]
+        del self.waiting[place]
+        return waiter
+
     def note_need(self, now: float) -> None:
         """Note a request: one connection more than are held is needed."""
         wanted = self.held + len(self.waiting) + 1
@@ -100,8 +122,9 @@
         self._shares = dict(shares)
         self._accounts: dict[str, _Account] = {}
         self._usual_hold: float = 0
-        #: Permits granted so far.
+        #: Permits granted, and requests turned away, so far.
         self.granted = 0
+        self.turned_away = 0
 
     @property
     def held(self) -> int:
@@ -145,7 +168,12 @@
             account.share = self._shares.get(group, GroupShare())
         await self._dispatch()
 
-    async def acquire(self, group: str, limit: float) -> Permit | Refusal:
+    async def acquire(
+        self,
+        group: str,
+        limit: float,
+        patience: float = math.inf,
+    ) -> Permit | Refusal:
         """Wait for a connection.
 
         Parameters
@@ -154,12 +182,15 @@
             The member group that asks.
         limit : float
             Longest wait in seconds.
+        patience : float
+            Longest wait after which the request can be answered in time.
 
         Returns
         -------
         Permit or Refusal
             ``QUEUE_FULL`` at once if too many of the group wait already,
-            ``QUEUE_TIMEOUT`` after `limit`.
+            ``QUEUE_TIMEOUT`` after `limit`, or as soon as it is known that its
+            turn comes later, or that it is late like enough others.
         """
         account = self._find(group)
         now = await curio.clock()
@@ -167,20 +198,24 @@
         if not account.waiting and self._may_grant(account, now):
             return self._grant(account, group, now)
         if len(account.waiting) >= account.share.max_waiting:
-            return refuse(Code.QUEUE_FULL, f'group {group}')
-        if self._expect_wait(account) > limit:
-            # Refused at once: it would not get its turn in time anyway.
-            return refuse(Code.QUEUE_TIMEOUT, f'group {group} waits too long')
-        waiter = _Waiter(group)
+            return self._turn_away(Code.QUEUE_FULL, account, now, 'is full')
+        expected = self._expect_wait(account, now)
+        is_late = expected > patience and not self._may_be_late(account, now)
+        if expected > limit or is_late:
+            reason = 'waits too long'
+            return self._turn_away(Code.QUEUE_TIMEOUT, account, now, reason)
+        waiter = _Waiter(group, now + patience)
         account.waiting.append(waiter)
         try:
-            await self._wait(waiter, limit)
+            await self._wait_in_time(waiter, account, limit, patience)
         except curio.CancelledError:
             await self._abandon(account, waiter)
             raise
         if waiter.permit is None:
             account.waiting.remove(waiter)
-            return refuse(Code.QUEUE_TIMEOUT, f'group {group}')
+            now = await curio.clock()
+            reason = 'has no connection free'
+            return self._turn_away(Code.QUEUE_TIMEOUT, account, now, reason)
         return waiter.permit
 
     async def release(self, permit: Permit) -> None:
@@ -207,11 +242,32 @@
             self._accounts[group] = account
         return account
 
-    def _expect_wait(self, account: _Account) -> float:
+    def _expect_wait(self, account: _Account, now: float) -> float:
         """Return the likely wait of one request more, in seconds."""
-        ahead = len(account.waiting)
-        connections = max(account.held, self._count_share(account))
-        return ahead * self._usual_hold / connections
+        ahead = count_before(account.dues, now)
+        return ahead * self._usual_hold / self._count_connections(account)
+
+    def _may_be_late(self, account: _Account, now: float) -> bool:
+        """Tell whether one more request of a group may wait too long."""
+        connections = self._count_connections(account)
+        return may_wait_late(account.dues, now, connections)
+
+    def _count_connections(self, account: _Account) -> int:
+        """Return the connections that serve a group's waiters."""
+        return max(account.held, self._count_share(account))
+
+    def _turn_away(
+        self,
+        code: Code,
+        account: _Account,
+        now: float,
+        reason: str,
+    ) -> Refusal:
+        """Return a refusal that tells when the queue will have emptied."""
+        wait = self._expect_wait(account, now) + self._usual_hold
+        self.turned_away += 1
+        retry_after = find_return(wait, self.turned_away)
+        return refuse(code, f'the group {reason}', retry_after)
 
     def _may_grant(self, account: _Account, now: float) -> bool:
         """Tell whether a group may have one connection more."""
@@ -243,6 +299,22 @@
         self.granted += 1
         return Permit(group, now)
 
+    async def _wait_in_time(
+        self,
+        waiter: _Waiter,
+        account: _Account,
+        limit: float,
+        patience: float,
+    ) -> None:
+        """Wait; once late only if few others are."""
+        await self._wait(waiter, min(limit, patience))
+        if waiter.permit is not None or limit <= patience:
+            return
+        now = await curio.clock()
+        others = [each.due for each in account.waiting if each is not waiter]
+        if may_wait_late(others, now, self._count_connections(account)):
+            await self._wait(waiter, limit - patience)
+
     async def _wait(self, waiter: _Waiter, limit: float) -> None:
         """Wait for a permit; needs of others that fade free connections."""
         async with curio.ignore_after(limit):
@@ -268,6 +340,6 @@
             if not ready:
                 return
             account = min(ready, key=_Account.rank)
-            waiter = account.waiting.popleft()
+            waiter = account.take_next(now)
             waiter.permit = self._grant(account, waiter.group, now)
             await waiter.ready.set()
--- a/deckdrum/outcomes/core.py
+++ b/deckdrum/outcomes/core.py
@@ -40,7 +40,11 @@
         )
 
 
-def refuse(code: Code, text: str = '') -> Refusal:
+def refuse(
+    code: Code,
+    text: str = '',
+    retry_after: float | None = None,
+) -> Refusal:
     """Return the refusal for a code.
 
     Parameters
@@ -49,6 +53,8 @@
         Which refusal.
     text : str
         What is special to this case; the table's meaning by default.
+    retry_after : float or None
+        Advised wait in seconds; the table's by default.
 
     Examples
     --------
@@ -61,4 +67,5 @@
     told = ': '.join((entry.fate.value, entry.meaning))
     if text:
         told = f'{told} ({text})'
-    return Refusal(code, entry.fate, told, entry.retry_after)
+    advised = entry.retry_after if retry_after is None else retry_after
+    return Refusal(code, entry.fate, told, advised)
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -1,5 +1,6 @@
 """One try to run a statement on one server."""
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -30,6 +31,9 @@
 #: one of few connections (0.25).  What was not sent may be tried another way,
 #: and with a limit of 1 s twice.
 PREPARE_LIMIT: Final = 0.4
+#: Longest wait in this node's own queue of it, in seconds: the rest is for a
+#: new connection, so that one that does not come tells of the server.
+QUEUE_LIMIT: Final = 0.3
 #: Times the patience with a server after which an answer counts as lost, if
 #: the server has answered others meanwhile; of a statement that leaves nothing
 #: behind, and of a change, which is in doubt then.
@@ -81,6 +85,8 @@
         When to give up, in kernel seconds.
     begin : Begin or None
         Open a transaction first and keep the connection.
+    due : float
+        Until when it must have a connection to be in time, in kernel seconds.
     """
 
     handle: ServerHandle
@@ -90,6 +96,7 @@
     floor: Position | None
     deadline: float
     begin: Begin | None = None
+    due: float = math.inf
     #: The connection; kept after success if a transaction was opened.
     lease: ServerLease | None = None
     started_at: float = 0
@@ -190,8 +197,9 @@
         """
         lease = await self.handle.acquire(
             self.state.database,
-            limit,
+            min(limit, QUEUE_LIMIT),
             self.state.values,
+            max(0, self.due - self.started_at),
         )
         if isinstance(lease, Refusal):
             return lease
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -225,6 +225,7 @@
             target.floor,
             search.deadline,
             search.begin,
+            search.began + route.objective - target.handle.times.usual,
         )
         search.running.append(attempt)
         await curio.spawn(
--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -85,8 +85,9 @@
         if isinstance(end, Rejection):
             return await self._weigh_rejection(search, ended, end, now)
         if isinstance(end, Refusal):
-            # The queue of this server is full; another may have room.
-            return await self._rest(search, ended.target)
+            # The queue of this server is full.  Another replica may have room,
+            # or the primary; nobody has if the primary has none.
+            return end if ended.target.is_primary else None
         if not end.was_sent or search.is_repeatable:
             return await self._rest(search, ended.target)
         code = Code.TIMED_OUT if end.is_late else Code.CONNECTION_LOST
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -1,5 +1,6 @@
 """One backend server as a node uses it: its pool and how it has behaved."""
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
@@ -217,9 +218,12 @@
         group: str,
         limit: float,
         values: Mapping[str, str],
+        patience: float = math.inf,
     ) -> ServerLease | Refusal:
         """Lend a connection, best one that has the session's `values`.
 
+        After `patience` seconds the request will be late.
+
         Raises
         ------
         ConnectionError
@@ -233,7 +237,7 @@
         if borrowed is not None:
             return borrowed
         try:
-            return await self.acquire_own(group, limit, values)
+            return await self.acquire_own(group, limit, values, patience)
         except ConnectionLimitError:
             # Connections of nodes that were killed linger for a while.
             return await self.loans.acquire(group, limit)
@@ -243,12 +247,14 @@
         group: str,
         limit: float,
         values: Mapping[str, str],
+        patience: float = math.inf,
     ) -> ServerLease | Refusal:
         """Lend a connection of this node's own; see `acquire`."""
         return await self.pool.acquire(
             group,
             limit,
             lambda link: link.state.values == values,
+            patience,
         )
 
     async def release(self, lease: ServerLease, is_clean: bool) -> None:
--- a/deckdrum/serving/times.py
+++ b/deckdrum/serving/times.py
@@ -33,6 +33,11 @@
         self._usual: float = 0
         self._deviation: float = 0
 
+    @property
+    def usual(self) -> float:
+        """Usual time of an answer, in seconds; 0 before the first."""
+        return self._usual
+
     @property
     def patience(self) -> float:
         """Time in which nearly every answer comes, in seconds.
