Shorter functions where work is handed over and a term is stopped

Cause: the linter found nine places, most in new code: `Forwarder._hand_over`, `Promotion._prepare`, `Supervisor._look`, a runtime with too many methods. Change: a hand-over is an object of its own; stopping a term is one function; a former primary is told to step down at the end also after a planned change, which it answers by its state. No other behaviour changes.

--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -2,7 +2,8 @@
 
 For news of the store each node asks a few others, drawn at random.  So news
 spreads also while the store turns a node away, and this work does not grow
-with the number of nodes.  Only what is rare is told to every node: a term's end.
+with the number of nodes.  Only what is rare is told to every node: the end of
+a term.
 """
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping
--- a/deckdrum/forwarding/encoding.py
+++ b/deckdrum/forwarding/encoding.py
@@ -71,7 +71,7 @@
         request.id,
         _encode_operation(request.operation),
         _encode_prepared(state.find_prepared(request.operation)),
-        [*astuple(route)],
+        astuple(route),
         state.values,
         _encode_position(state.floor),
         opening,
--- a/deckdrum/forwarding/receiving.py
+++ b/deckdrum/forwarding/receiving.py
@@ -134,9 +134,12 @@
         try:
             await _run_to_end(session, channel, message)
         finally:
-            self.running -= 1
-            self._leave(session)
-            await session.close()
+            await self._end(session)
+
+    async def _end(self, session: CallerSession) -> None:
+        self.running -= 1
+        self._leave(session)
+        await session.close()
 
     def _open(self, message: Forward) -> CallerSession | None:
         """Return a session in the state of the caller's own."""
--- a/deckdrum/forwarding/sending.py
+++ b/deckdrum/forwarding/sending.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Collection
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any, Final, TypeGuard
 
 import curio
@@ -41,13 +41,13 @@
 #: holder although the first is alive: its stream may have gone silent.
 LOST_STREAM_PART: Final = 0.4
 #: Pause before the holders are tried again while the processes of some do not
-#: run, and longest time of that, in seconds: nodes that lost power together come
-#: back within half a second of one another.
+#: run, and longest time of that, in seconds: nodes that lost power together
+#: come back within half a second of one another.
 NONE_PAUSE: Final = 0.05
 NONE_LIMIT: Final = 0.25
 #: Holders that are asked for one statement.
 MOST_TRIED: Final = 4
-#: How long a holder is asked last that does not reach the group's primary, in s.
+#: How long a holder is asked last that does not reach the primary, in seconds.
 UNREACHED_TIME: Final = 0.5
 #: Pause between two looks at all holders, in seconds.
 CHECK_PAUSE: Final = 1.0
@@ -76,6 +76,55 @@
     holder: Member
 
 
+@dataclass(slots=True)
+class Handover:
+    """A statement on its way to a holder.
+
+    Attributes
+    ----------
+    request, begin, route, state
+        The statement, the transaction that it opens, what binds it, and its
+        caller's session.
+    is_repeatable : bool
+        Whether a try without an answer leaves nothing behind.
+    began, deadline : float
+        When it began and must end, in kernel seconds.
+    tried : set of str
+        Holders that were asked.
+    refusal : Refusal or None
+        What the last one said that could not do it.
+    """
+
+    request: Request
+    begin: Begin | None
+    route: Route
+    state: SessionState
+    is_repeatable: bool
+    began: float
+    deadline: float
+    tried: set[str] = field(default_factory=set)
+    refusal: Refusal | None = None
+
+    @classmethod
+    async def start(
+        cls,
+        request: Request,
+        begin: Begin | None,
+        route: Route,
+        state: SessionState,
+        is_repeatable: bool,
+    ) -> 'Handover':
+        """Begin to hand a statement over now."""
+        began: float = await curio.clock()
+        deadline = began + route.statement_limit - FORWARD_MARGIN
+        return cls(request, begin, route, state, is_repeatable, began, deadline)
+
+    def encode(self, limit: float) -> Forward:
+        """Return the message that gives a holder `limit` seconds."""
+        bound = replace(self.route, statement_limit=limit)
+        return encode_first(self.request, bound, self.state, self.begin)
+
+
 _ANOTHER_MAY_DO: Final = frozenset((Code.NOT_READY, Code.NO_PRIMARY))
 _NOT_SENT: Final = Handed(None, None, was_sent=False)
 _LOST: Final = Handed(None, None, was_sent=True)
@@ -119,7 +168,8 @@
     ) -> Answer | Refusal:
         """Have a statement outside a transaction run."""
         is_read = effect is Effect.READ
-        ended = await self._hand_over(request, None, route, state, is_read)
+        work = await Handover.start(request, None, route, state, is_read)
+        ended = await self._hand_over(work)
         if ended is None:
             return await self._here.run_single(request, effect, route, state)
         if isinstance(ended, Refusal):
@@ -139,7 +189,8 @@
     ) -> Begun | Refusal:
         """Have a transaction opened with its first statement."""
         # Nothing of a transaction is kept when its stream breaks.
-        ended = await self._hand_over(request, begin, route, state, True)
+        work = await Handover.start(request, begin, route, state, True)
+        ended = await self._hand_over(work)
         if ended is None:
             return await self._here.begin(request, begin, route, state)
         if isinstance(ended, Refusal):
@@ -161,44 +212,45 @@
         names = [holder.name for holder in self._runtime.holders]
         return all(map(self._health.is_cut_off, names))
 
-    async def _hand_over(
-        self,
-        request: Request,
-        begin: Begin | None,
-        route: Route,
-        state: SessionState,
-        is_repeatable: bool,
-    ) -> Ended | Refusal | None:
+    async def _hand_over(self, work: Handover) -> Ended | Refusal | None:
         """Try holders until one answers; None if this node is cut off."""
-        began = await curio.clock()
-        deadline = began + route.statement_limit - FORWARD_MARGIN
-        tried: set[str] = set()
-        refusal: Refusal | None = None
         while True:
             now = await curio.clock()
-            holder = self._pick(tried, now)
+            holder = self._pick(work.tried, now)
             if holder is None and self._is_alone():
                 return None
-            if holder is None and await self._await_holders(tried, now - began):
+            if holder is None and await self._await_holders(work, now):
                 continue
-            if holder is None or now >= deadline:
-                return refusal or self._refuse(request, 'no holder answers')
-            tried.add(holder.name)
-            limit = max(deadline - now, LIFE_LIMIT)
-            bound = replace(route, statement_limit=limit)
-            question = encode_first(request, bound, state, begin)
-            handed = await self._try(holder, question, limit, is_repeatable)
-            if handed.answer is None or handed.channel is None:
-                if handed.was_sent and not is_repeatable:
-                    return self._doubt(request, holder)
-                continue
-            outcome = decode_outcome(handed.answer)
-            if not _may_another_do(outcome):
-                self._budget.note_success()
-                return Ended(outcome, handed.channel, holder)
-            self._unreached[holder.name] = now + UNREACHED_TIME
-            refusal = outcome
-            await self._peers.forwards.keep(holder.endpoint, handed.channel)
+            if holder is None or now >= work.deadline:
+                reason = 'no holder answers'
+                return work.refusal or self._refuse(work.request, reason)
+            work.tried.add(holder.name)
+            end = await self._ask_holder(holder, work, work.deadline - now)
+            if end is not None:
+                return end
+
+    async def _ask_holder(
+        self,
+        holder: Member,
+        work: Handover,
+        limit: float,
+    ) -> Ended | Refusal | None:
+        """Hand work to one holder; None if another one is to be asked."""
+        limit = max(limit, LIFE_LIMIT)
+        question = work.encode(limit)
+        handed = await self._try(holder, question, limit, work.is_repeatable)
+        if handed.answer is None or handed.channel is None:
+            is_doubtful = handed.was_sent and not work.is_repeatable
+            return self._doubt(work.request, holder) if is_doubtful else None
+        outcome = decode_outcome(handed.answer)
+        if not _may_another_do(outcome):
+            self._budget.note_success()
+            return Ended(outcome, handed.channel, holder)
+        until = await curio.clock() + UNREACHED_TIME
+        self._unreached[holder.name] = until
+        work.refusal = outcome
+        await self._peers.forwards.keep(holder.endpoint, handed.channel)
+        return None
 
     def _pick(self, tried: Collection[str], now: float) -> Member | None:
         """Return the holder to ask next, the nearest that can help."""
@@ -220,11 +272,12 @@
         # None reaches the primary as far as is known: one is asked again.
         return left[0] if left and not tried else None
 
-    async def _await_holders(self, tried: set[str], waited: float) -> bool:
+    async def _await_holders(self, work: Handover, now: float) -> bool:
         """Wait a moment if holders start again; tell whether to try anew."""
         names = [holder.name for holder in self._runtime.holders]
         is_starting = any(map(self._health.is_refusing, names))
-        if not is_starting or waited > NONE_LIMIT or len(tried) >= MOST_TRIED:
+        has_time = now - work.began <= NONE_LIMIT
+        if not is_starting or not has_time or len(work.tried) >= MOST_TRIED:
             return False
         await curio.sleep(NONE_PAUSE)
         return True
--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -1,4 +1,4 @@
-"""Statements that are handed to holders, through whole nodes in virtual time."""
+"""Statements handed to holders, through whole nodes in virtual time."""
 
 import curio
 import pytest
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -14,7 +14,7 @@
 Proof comes from a majority of the servers, or from the store.  Once the record
 is claimed and the replicas hold there is none, whoever is out of reach: so many
 nodes may be cut off from the driver.  Only if fewer replicas hold than that
-takes, or if the change is planned and may as well wait, most nodes must consent.
+takes, or if the change is planned and may as well wait, most nodes consent.
 Nothing is claimed, and nobody's term ends, before the replicas have answered.
 
 A driver that dies leaves a claimed record; another node takes it over.
@@ -24,7 +24,7 @@
 
 import curio
 
-from deckdrum.backends import ServerRole
+from deckdrum.backends import ServerRole, ServerStatus
 from deckdrum.control import Kind
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.questions import EndTerm, TermEnded
@@ -149,22 +149,11 @@
         """End the old term safely; return who may lead, the best first."""
         term = claim.record.term
         former = self._runtime.servers.get(report.former)
-        final = None
-        ending = await curio.spawn(self._end_term, term - 1, report.is_planned)
-        if report.is_planned:
-            if not (await ending.join()).has_most:
-                return None
-            final = await self._step_down(report, term)
-        # Otherwise at the same time: the nodes may be out of reach.
-        held = await self._holds.hold(term, report.former)
-        held_at = await curio.clock()
-        await report.note('hold')
-        consent: Consent = await ending.join()
-        await report.note('end term')
-        if held is None:
-            return None
-        if len(held) < self._holds.needed and not consent.has_most:
+        ready = await self._stop_term(report, term)
+        if ready is None:
             return None
+        held, consent = ready
+        held_at = await curio.clock()
         all_ended = await self._has_ended_everywhere(consent)
         if not all_ended:
             await curio.sleep(VALIDITY)
@@ -172,7 +161,7 @@
         if not await self._holds.still_hold(held, term):
             # One that has restarted may have given proof meanwhile.
             return None
-        if former is not None and final is None:
+        if former is not None:
             # It may have come to life meanwhile; a promotion ends its term.
             await former.instruct('step_down', term, limit=ROUND_PAUSE)
         self._log(
@@ -183,27 +172,48 @@
         )
         return rank_successors(self._runtime, held, report.former)
 
-    async def _step_down(
+    async def _stop_term(
         self,
         report: ChangeReport,
         term: int,
-    ) -> Position | None:
-        """Have a primary step down, and a successor catch up with it.
+    ) -> tuple[dict[str, ServerStatus], Consent] | None:
+        """Have nodes, primary and replicas stop; None if that is too few.
 
         Returns
         -------
-        Position or None
-            The end of its log; None if it does not answer.
+        tuple or None
+            The replicas that hold, and the nodes that have stopped.
         """
+        ending = await curio.spawn(self._end_term, term - 1, report.is_planned)
+        if report.is_planned:
+            if not (await ending.join()).has_most:
+                return None
+            await self._step_down(report, term)
+        # Otherwise at the same time: the nodes may be out of reach.
+        held = await self._holds.hold(term, report.former)
+        await report.note('hold')
+        consent: Consent = await ending.join()
+        await report.note('end term')
+        if held is None:
+            return None
+        if len(held) < self._holds.needed and not consent.has_most:
+            return None
+        return held, consent
+
+    async def _step_down(
+        self,
+        report: ChangeReport,
+        term: int,
+    ) -> None:
+        """Have a primary step down, and a successor catch up with it."""
         former = self._runtime.servers.get(report.former)
         if former is None:
-            return None
+            return
         report.has_stepped_down = True
         status = await former.instruct('step_down', term)
         final = None if status is None else status.received
         await self._catch_up(final, former.id)
         await report.note('step down')
-        return final
 
     async def _end_term(self, term: int, is_planned: bool) -> Consent:
         """Tell every node to stop; return how many have."""
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -115,10 +115,14 @@
             return await self._look_at_trouble(primary)
         if primary.id in self._tools.dialer.detours:
             return await self._look_at_detour(primary)
-        if await curio.clock() < self._mend_until:
-            await self._promotion.mend()
-            return MEND_PAUSE
-        return LOOK_PAUSE
+        return await self._mend_lately()
+
+    async def _mend_lately(self) -> float:
+        """Look after the servers for a while after a change."""
+        if await curio.clock() >= self._mend_until:
+            return LOOK_PAUSE
+        await self._promotion.mend()
+        return MEND_PAUSE
 
     async def _is_settled(self) -> bool:
         """Tell whether this node has had time to learn of the others."""
--- a/deckdrum/leadership/tests/test_proof.py
+++ b/deckdrum/leadership/tests/test_proof.py
@@ -145,7 +145,7 @@
         for replica in randomness.sample(replicas, holds_needed)
     }
     promoted_at = max(held_at.values()) + VALIDITY
-    latest = 0.0
+    latest: float = 0
     for _ in range(300):
         # One node's questions, all within the validity of a proof.
         start = randomness.uniform(0, promoted_at)
--- a/deckdrum/load/placement.py
+++ b/deckdrum/load/placement.py
@@ -11,8 +11,8 @@
 this answers: hundreds of nodes, each with a statement for a group every few
 seconds.  With one connection each, such a node would ask others for proof, for
 positions and for a connection before nearly every statement, and would learn of
-a replica behind or a primary lost by its own failures.  A few holders see enough
-statements to know, and their few queues show who waits.
+a replica behind or a primary lost by its own failures.  A few holders see
+enough statements to know, and their few queues show who waits.
 """
 
 from collections import defaultdict
--- a/deckdrum/load/tests/test_waiting.py
+++ b/deckdrum/load/tests/test_waiting.py
@@ -145,7 +145,7 @@
                 await asking.spawn(_ask, queue, OBJECTIVE - WORK, tally)
             await curio.sleep(0.2)
             for _ in range(40):
-                told = await queue.acquire(GROUP, 0.01, 0.0)
+                told = await queue.acquire(GROUP, 0.01, 0)
                 if isinstance(told, Refusal) and told.retry_after:
                     returns.append(told.retry_after)
         return returns
--- a/deckdrum/load/waiting.py
+++ b/deckdrum/load/waiting.py
@@ -3,9 +3,9 @@
 The load that this answers: replicas fall behind, so all reads of a group go to
 its primary, which is asked for as much as it can do or a little more.  First
 come, first served, the queue grows until each statement has waited longer than
-its objective: nearly all are answered, and nearly all late.  Here those that can
-still be in time go first.  What is late already is run in the time that is left
-over; of that only a little may wait, and the others are told at once.
+its objective: nearly all are answered, and nearly all late.  Here those that
+can still be in time go first.  What is late already is run in the time that is
+left over; of that only a little may wait, and the others are told at once.
 """
 
 from collections.abc import Iterable
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -1,6 +1,5 @@
 """Assembling a node, and its life from start to stop."""
 
-import os
 from collections.abc import Awaitable, Callable, Mapping
 from functools import partial
 from random import Random
@@ -30,8 +29,8 @@
     Outcome,
     ServiceRuntime,
     SessionHost,
+    StatementRunner,
 )
-from deckdrum.serving.runners import StatementRunner
 from deckdrum.utils import Journal, dial
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.tasks import keep_running
@@ -89,7 +88,7 @@
         self.is_parting = False
         self._store = store
         self._dialer = DetourDialer(dial_straight)
-        self._randomness = Random(settings.seed or os.urandom(8))
+        self._randomness = Random(settings.seed or None)
         self.view = ControlView(store, journal)
         self.view.on_change.append(self._note_change)
         self.feed = StoreFeed(self.view, store, journal, self._randomness)
--- a/deckdrum/serving/__init__.py
+++ b/deckdrum/serving/__init__.py
@@ -2,6 +2,7 @@
 
 from deckdrum.serving.execution import Execution
 from deckdrum.serving.host import Outcome, SessionHost
+from deckdrum.serving.runners import StatementRunner
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.session import CallerSession
 
@@ -11,4 +12,5 @@
     'Outcome',
     'ServiceRuntime',
     'SessionHost',
+    'StatementRunner',
 ]
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -1,6 +1,6 @@
 """One database group as a node serves it."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 from typing import Final
 
@@ -179,7 +179,9 @@
         holders: tuple[str, ...] = ()
         if Policy.FORWARDING in self.policies:
             holders = pick_holders(self.name, staying, limit)
-        self._adopt_holders(own, members, holders)
+        self.holders = [members[name] for name in holders if name != own.name]
+        self.holders.sort(key=partial(_rank_lender, own))
+        self.is_forwarding = bool(holders) and own.name not in holders
         for name, handle in self.servers.items():
             centre = handle.server.data_centre
             deal = deal_connections(name, staying, limit, centre, holders)
@@ -344,17 +346,6 @@
         for handle in self.servers.values():
             await handle.pool.close_idle()
 
-    def _adopt_holders(
-        self,
-        own: Member,
-        members: Mapping[str, Member],
-        names: Sequence[str],
-    ) -> None:
-        """Take over who holds the group's connections."""
-        others = [members[name] for name in names if name != own.name]
-        self.holders = sorted(others, key=partial(_rank_lender, own))
-        self.is_forwarding = bool(names) and own.name not in names
-
     async def _sample(self) -> bool:
         collector = self._proofs.collector
         if Policy.SHARED_SAMPLES not in self.policies:
