Tell losses by group and reason: deckdrumctl report

Cause: what a while cost was told by the code of single tries, not by what callers were told, nor by group, nor how long they were held. Change: `report` has a line for each group and reason of operations that were not served or late, the most frequent first, with median, 99 % and most time. Prices are not in the logs, so the table does not add up to the worth lost. Tests: by group and reason with names and numbers left out; late ones apart.

--- a/deckdrum/commands/reporting.py
+++ b/deckdrum/commands/reporting.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import re
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import asdict, dataclass
@@ -19,6 +20,9 @@
 _MEDIAN: Final = 50
 _HIGH: Final = 99
 _PLACES: Final = 3
+_LOSSES: Final = frozenset(('request.unserved', 'request.late'))
+#: Names and numbers that differ from one loss to the next for one reason.
+_VARYING: Final = re.compile(r'[\w.-]*\d[\w.-]*')
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +35,25 @@
     most: float
 
 
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """Operations that were not served, or late, for one reason.
+
+    Attributes
+    ----------
+    service : str
+        The group.
+    reason : str
+        What the callers were told; ``late`` if they were answered late.
+    held : Spread
+        How long they took, in seconds.
+    """
+
+    service: str
+    reason: str
+    held: Spread
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """What the logs of a while tell.
@@ -52,6 +75,8 @@
         Operations over their route's objective.
     answers_lost : int
         Tries that were given up because their answers are lost.
+    losses : tuple of Loss
+        Why operations were not served or late, the most frequent first.
     """
 
     reads: Mapping[str, int]
@@ -61,6 +86,7 @@
     refusals: Mapping[str, int]
     late: int
     answers_lost: int
+    losses: tuple[Loss, ...]
 
 
 def summarize_lines(lines: Iterable[LogLine]) -> Report:
@@ -87,6 +113,7 @@
         dict(refusals),
         events['request.late'],
         events['answer.lost'],
+        tuple(_find_losses(ordered)),
     )
 
 
@@ -121,11 +148,46 @@
     if as_json:
         say(json.dumps(figures))
     else:
+        figures.pop('losses')
         for name, figure in figures.items():
             say(f'{name}: {"none" if figure is None else figure}')
+        for loss in report.losses:
+            say(describe_loss(loss))
     return bool(report.reads or report.refusals)
 
 
+def describe_loss(loss: Loss) -> str:
+    """Return a line for a person.
+
+    Examples
+    --------
+    >>> describe_loss(Loss('stalls', 'late', Spread(7, 0.3, 0.5, 0.6)))
+    'lost: stalls 7 times in 0.3 s (99 %: 0.5, most: 0.6): late'
+    """
+    held = loss.held
+    times = f'in {held.median} s (99 %: {held.high}, most: {held.most})'
+    return f'lost: {loss.service} {held.count} times {times}: {loss.reason}'
+
+
+def _find_losses(ordered: Iterable[LogLine]) -> list[Loss]:
+    """Return why operations were lost, by group and reason."""
+    times: defaultdict[tuple[str, str], list[float]] = defaultdict(list)
+    for line in ordered:
+        if line.event not in _LOSSES:
+            continue
+        outcome = str(line.fields.get('outcome', ''))
+        is_late = line.event == 'request.late'
+        reason = 'late' if is_late else _VARYING.sub('..', outcome)
+        service = str(line.fields.get('service', ''))
+        times[service, reason].append(float(line.fields.get('seconds', 0)))
+    losses = [
+        Loss(service, reason, spread)
+        for (service, reason), held in times.items()
+        if (spread := measure_spread(held)) is not None
+    ]
+    return sorted(losses, key=lambda loss: -loss.held.count)
+
+
 def _find_gaps(served: Iterable[LogLine]) -> list[float]:
     """Return the times without answered changes around changes of primary.
 
--- a/deckdrum/commands/tests/test_reporting.py
+++ b/deckdrum/commands/tests/test_reporting.py
@@ -8,12 +8,12 @@
 
 from deckdrum.commands import control
 from deckdrum.commands.explaining import read_lines
-from deckdrum.commands.reporting import summarize_lines
+from deckdrum.commands.reporting import summarize_lines, tell_report
 
 
-def build_line(seconds: float, event: str, **fields: Any) -> str:
+def build_line(at: float, event: str, **fields: Any) -> str:
     """Return a log line of node n1."""
-    time = f'2026-01-01 00:00:{seconds:06.3f}'.replace('.', ',')
+    time = f'2026-01-01 00:00:{at:06.3f}'.replace('.', ',')
     line = {'time': time, 'event': event, 'source': 'n1', **fields}
     return json.dumps(line)
 
@@ -107,3 +107,31 @@
     path = write_log(tmp_path, build_line(1, 'node.started'))
     assert control.main(['report', '--logs', str(path)]) != 0
     assert 'replica_share: none' in capsys.readouterr().out
+
+
+def test_losses_are_told_by_group_and_reason(tmp_path: Path) -> None:
+    def build_lost(at: float, outcome: str, service: str) -> str:
+        fields = {'outcome': outcome, 'service': service, 'seconds': 0.4}
+        return build_line(at, 'request.unserved', **fields)
+
+    def build_late(at: float, service: str) -> str:
+        fields = {'outcome': 'done', 'service': service, 'seconds': 0.3}
+        return build_line(at, 'request.late', **fields)
+
+    path = write_log(
+        tmp_path,
+        build_lost(1, 'not run: LAGGING i-7f3a', 'stalls'),
+        build_lost(2, 'not run: LAGGING i-91c2', 'stalls'),
+        build_lost(3, 'not run: LAGGING i-91c2', 'payouts'),
+        build_late(4, 'stalls'),
+    )
+    losses = summarize_lines(read_lines([path])).losses
+    told = [(each.service, each.reason, each.held.count) for each in losses]
+    assert told == [
+        ('stalls', 'not run: LAGGING ..', 2),
+        ('payouts', 'not run: LAGGING ..', 1),
+        ('stalls', 'late', 1),
+    ]
+    said: list[str] = []
+    assert not tell_report([path], as_json=False, say=said.append)
+    assert said[-1].startswith('lost: stalls 1 times in 0.3 s')
