Tell a read that may have run so, also when a later try was refused

Cause: a read whose first try was sent and not answered was told "not run, no connection in time" if a later try found the queue full, or no holder answered. Change: once a try may have run, the refusal is that nothing of it is kept. Conclusion: a promise of "not run" is true.

--- a/deckdrum/forwarding/sending.py
+++ b/deckdrum/forwarding/sending.py
@@ -93,6 +93,8 @@
         Holders that were asked.
     refusal : Refusal or None
         What the last one said that could not do it.
+    may_have_run : bool
+        Whether one of them may have run it.
     """
 
     request: Request
@@ -104,6 +106,7 @@
     deadline: float
     tried: set[str] = field(default_factory=set)
     refusal: Refusal | None = None
+    may_have_run: bool = False
 
     @classmethod
     async def start(
@@ -222,8 +225,7 @@
             if holder is None and await self._await_holders(work, now):
                 continue
             if holder is None or now >= work.deadline:
-                reason = 'no holder answers'
-                return work.refusal or self._refuse(work.request, reason)
+                return self._refuse(work)
             work.tried.add(holder.name)
             end = await self._ask_holder(holder, work, work.deadline - now)
             if end is not None:
@@ -240,6 +242,7 @@
         question = work.encode(limit)
         handed = await self._try(holder, question, limit, work.is_repeatable)
         if handed.answer is None or handed.channel is None:
+            work.may_have_run = work.may_have_run or handed.was_sent
             is_doubtful = handed.was_sent and not work.is_repeatable
             return self._doubt(work.request, holder) if is_doubtful else None
         outcome = decode_outcome(handed.answer)
@@ -351,10 +354,16 @@
             if not self._health.is_silent(holder.name):
                 await curio.spawn(self._health.check, holder, daemon=True)
 
-    def _refuse(self, request: Request, reason: str) -> Refusal:
-        """Return the refusal of a statement that nobody has run."""
-        self._log(request, reason)
-        return refuse(Code.QUEUE_TIMEOUT, reason)
+    def _refuse(self, work: Handover) -> Refusal:
+        """Return the refusal of a statement that leaves nothing behind."""
+        if work.refusal is not None and not work.may_have_run:
+            return work.refusal
+        reason = 'no holder answers'
+        self._log(work.request, reason)
+        code = Code.QUEUE_TIMEOUT
+        if work.may_have_run:
+            code = Code.TRANSACTION_LOST
+        return refuse(code, reason)
 
     def _doubt(self, request: Request, holder: Member) -> Refusal:
         """Return the refusal of a change that may have been made."""
--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -185,6 +185,22 @@
     play(scenario, nodes=NODES, max_connections=FEW, settle=2.5)
 
 
+def test_read_that_may_have_run_is_not_told_as_waiting_in_vain() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        caller = _find_caller(deployment)
+        client = await deployment.connect(CURRENT, caller)
+        assert (await client.ask('READ a')).is_done
+        for number in _list_holders(deployment):
+            peers = deployment.nodes[number].node.peers
+            peers.run_forwarded = _stay_silent
+        reply = await client.ask('READ a')
+        assert reply.end == 'ERROR'
+        assert reply.text.startswith('ABORTED')
+        assert 'nothing of it is kept' in reply.text
+
+    play(scenario, nodes=NODES, max_connections=FEW, settle=2.5)
+
+
 def test_statements_go_to_a_holder_that_reaches_the_primary() -> None:
     async def scenario(deployment: Deployment) -> None:
         caller = _find_caller(deployment)
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -211,6 +211,8 @@
         if target.is_primary and target.handle.is_dark:
             # Known at once: another node may reach it, and is asked for that.
             self.runtime.report_trouble(target.handle)
+            if search.may_have_run:
+                return self._retries.give_up(search)
             return refuse(Code.NO_PRIMARY, 'it does not answer this node')
         search.tries += 1
         # A second try beside this one goes to another server.
--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -81,13 +81,15 @@
         if isinstance(end, Answer):
             raise BrokenInvariantError('a success is no failed try')
         search.last = end
+        if isinstance(end, Lost) and end.was_sent:
+            search.may_have_run = True
         now = await curio.clock()
         if isinstance(end, Rejection):
             return await self._weigh_rejection(search, ended, end, now)
         if isinstance(end, Refusal):
             # The queue of this server is full.  Another replica may have room,
             # or the primary; nobody has if the primary has none.
-            return end if ended.target.is_primary else None
+            return self.give_up(search) if ended.target.is_primary else None
         if not end.was_sent or search.is_repeatable:
             return await self._rest(search, ended.target)
         code = Code.TIMED_OUT if end.is_late else Code.CONNECTION_LOST
@@ -96,7 +98,7 @@
     def give_up(self, search: Search) -> Refusal:
         """Return the refusal for a statement that nobody has run."""
         last = search.last
-        if isinstance(last, Lost) and last.was_sent:
+        if search.may_have_run:
             # Only what leaves nothing behind is tried again after a loss.
             return refuse(Code.TRANSACTION_LOST, 'no server answered it')
         if isinstance(last, Refusal):
--- a/deckdrum/serving/searches.py
+++ b/deckdrum/serving/searches.py
@@ -47,6 +47,8 @@
         Tries that have not ended.
     is_over : bool
         Whether nobody waits for further ends.
+    may_have_run : bool
+        Whether a server may have run it, though nothing of that is kept.
     """
 
     request: Request
@@ -63,6 +65,7 @@
     ends: Any = field(default_factory=curio.Queue)
     running: list[Attempt] = field(default_factory=list)
     is_over: bool = False
+    may_have_run: bool = False
 
     @property
     def is_repeatable(self) -> bool:
