A cut-off node finds all silent holders at once; silent nodes delay no change

Change: one node without a sign of life makes a node ask all that it relies on at once, once a second at most. The users of a group are all asked, if they are up to 24, and who does not answer is no rank before this node.

--- a/deckdrum/fleet/health.py
+++ b/deckdrum/fleet/health.py
@@ -1,6 +1,6 @@
 """Which other nodes do not answer."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 import curio
@@ -21,6 +21,8 @@
 REFUSING_PAUSE: Final = 0.1
 #: Signs of life that are asked for, until statements have to find out.
 MOST_QUESTIONS: Final = 40
+#: Pause between two looks at all nodes, in seconds.
+CHECK_PAUSE: Final = 1.0
 
 _Ask = Callable[[Address, Message, float], Awaitable[object]]
 
@@ -41,6 +43,30 @@
         self._journal = journal
         #: Nodes that have not answered since they failed, and how they failed.
         self._silent: dict[str, Exception] = {}
+        #: Nodes that this one relies on, by what for.
+        self._relied: dict[str, Sequence[Member]] = {}
+        self._checked_at = float('-inf')
+
+    def rely_on(self, purpose: str, peers: Sequence[Member]) -> None:
+        """Take over which nodes serve a purpose."""
+        self._relied[purpose] = peers
+
+    async def check_all(self) -> None:
+        """Ask all nodes that this one relies on, if not done just now.
+
+        A node that is cut off would find one after the other silent, each by a
+        statement that waits in vain.
+        """
+        now = await curio.clock()
+        if now - self._checked_at < CHECK_PAUSE:
+            return
+        self._checked_at = now
+        relied = {
+            peer.name: peer for peers in self._relied.values() for peer in peers
+        }
+        for name, peer in relied.items():
+            if name not in self._silent:
+                await curio.spawn(self.check, peer, daemon=True)
 
     def is_silent(self, name: str) -> bool:
         """Tell whether a node has not answered since it failed."""
--- a/deckdrum/forwarding/sending.py
+++ b/deckdrum/forwarding/sending.py
@@ -49,8 +49,6 @@
 MOST_TRIED: Final = 4
 #: How long a holder is asked last that does not reach the primary, in seconds.
 UNREACHED_TIME: Final = 0.5
-#: Pause between two looks at all holders, in seconds.
-CHECK_PAUSE: Final = 1.0
 #: Longest wait for a rollback that is handed over, in seconds.
 ROLLBACK_LIMIT: Final = 0.3
 
@@ -160,7 +158,6 @@
         self._budget = RetryBudget()
         #: Until when a holder is not expected to reach the primary.
         self._unreached: dict[str, float] = {}
-        self._check_after = float('-inf')
 
     async def run_single(
         self,
@@ -303,7 +300,7 @@
                     await channel.ask(Heartbeat())
         except (ConnectionError, curio.TaskTimeout) as error:
             await self._health.note_failure(holder, error)
-            await self._check_holders()
+            await self._health.check_all()
             return _NOT_SENT
         self._runtime.counters.count('forwards')
         asking = await curio.spawn(_ask, channel, question, daemon=True)
@@ -315,6 +312,8 @@
         answer = None if asking.cancelled else asking.result
         if answer is None:
             self._runtime.counters.count('forwards_lost')
+            if self._health.is_silent(holder.name):
+                await self._health.check_all()
             return _LOST
         return Handed(answer, channel, was_sent=True)
 
@@ -341,19 +340,6 @@
             async with curio.ignore_after(limit * (1 - LOST_STREAM_PART)):
                 await asking.wait()
 
-    async def _check_holders(self) -> None:
-        """Ask all holders at once for a sign of life, if not done just now.
-
-        A node that is cut off would find one after the other silent.
-        """
-        now = await curio.clock()
-        if now < self._check_after:
-            return
-        self._check_after = now + CHECK_PAUSE
-        for holder in self._runtime.holders:
-            if not self._health.is_silent(holder.name):
-                await curio.spawn(self._health.check, holder, daemon=True)
-
     def _refuse(self, work: Handover) -> Refusal:
         """Return the refusal of a statement that leaves nothing behind."""
         if work.refusal is not None and not work.may_have_run:
--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -217,6 +217,24 @@
     play(scenario, nodes=NODES, max_connections=FEW, settle=2.5)
 
 
+def test_cut_off_node_finds_all_silent_holders_at_once() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        caller = _find_caller(deployment)
+        client = await deployment.connect(CURRENT, caller)
+        assert (await client.ask('READ a')).is_done
+        node = deployment.nodes[caller].node
+        for number in _list_holders(deployment):
+            peers = deployment.nodes[number].node.peers
+            peers.answer = _stay_silent
+            peers.run_forwarded = _stay_silent
+        await client.ask('READ a')
+        await curio.sleep(LIFE_LIMIT)
+        for holder in node.services[SERVICE].holders:
+            assert node.peers.health.is_silent(holder.name)
+
+    play(scenario, nodes=NODES, max_connections=FEW, settle=2.5)
+
+
 def test_node_that_no_holder_answers_connects_by_itself() -> None:
     async def scenario(deployment: Deployment) -> None:
         caller = _find_caller(deployment)
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -4,6 +4,7 @@
 lost asks the other nodes before it acts; ranks by name make one act first.
 """
 
+from collections.abc import Container
 from typing import Final
 
 import curio
@@ -33,6 +34,9 @@
 #: Nodes that ask every other one at the first sign of a loss; the others ask
 #: a few, so that the questions do not grow with the square of the nodes.
 FIRST_RANKS: Final = 2
+#: Users of a group up to which each asks all the others: fifteen are three for
+#: each of five data centres.
+MOST_ASKED: Final = 24
 #: Pause of a node before it acts, by its rank, in seconds: longer than the
 #: first node needs to ask its peers and claim the change.
 RANK_PAUSE: Final = 0.25
@@ -79,6 +83,8 @@
         self._troubled: ServerHandle | None = None
         self._detour_until = float('-inf')
         self._registered_since: float | None = None
+        #: Nodes that did not answer when they were last asked.
+        self._silent_users: frozenset[str] = frozenset()
 
     def note_trouble(self, handle: ServerHandle) -> None:
         """Look at a server that has just failed, if it is the primary."""
@@ -199,9 +205,13 @@
         """Make sure that the primary is lost, and have it replaced."""
         if await self._answers(primary):
             return LOOK_PAUSE
-        rank = self._rank()
-        if await self._is_reached(primary, everybody=rank < FIRST_RANKS):
+        users = len(self._list_users())
+        is_first = self._rank() < FIRST_RANKS
+        everybody = is_first or users <= MOST_ASKED
+        if await self._is_reached(primary, everybody=everybody):
             return LOOK_PAUSE
+        # Who did not answer does not act before this node either.
+        rank = self._rank(self._silent_users)
         if rank:
             await curio.sleep(rank * RANK_PAUSE)
             if self._runtime.primary is not primary:
@@ -240,6 +250,11 @@
         has_path = await self._has_path(primary)
         primary.is_dark = not has_path
         answers = await asking.join()
+        self._silent_users = frozenset(
+            name
+            for name, answer in answers.items()
+            if not isinstance(answer, ServerAnswer)
+        )
         members = self._tools.view.members
         reaching = [
             members[name]
@@ -362,10 +377,14 @@
         """Return the other nodes that use the group's servers themselves."""
         return self._runtime.holders or self._tools.peers.others
 
-    def _rank(self) -> int:
-        """Return how many nodes act before this one."""
+    def _rank(self, silent: Container[str] = ()) -> int:
+        """Return how many nodes act before this one, but for silent ones."""
         record = self._runtime.belief.record
-        names = {member.name for member in self._list_users()}
+        names = {
+            member.name
+            for member in self._list_users()
+            if member.name not in silent
+        }
         names.add(self._tools.node)
         preferred = '' if record is None else record.driver
         ranked = sorted(
--- a/deckdrum/leadership/tests/test_troubles.py
+++ b/deckdrum/leadership/tests/test_troubles.py
@@ -5,11 +5,13 @@
 from deckdrum.testing.nodes import (
     CURRENT,
     OWN,
+    SERVICE,
     Deployment,
     build_config,
     build_route,
     play,
 )
+from deckdrum.utils.ranks import weigh
 
 #: Longest time of a write around the loss of a primary whose servers have few
 #: connections, in seconds.
@@ -106,3 +108,29 @@
         assert _count(deployment, 'detours_taken') == 1
 
     play(scenario)
+
+
+def test_nodes_that_are_silent_do_not_delay_a_change() -> None:
+    """All nodes of the first ranks are cut off, with many behind them."""
+
+    async def scenario(deployment: Deployment) -> None:
+        runtime = deployment.nodes[0].node.services[SERVICE]
+        names = [running.node.settings.name for running in deployment.nodes]
+        names.sort(key=lambda name: weigh(runtime.name, name))
+        first = names[:6]
+        client = await deployment.connect(
+            CURRENT,
+            node=int(names[-1].removeprefix('n')),
+        )
+        await client.ask('WRITE a 1')
+        for running in deployment.nodes:
+            if running.node.settings.name in first:
+                running.node.peers.answer = _stay_silent
+        await deployment.group.primary.crash()
+        assert await client.write_until_done() < 4.0
+
+    play(scenario, nodes=9, max_connections=60)
+
+
+async def _stay_silent(_: object) -> None:
+    await curio.sleep(60)
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -181,6 +181,7 @@
             holders = pick_holders(self.name, staying, limit)
         self.holders = [members[name] for name in holders if name != own.name]
         self.holders.sort(key=partial(_rank_lender, own))
+        self._peers.health.rely_on(self.name, self.holders)
         self.is_forwarding = bool(holders) and own.name not in holders
         for name, handle in self.servers.items():
             centre = handle.server.data_centre
