--- /dev/null
+++ b/deckdrum/fleet/tests/test_health.py
@@ -0,0 +1,100 @@
+"""Which other nodes do not answer."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from deckdrum.control import Member
+from deckdrum.fleet.base import Message
+from deckdrum.fleet.health import (
+    CHECK_PAUSE,
+    LIFE_LIMIT,
+    SILENT_PAUSE,
+    PeerHealth,
+)
+from deckdrum.utils import Address
+from deckdrum.utils.journal import silent_journal
+from deckdrum.utils.virtualtime import run_virtual
+
+PEERS = [
+    Member(f'n{number}', f'127.0.0.1:{number}', 'a', '') for number in (1, 2, 3)
+]
+
+
+class Network:
+    """Other nodes, of which some answer."""
+
+    def __init__(self) -> None:
+        self.silent = {1, 2}
+        self.asked: list[int] = []
+
+    async def ask(
+        self,
+        address: Address,
+        question: Message,
+        limit: float,
+    ) -> Message | None:
+        """Return the answer of the node at an address."""
+        self.asked.append(address.port)
+        if address.port not in self.silent:
+            return question
+        await curio.sleep(limit)
+        return None
+
+
+def run(scenario: Callable[[Network, PeerHealth], Awaitable[None]]) -> None:
+    """Run a scenario in virtual time."""
+
+    async def main() -> None:
+        network = Network()
+        health = PeerHealth(network.ask, silent_journal('n0'))
+        health.rely_on('stalls', PEERS[:2])
+        health.rely_on('payouts', PEERS[1:])
+        await scenario(network, health)
+
+    run_virtual(main)
+
+
+def test_all_that_are_relied_on_are_asked_once() -> None:
+    async def scenario(network: Network, health: PeerHealth) -> None:
+        await health.check_all()
+        await health.check_all()
+        await curio.sleep(LIFE_LIMIT * 1.1)
+        assert sorted(network.asked) == [1, 2, 3]
+        assert health.is_silent('n1')
+        assert health.is_silent('n2')
+        assert not health.is_silent('n3')
+
+    run(scenario)
+
+
+def test_silent_node_is_used_again_once_it_answers() -> None:
+    async def scenario(network: Network, health: PeerHealth) -> None:
+        assert not await health.check(PEERS[0])
+        assert health.is_cut_off('n1')
+        network.silent.clear()
+        await curio.sleep(SILENT_PAUSE + LIFE_LIMIT)
+        assert not health.is_silent('n1')
+
+    run(scenario)
+
+
+def test_silent_nodes_are_not_asked_by_each_check() -> None:
+    async def scenario(network: Network, health: PeerHealth) -> None:
+        await health.check_all()
+        await curio.sleep(CHECK_PAUSE)
+        before = len(network.asked)
+        await health.check_all()
+        await curio.sleep(0.01)
+        assert network.asked[before:].count(3) == 1
+
+    run(scenario)
+
+
+def test_process_that_does_not_run_is_told_from_one_that_is_cut_off() -> None:
+    async def scenario(network: Network, health: PeerHealth) -> None:
+        await health.note_failure(PEERS[0], ConnectionRefusedError())
+        assert health.is_refusing('n1')
+        assert not health.is_cut_off('n1')
+
+    run(scenario)
