--- /dev/null
+++ b/deckdrum/forwarding/transactions.py
@@ -0,0 +1,93 @@
+"""A transaction that a holder runs for a caller of this node."""
+
+from typing import Final
+
+import curio
+
+from deckdrum.control import Member
+from deckdrum.fleet.channels import StreamChannel
+from deckdrum.fleet.nodes import NodePeers
+from deckdrum.fleet.questions import ForwardAnswer
+from deckdrum.forwarding.encoding import decode_outcome, encode_next
+from deckdrum.operations import Request, Rollback
+from deckdrum.outcomes import Code, Refusal, refuse
+from deckdrum.serving.host import Outcome
+from deckdrum.serving.state import ForwardedTransaction, PreparedStatement
+
+#: Longest wait for a rollback that is handed over, in seconds.
+ROLLBACK_LIMIT: Final = 0.3
+
+
+class RemoteTransaction(ForwardedTransaction):
+    """A transaction that a holder runs for a caller of this node.
+
+    Parameters
+    ----------
+    peers : NodePeers
+        Keeps the stream when the transaction has ended.
+    holder : Member
+        Who runs it.
+    channel : StreamChannel
+        The stream on which it goes on.
+    limit : float
+        Longest time of one statement, in seconds.
+    """
+
+    def __init__(
+        self,
+        peers: NodePeers,
+        holder: Member,
+        channel: StreamChannel,
+        limit: float,
+    ) -> None:
+        #: Whether the holder waits for its next statement.
+        self.is_open = False
+        self._peers = peers
+        self._holder = holder
+        self._channel: StreamChannel = channel
+        self._limit = limit
+
+    async def run(
+        self,
+        request: Request,
+        prepared: PreparedStatement | None,
+        *,
+        may_last: bool,
+    ) -> Outcome:
+        """Run a statement of it; after a refusal it has ended."""
+        question = encode_next(request, prepared)
+        try:
+            async with curio.timeout_after(self._limit):
+                answer = await self._channel.ask(question)
+        except (ConnectionError, curio.TaskTimeout) as error:
+            return await self._lose(repr(error), may_last)
+        if not isinstance(answer, ForwardAnswer):
+            return await self._lose(f'{type(answer).__name__} came', may_last)
+        if not answer.is_open:
+            await self.end()
+        return decode_outcome(answer)
+
+    async def release(self) -> None:
+        """Roll it back if it is open."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        question = encode_next(Request('', Rollback()), None)
+        try:
+            async with curio.timeout_after(ROLLBACK_LIMIT):
+                await self._channel.ask(question)
+        except (ConnectionError, curio.TaskTimeout):
+            # The stream is closed, so the holder rolls it back.
+            return
+        await self.end()
+
+    async def end(self) -> None:
+        """Keep the stream for other work."""
+        self.is_open = False
+        await self._peers.forwards.keep(self._holder.endpoint, self._channel)
+
+    async def _lose(self, reason: str, may_last: bool) -> Refusal:
+        self.is_open = False
+        await self._channel.close()
+        code = Code.CONNECTION_LOST if may_last else Code.TRANSACTION_LOST
+        return refuse(code, f'{self._holder.name}: {reason}')
