--- a/deckdrum/fleet/following.py
+++ b/deckdrum/fleet/following.py
@@ -34,8 +34,8 @@
 #: Pause between two looks of a node that watches by itself, in seconds.
 LOOK_PAUSE: Final = 0.5
 #: Wait for the registrations of nodes that start together, in seconds.
-#: With half of it 780 of 1,948 calls at a start of 195 nodes were of nodes that
-#: did not know the others yet, and so watched by themselves.
+#: A node that decides before it knows the others watches by itself, and begins
+#: four watches.
 START_PAUSE: Final = 1.2
 #: Pause between two looks whether the store answers this node while its feeder
 #: hears nothing from it, in seconds; grows with the nodes as other pauses do.
--- a/deckdrum/leadership/tests/test_proof.py
+++ b/deckdrum/leadership/tests/test_proof.py
@@ -5,11 +5,14 @@
 import curio
 import pytest
 
-from deckdrum.leadership.belief import VALIDITY
+from deckdrum.backends import ServerRole, ServerStatus
+from deckdrum.leadership.belief import VALIDITY, LeadershipBelief
 from deckdrum.leadership.changes import ChangeReport
 from deckdrum.leadership.promotion import Promotion
+from deckdrum.sessions import Position
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
+from deckdrum.utils.journal import silent_journal
 
 
 def _count_run(deployment: Deployment, server: str) -> int:
@@ -127,44 +130,47 @@
     play(scenario)
 
 
-@pytest.mark.parametrize('seed', range(40))
-def test_no_proof_outlives_the_wait_of_a_change(seed: int) -> None:
-    """Every order of questions, holds and the claim, at random times.
+async def _outlives(seed: int, missing: int) -> bool:
+    """Tell whether a node may use the old primary when the next is promoted.
 
-    A question to a replica gives proof as of its time unless the replica holds;
-    one to the store unless the record is claimed; a peer hands on its own.
+    The node hears of a change only by its questions, each at a random time: a
+    replica shows that it holds, and the store that the record is claimed.
+    `missing` holds are left out of those that are needed.
     """
     randomness = Random(seed)
-    servers = randomness.choice((2, 3, 5))
-    replicas = range(1, servers)
-    proofs_needed = servers // 2
-    holds_needed = max(1, servers - 1 - proofs_needed + 1)
+    names = ['a', 'b', 'c', 'd', 'e'][: randomness.choice((3, 5))]
+    belief = LeadershipBelief(SERVICE, silent_journal('n1'))
+    await belief.adopt_servers(names)
+    leads = ServerStatus(ServerRole.PRIMARY, 1, Position(1, 1), 0)
+    await belief.note_status('a', leads, 0)
     claimed_at = randomness.uniform(0, 1)
     held_at = {
-        replica: claimed_at + randomness.uniform(0.01, 0.5)
-        for replica in randomness.sample(replicas, holds_needed)
+        name: claimed_at + randomness.uniform(0.01, 0.5)
+        for name in randomness.sample(names[1:], belief.holds_needed - missing)
     }
     promoted_at = max(held_at.values()) + VALIDITY
-    latest: float = 0
-    for _ in range(300):
-        # One node's questions, all within the validity of a proof.
-        start = randomness.uniform(0, promoted_at)
-        asked = {
-            replica: start + randomness.uniform(0, 0.3) for replica in replicas
-        }
-        given = sorted(
-            (
-                at
-                for replica, at in asked.items()
-                if at < held_at.get(replica, float('inf'))
-            ),
-            reverse=True,
-        )
-        if len(given) >= proofs_needed:
-            latest = max(latest, given[proofs_needed - 1])
-        if start < claimed_at:
-            latest = max(latest, start)
-    assert latest + VALIDITY <= promoted_at
+    for _ in range(200):
+        asked_at = randomness.uniform(0, promoted_at)
+        for name in names[1:]:
+            is_held = asked_at >= held_at.get(name, promoted_at)
+            held_term = 2 if is_held else 0
+            status = ServerStatus(
+                ServerRole.REPLICA, 1, Position(1, 1), held_term
+            )
+            await belief.note_status(name, status, asked_at)
+        if asked_at < claimed_at:
+            await belief.note_store(0, None, asked_at)
+    return belief.is_valid(promoted_at)
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_no_proof_outlives_the_wait_of_a_change(seed: int) -> None:
+    assert not curio.run(_outlives, seed, 0)
+
+
+def test_proof_outlives_the_wait_where_one_hold_is_missing() -> None:
+    """The check above can fail."""
+    assert any(curio.run(_outlives, seed, 1) for seed in range(40))
 
 
 def test_one_node_of_a_data_centre_asks_for_proof_for_all() -> None:
