Serve callers for the workspace that holds their key

Cause: nodes told servers their own name, and did not look at the callers' keys. Change: workspaces, keys and public routes in the configuration. A key becomes a fingerprint where it comes in; peers hand fingerprints on. A session is of the workspace that holds its key when a transaction, or a statement outside one, begins. A pooled connection is of one workspace; a fitting one is preferred, and without any the longest unused is closed and one opened anew. Loans and handed statements carry the workspace; a holder runs nothing that its own configuration forbids or, if it is the older one, does not know.

--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -22,6 +22,8 @@
 
     #: Whether it may stay open in the pool while nobody uses it.
     is_kept = True
+    #: Workspace whose statements it may run; empty for none.
+    workspace = ''
 
     @property
     @abstractmethod
@@ -53,8 +55,17 @@
             If it cannot be had.
         """
 
-    async def connect_for(self, group: str, limit: float) -> LinkT:
-        """Open a connection on behalf of a member group."""
+    async def connect_for(
+        self,
+        group: str,
+        limit: float,
+        workspace: str | None = None,
+    ) -> LinkT:
+        """Open a connection on behalf of a member group.
+
+        Only a workspace's own connections may run its statements; with None
+        it may be anybody's.
+        """
         return await self.connect(limit)
 
 
@@ -92,6 +103,10 @@
         self.database = database
         self.queue = FairQueue(slots, shares)
         self.opened = 0
+        #: Connections that were found open, and idle ones that were closed to
+        #: make room for one of another workspace.
+        self.reused = 0
+        self.closed_for_room = 0
         self._idle: list[LinkT] = []
 
     @property
@@ -110,6 +125,7 @@
         limit: float,
         fits: Callable[[LinkT], bool] | None = None,
         patience: float = math.inf,
+        workspace: str | None = None,
     ) -> Lease[ServerT, LinkT] | Refusal:
         """Lend a connection to a request of `group`.
 
@@ -123,6 +139,8 @@
             Tells which idle connections suit the request best.
         patience : float, optional
             Longest wait after which the request can be in time, in seconds.
+        workspace : str, optional
+            Whose the connection must be; without it may be anybody's.
 
         Raises
         ------
@@ -133,7 +151,7 @@
         if isinstance(permit, Refusal):
             return permit
         try:
-            link = await self._take_link(group, fits)
+            link = await self._take_link(group, fits, workspace)
         except (ConnectionError, curio.CancelledError):
             await self.queue.release(permit)
             raise
@@ -192,20 +210,52 @@
         self,
         group: str,
         fits: Callable[[LinkT], bool] | None,
+        workspace: str | None,
     ) -> LinkT:
-        while self._idle:
-            link = self._pick_idle(fits)
+        link = self._pick_idle(fits, workspace)
+        while link is not None:
             if link.is_usable:
+                self.reused += 1
                 return link
             await link.close()
+            link = self._pick_idle(fits, workspace)
+        await self._make_room()
         self.opened += 1
-        opened: LinkT = await self.database.connect_for(group, CONNECT_LIMIT)
+        opened: LinkT = await self.database.connect_for(
+            group,
+            CONNECT_LIMIT,
+            workspace,
+        )
         return opened
 
-    def _pick_idle(self, fits: Callable[[LinkT], bool] | None) -> LinkT:
+    def _pick_idle(
+        self,
+        fits: Callable[[LinkT], bool] | None,
+        workspace: str | None,
+    ) -> LinkT | None:
         """Take the latest idle connection, of those that fit if any does."""
-        if fits is not None:
-            for place in range(len(self._idle) - 1, -1, -1):
-                if fits(self._idle[place]):
-                    return self._idle.pop(place)
-        return self._idle.pop()
+        places = [
+            place
+            for place, link in enumerate(self._idle)
+            if workspace is None or link.workspace == workspace
+        ]
+        if not places:
+            return None
+        best = max(
+            places,
+            key=lambda place: (
+                fits is not None and fits(self._idle[place]),
+                place,
+            ),
+        )
+        return self._idle.pop(best)
+
+    async def _make_room(self) -> None:
+        """Close what is idle for longest in place of the one to be opened.
+
+        So no more are open than are dealt to this pool, whatever workspaces
+        ask in turn.
+        """
+        while self._idle and self.has_surplus:
+            self.closed_for_room += 1
+            await self._idle.pop(0).close()
--- a/deckdrum/control/__init__.py
+++ b/deckdrum/control/__init__.py
@@ -1,5 +1,6 @@
 """What is agreed and listed in the store, and the node's view of it."""
 
+from deckdrum.control.access import Access, find_access
 from deckdrum.control.feed import StoreFeed
 from deckdrum.control.records import (
     Configuration,
@@ -19,6 +20,7 @@
 from deckdrum.control.view import ControlView
 
 __all__ = [
+    'Access',
     'Changes',
     'Configuration',
     'ControlStore',
@@ -32,4 +34,5 @@
     'Route',
     'ServiceDeclaration',
     'StoreFeed',
+    'find_access',
 ]
--- a/deckdrum/control/records.py
+++ b/deckdrum/control/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from deckdrum.utils import Address
+from deckdrum.workspaces import WorkspaceBook
 
 
 class Guarantee(StrEnum):
@@ -40,6 +41,8 @@
         Time in which an operation should be answered.
     priority : int
         0 is the most urgent.
+    is_public : bool
+        Whether it asks callers for no key.
     """
 
     database: str
@@ -49,6 +52,7 @@
     statement_limit: float
     objective: float
     priority: int
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +89,10 @@
     idle_transaction_limit : float
         Longest pause inside a transaction.
     encoded : bytes
-        As the store holds it, to pass on to peers.
+        To pass on to peers: as the store holds it, with fingerprints in place
+        of keys.
+    workspaces : WorkspaceBook or None
+        Who may use the routes; None where no route asks for a key.
     """
 
     version: int
@@ -93,6 +100,7 @@
     services: Mapping[str, ServiceDeclaration]
     idle_transaction_limit: float
     encoded: bytes
+    workspaces: WorkspaceBook | None = None
 
 
 class Member(msgspec.Struct, frozen=True):
--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -105,12 +105,21 @@
 
     async def connect(self, limit: float) -> BackendLink:
         """Open a connection, unless the server has just been found full."""
+        return await self.connect_for('', limit)
+
+    async def connect_for(
+        self,
+        group: str,
+        limit: float,
+        workspace: str | None = None,
+    ) -> BackendLink:
+        """Open one of a workspace, unless the server was just found full."""
         now = await curio.clock()
         if now < self.full_until:
             raise NoneFreeError(f'{self.name} was full a moment ago')
         self._direct.server = self.server
         try:
-            return await self._direct.connect(limit)
+            return await self._direct.connect_for(group, limit, workspace)
         except ConnectionLimitError:
             self.full_until = now + FULL_PAUSE
             raise
@@ -153,21 +162,34 @@
         """Borrow a connection within `limit` seconds."""
         return await self.connect_for('', limit)
 
-    async def connect_for(self, group: str, limit: float) -> BackendLink:
-        """Borrow a connection on behalf of a member group."""
+    async def connect_for(
+        self,
+        group: str,
+        limit: float,
+        workspace: str | None = None,
+    ) -> BackendLink:
+        """Borrow a connection of a workspace for a member group."""
         is_answered = False
         asked = self._pick_lenders()
         for lender in asked:
             # The last one may let the request wait for its turn.
             wait = min(limit, LENDER_WAIT) if lender is asked[-1] else 0
-            answer = await self._borrow(lender, group, wait)
+            question = BorrowLink(
+                self.server.service,
+                self.server.id,
+                group,
+                wait,
+                {},
+                workspace,
+            )
+            answer = await self._borrow(lender, question)
             if isinstance(answer, BackendLink):
                 return answer
             is_answered = is_answered or answer is not None
         if is_answered:
             # A connection beyond the deal would only load the server more.
             raise NoneFreeError(f'{self.name}: the lenders have none')
-        link = await self._own.connect(limit)
+        link = await self._own.connect_for(group, limit, workspace)
         link.is_kept = False
         return link
 
@@ -187,8 +209,7 @@
     async def _borrow(
         self,
         lender: Member,
-        group: str,
-        wait: float,
+        question: BorrowLink,
     ) -> BackendLink | LinkLent | None:
         """Borrow from one node.
 
@@ -198,11 +219,8 @@
             The lender's refusal if it lends nothing; None if it does not
             answer, or holds no connections.
         """
-        question = BorrowLink(
-            self.server.service, self.server.id, group, wait, {}
-        )
         try:
-            async with curio.timeout_after(wait + LENDER_SLACK):
+            async with curio.timeout_after(question.limit + LENDER_SLACK):
                 channel = await self._streams.open(lender.endpoint)
                 answer = await _ask(channel, question)
         except (ConnectionError, curio.TaskTimeout) as error:
@@ -214,6 +232,7 @@
             return answer if answer.is_full else None
         link = self._own.wrap(BorrowedStream(channel))
         link.state = decode_state(answer.values, answer.prepared)
+        link.workspace = question.workspace or ''
         link.is_kept = False
         link.on_hand_back = partial(_hand_back, self._streams, lender)
         return link
--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -125,6 +125,11 @@
             if member.name != self._settings.name and not member.is_gone
         ]
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force here."""
+        return self._view.version
+
     @property
     def has_gone(self) -> bool:
         """Whether a node is registered that does not answer the others."""
--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -116,6 +116,8 @@
         Longest wait for a free connection in seconds.
     values : mapping of str to str
         Session values that the connection should have.
+    workspace : str or None
+        Whose it must be; None if it may be anybody's.
     """
 
     service: str
@@ -123,6 +125,7 @@
     group: str
     limit: float
     values: Mapping[str, str]
+    workspace: str | None
 
 
 class LinkLent(Message, frozen=True):
@@ -180,6 +183,10 @@
         Term and offset of the session's latest change.
     begin : str
         ``read`` or ``write`` to open a transaction first.
+    workspace, fingerprint : str
+        The workspace that holds the caller's key, and the key's fingerprint.
+    version : int
+        Version of the configuration that said so.
     """
 
     request: str
@@ -189,6 +196,9 @@
     values: Mapping[str, str]
     floor: Sequence[int]
     begin: str
+    workspace: str
+    fingerprint: str
+    version: int
 
 
 class ForwardNext(Message, frozen=True):
--- a/deckdrum/forwarding/encoding.py
+++ b/deckdrum/forwarding/encoding.py
@@ -50,6 +50,7 @@
     route: Route,
     state: SessionState,
     begin: Begin | None,
+    version: int,
 ) -> Forward:
     """Return the message that hands a statement over.
 
@@ -63,6 +64,8 @@
         Of the caller's session.
     begin : Begin or None
         The transaction that it opens.
+    version : int
+        Version of the configuration that binds it.
     """
     opening = ''
     if begin is not None:
@@ -75,6 +78,9 @@
         state.values,
         _encode_position(state.floor),
         opening,
+        state.workspace,
+        state.fingerprint,
+        version,
     )
 
 
--- a/deckdrum/forwarding/receiving.py
+++ b/deckdrum/forwarding/receiving.py
@@ -1,15 +1,17 @@
 """Running statements that other nodes have handed to this one."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Final
 
 import curio
 
-from deckdrum.control import Route
+from deckdrum.control import Access, Configuration
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.messages import MessageError
 from deckdrum.fleet.policies import Policy
 from deckdrum.fleet.questions import Forward, ForwardNext
+from deckdrum.forwarding.admission import check_forward
 from deckdrum.forwarding.encoding import (
     decode_begin,
     decode_position,
@@ -19,7 +21,7 @@
     encode_outcome,
 )
 from deckdrum.operations import Execute, Request
-from deckdrum.outcomes import Code, refuse
+from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving import (
     CallerSession,
     Execution,
@@ -27,16 +29,29 @@
     SessionHost,
 )
 from deckdrum.serving.runners import StatementRunner
-from deckdrum.serving.state import Transaction
+from deckdrum.serving.state import SessionState, Transaction
 from deckdrum.sessions.position import NOWHERE
 from deckdrum.utils.counters import Counters
+from deckdrum.workspaces import Workspace
 
 #: Longest rest of a stream inside a transaction, in seconds.  Transactions that
 #: rest are ended much earlier; this frees the stream of a node that is gone.
 REST_LIMIT: Final = 60.0
 
 FindExecution = Callable[[str], Execution | None]
-NoteSession = Callable[[CallerSession], None]
+ReadConfiguration = Callable[[], Configuration | None]
+
+
+class SessionRegister(ABC):
+    """Keeps the sessions that a node serves."""
+
+    @abstractmethod
+    def add(self, session: CallerSession) -> None:
+        """Enter a session that has just been opened."""
+
+    @abstractmethod
+    def discard(self, session: CallerSession) -> None:
+        """Forget a session that has ended."""
 
 
 class ForwardingHost(SessionHost):
@@ -44,8 +59,8 @@
 
     Parameters
     ----------
-    route : Route
-        The route that the other node has found.
+    access : Access
+        What the other node has found, and this one has checked.
     execution : Execution
         What runs statements of its group here.
     policies : frozenset of Policy
@@ -54,17 +69,17 @@
 
     def __init__(
         self,
-        route: Route,
+        access: Access,
         execution: Execution,
         policies: frozenset[Policy],
     ) -> None:
         self.policies = policies
-        self._route = route
+        self._access = access
         self._execution = execution
 
-    def find_route(self, database: str) -> Route | None:
-        """Return the route that the other node has found."""
-        return self._route
+    def find_access(self, state: SessionState) -> Access | Refusal:
+        """Return what the other node has found."""
+        return self._access
 
     def find_runner(self, service: str) -> StatementRunner | None:
         """Return what runs statements here: they are handed over once."""
@@ -91,7 +106,9 @@
     ----------
     find_execution : callable
         Returns what runs statements of a group here, if anything.
-    enter, leave : callable
+    read_configuration : callable
+        Returns the configuration in force here, if any.
+    register : SessionRegister
         Told of each session that begins and ends.
     policies : frozenset of Policy
         Mechanisms in force.
@@ -102,16 +119,16 @@
     def __init__(
         self,
         find_execution: FindExecution,
-        enter: NoteSession,
-        leave: NoteSession,
+        read_configuration: ReadConfiguration,
+        register: SessionRegister,
         policies: frozenset[Policy],
         counters: Counters,
     ) -> None:
         #: Statements and transactions under way.
         self.running = 0
         self._find_execution = find_execution
-        self._enter = enter
-        self._leave = leave
+        self._read_configuration = read_configuration
+        self._register = register
         self._policies = policies
         self._counters = counters
 
@@ -124,13 +141,12 @@
             If the other node is gone; its transaction is rolled back then.
         """
         session = self._open(message)
-        if session is None:
-            refusal = refuse(Code.NOT_READY, 'the group is not known here yet')
-            await channel.send(encode_outcome(refusal, is_open=False))
+        if isinstance(session, Refusal):
+            await channel.send(encode_outcome(session, is_open=False))
             return
         self._counters.count('forwards_run')
         self.running += 1
-        self._enter(session)
+        self._register.add(session)
         try:
             await _run_to_end(session, channel, message)
         finally:
@@ -138,17 +154,22 @@
 
     async def _end(self, session: CallerSession) -> None:
         self.running -= 1
-        self._leave(session)
+        self._register.discard(session)
         await session.close()
 
-    def _open(self, message: Forward) -> CallerSession | None:
+    def _open(self, message: Forward) -> CallerSession | Refusal:
         """Return a session in the state of the caller's own."""
         route = decode_route(message)
+        forbidden = check_forward(self._read_configuration(), message, route)
+        if forbidden is not None:
+            return forbidden
         execution = self._find_execution(route.service)
         if execution is None:
-            return None
-        host = ForwardingHost(route, execution, self._policies)
-        session = CallerSession(host, route.database)
+            return refuse(Code.NOT_READY, 'the group is not known here yet')
+        access = Access(route, Workspace(message.workspace))
+        host = ForwardingHost(access, execution, self._policies)
+        session = CallerSession(host, route.database, message.fingerprint)
+        session.state.workspace = message.workspace
         session.state.values = dict(message.values)
         session.state.floor = decode_position(message.floor) or NOWHERE
         begin = decode_begin(message)
--- a/deckdrum/forwarding/sending.py
+++ b/deckdrum/forwarding/sending.py
@@ -74,6 +74,8 @@
     request, begin, route, state
         The statement, the transaction that it opens, what binds it, and its
         caller's session.
+    version : int
+        Version of the configuration that binds it.
     is_repeatable : bool
         Whether a try without an answer leaves nothing behind.
     began, deadline : float
@@ -90,6 +92,7 @@
     begin: Begin | None
     route: Route
     state: SessionState
+    version: int
     is_repeatable: bool
     began: float
     deadline: float
@@ -104,17 +107,33 @@
         begin: Begin | None,
         route: Route,
         state: SessionState,
+        version: int,
         is_repeatable: bool,
     ) -> 'Handover':
         """Begin to hand a statement over now."""
         began: float = await curio.clock()
         deadline = began + route.statement_limit - FORWARD_MARGIN
-        return cls(request, begin, route, state, is_repeatable, began, deadline)
+        return cls(
+            request,
+            begin,
+            route,
+            state,
+            version,
+            is_repeatable,
+            began,
+            deadline,
+        )
 
     def encode(self, limit: float) -> Forward:
         """Return the message that gives a holder `limit` seconds."""
         bound = replace(self.route, statement_limit=limit)
-        return encode_first(self.request, bound, self.state, self.begin)
+        return encode_first(
+            self.request,
+            bound,
+            self.state,
+            self.begin,
+            self.version,
+        )
 
 
 _ANOTHER_MAY_DO: Final = frozenset((Code.NOT_READY, Code.NO_PRIMARY))
@@ -159,7 +178,10 @@
     ) -> Answer | Refusal:
         """Have a statement outside a transaction run."""
         is_read = effect is Effect.READ
-        work = await Handover.start(request, None, route, state, is_read)
+        version = self._peers.version
+        work = await Handover.start(
+            request, None, route, state, version, is_read
+        )
         ended = await self._hand_over(work)
         if ended is None:
             return await self._here.run_single(request, effect, route, state)
@@ -180,7 +202,8 @@
     ) -> Begun | Refusal:
         """Have a transaction opened with its first statement."""
         # Nothing of a transaction is kept when its stream breaks.
-        work = await Handover.start(request, begin, route, state, True)
+        version = self._peers.version
+        work = await Handover.start(request, begin, route, state, version, True)
         ended = await self._hand_over(work)
         if ended is None:
             return await self._here.begin(request, begin, route, state)
--- a/deckdrum/forwarding/tests/test_encoding.py
+++ b/deckdrum/forwarding/tests/test_encoding.py
@@ -63,16 +63,20 @@
     operation: Operation,
     begin: Begin | None,
 ) -> None:
-    state = SessionState('db', {'colour': 'red'}, floor=Position(3, 7))
+    state = SessionState(
+        'db', 'print', 'growers', {'colour': 'red'}, floor=Position(3, 7)
+    )
     state.prepared['s1'] = PreparedStatement(Effect.WRITE, 'q1')
     request = Request('id-1', operation)
-    message = send(encode_first(request, ROUTE, state, begin))
+    message = send(encode_first(request, ROUTE, state, begin, 5))
     assert isinstance(message, Forward)
     assert decode_request(message) == request
     assert decode_route(message) == ROUTE
     assert decode_begin(message) == begin
     assert decode_position(message.floor) == Position(3, 7)
     assert message.values == {'colour': 'red'}
+    assert message.workspace == 'growers'
+    assert (message.fingerprint, message.version) == ('print', 5)
     prepared = decode_prepared(message)
     assert prepared == state.find_prepared(operation)
     following = send(encode_next(request, prepared))
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -8,7 +8,7 @@
 import curio
 
 from deckdrum.backends import Backend
-from deckdrum.control import ControlStore, ControlView, Kind, Route, StoreFeed
+from deckdrum.control import ControlStore, ControlView, Kind, StoreFeed
 from deckdrum.fleet.detours import DetourDialer, Dial
 from deckdrum.fleet.following import NewsFollower
 from deckdrum.fleet.nodes import NodePeers
@@ -18,19 +18,12 @@
 from deckdrum.leadership.duty import PromotionDuty
 from deckdrum.node.answering import Answerer
 from deckdrum.node.care import MemberCare
+from deckdrum.node.host import NodeHost
 from deckdrum.node.lending import Lender
 from deckdrum.node.registration import Registration
 from deckdrum.node.services import ServiceBook
 from deckdrum.node.sessions import SessionBook
-from deckdrum.operations import Request
-from deckdrum.serving import (
-    CallerSession,
-    Execution,
-    Outcome,
-    ServiceRuntime,
-    SessionHost,
-    StatementRunner,
-)
+from deckdrum.serving import CallerSession, ServiceRuntime
 from deckdrum.utils import Journal, dial
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.tasks import keep_running
@@ -47,7 +40,7 @@
 CONFIGURED_POLL: Final = 0.02
 
 
-class Node(SessionHost):
+class Node:
     """One node of the product, whatever protocols it speaks.
 
     Parameters
@@ -80,7 +73,6 @@
         dial_straight: Dial = dial,
     ) -> None:
         self.settings = settings
-        self.policies = settings.policies
         self.journal = journal
         self.counters = counters
         self.is_stopping = False
@@ -139,10 +131,17 @@
             counters,
             lambda: self.view.version,
         )
+        #: Opens sessions of callers.
+        self.host = NodeHost(
+            self.view,
+            self._book,
+            self._sessions,
+            settings.policies,
+        )
         self._forwarded = ForwardedWork(
-            self.find_execution,
-            self._sessions.add,
-            self._sessions.discard,
+            self._book.find_execution,
+            lambda: self.view.configuration,
+            self._sessions,
             settings.policies,
             counters,
         )
@@ -237,15 +236,6 @@
                 await curio.sleep(CONFIGURED_POLL)
         return self.view.configuration is not None
 
-    def open_session(self, database: str) -> CallerSession | None:
-        """Open a session of a caller; None if no route has the name."""
-        if self.find_route(database) is None:
-            self.counters.count('unknown_database')
-            return None
-        session = CallerSession(self, database)
-        self._sessions.add(session)
-        return session
-
     async def close_session(self, session: CallerSession) -> None:
         """End a session."""
         await self._sessions.close(session)
@@ -254,30 +244,6 @@
         """Roll back every transaction that rests between statements."""
         await self._sessions.abandon_transactions(reason)
 
-    def find_route(self, database: str) -> Route | None:
-        """Return the route in force for a database name."""
-        configuration = self.view.configuration
-        return configuration.routes.get(database) if configuration else None
-
-    def find_runner(self, service: str) -> StatementRunner | None:
-        """Return what runs statements of a group, here or elsewhere."""
-        return self._book.find_runner(service)
-
-    def find_execution(self, service: str) -> Execution | None:
-        """Return what runs statements of a group at this node itself."""
-        return self._book.find_execution(service)
-
-    def note_outcome(
-        self,
-        session: CallerSession,
-        request: Request,
-        outcome: Outcome,
-        seconds: float,
-    ) -> None:
-        """Count an operation, and log it if it was unserved or late."""
-        route = self.find_route(session.state.database)
-        self._sessions.note_outcome(session, request, outcome, seconds, route)
-
     async def _keep_running(
         self,
         work: Callable[..., Awaitable[None]],
--- a/deckdrum/node/lending.py
+++ b/deckdrum/node/lending.py
@@ -72,6 +72,7 @@
                 f'{LOAN_PREFIX}{question.group}',
                 question.limit,
                 question.values,
+                workspace=question.workspace,
             )
         except ConnectionError:
             await channel.send(_NOT_LENT)
--- a/deckdrum/node/sessions.py
+++ b/deckdrum/node/sessions.py
@@ -5,6 +5,7 @@
 import curio
 
 from deckdrum.control import Route
+from deckdrum.forwarding.receiving import SessionRegister
 from deckdrum.operations import Request
 from deckdrum.outcomes import Refusal
 from deckdrum.serving import CallerSession, Outcome
@@ -12,7 +13,7 @@
 from deckdrum.utils.counters import Counters
 
 
-class SessionBook:
+class SessionBook(SessionRegister):
     """Knows the open sessions, and ends transactions that rest.
 
     Parameters
@@ -54,6 +55,16 @@
         """Forget a session that has ended."""
         self._sessions.discard(session)
 
+    def note_refused(self, database: str, refusal: Refusal) -> None:
+        """Count and log a caller whose session was not opened."""
+        self._counters.count('refused_sessions')
+        self._journal.record_often(
+            'session.refused',
+            database=database,
+            reason=refusal.text,
+            version=self._read_version(),
+        )
+
     async def close(self, session: CallerSession) -> None:
         """End a session."""
         self.discard(session)
@@ -100,6 +111,7 @@
             request=request.id,
             operation=type(request.operation).__name__,
             database=session.state.database,
+            workspace=session.state.workspace,
             service=route.service if route else '',
             standing=session.standing,
             outcome=outcome.text if isinstance(outcome, Refusal) else 'done',
--- a/deckdrum/outcomes/codes.py
+++ b/deckdrum/outcomes/codes.py
@@ -32,6 +32,8 @@
     PRIMARY_REFUSED = 'DD008'
     TRANSACTION_LOST = 'DD009'
     NOT_READY = 'DD010'
+    UNKNOWN_KEY = 'DD011'
+    LIMIT_REACHED = 'DD012'
     UNCONFIRMED = 'DD100'
     CONNECTION_LOST = 'DD101'
     ANSWER_TOO_LARGE = 'DD102'
@@ -102,6 +104,17 @@
             'this node has just started and has no configuration yet',
             0.5,
         ),
+        _entry(
+            Code.UNKNOWN_KEY,
+            Fate.NOT_RUN,
+            'no workspace holds this key now',
+        ),
+        _entry(
+            Code.LIMIT_REACHED,
+            Fate.NOT_RUN,
+            'the workspace has used up its limit',
+            1.0,
+        ),
         _entry(
             Code.READ_ONLY,
             Fate.NOT_RUN,
--- a/deckdrum/platform/backends.py
+++ b/deckdrum/platform/backends.py
@@ -142,7 +142,7 @@
     server : BackendServer
         Its entry in the directory.
     node : str
-        This node's name, told to the database.
+        This node's name, told to the database where no workspace's is.
     dial : callable
         Opens the connection within a limit in seconds.
     """
@@ -158,12 +158,21 @@
         self._dial = dial
 
     async def connect(self, limit: float) -> BackendLink:
-        """Open a connection within `limit` seconds."""
+        """Open a connection of the node's own within `limit` seconds."""
+        return await self.connect_for('', limit)
+
+    async def connect_for(
+        self,
+        group: str,
+        limit: float,
+        workspace: str | None = None,
+    ) -> BackendLink:
+        """Open a connection of a workspace within `limit` seconds."""
         stream = await self._dial(self.server, limit)
         reader = LineReader(stream)
         try:
             async with curio.timeout_after(limit):
-                await self._start(stream, reader)
+                await self._start(stream, reader, workspace or self._node)
         except curio.TaskTimeout as error:
             await stream.close()
             raise ConnectionAbortedError(
@@ -172,16 +181,23 @@
         except (ConnectionError, curio.CancelledError):
             await stream.close()
             raise
-        return self.wrap(stream)
+        link = self.wrap(stream)
+        link.workspace = workspace or ''
+        return link
 
     def wrap(self, stream: ByteStream) -> BackendLink:
         """Return the link over a connection that has been started."""
         return PlatformLink(stream)
 
-    async def _start(self, stream: Stream, reader: LineReader) -> None:
+    async def _start(
+        self,
+        stream: Stream,
+        reader: LineReader,
+        who: str,
+    ) -> None:
         # The id makes sure that no other server has taken the address.
         await stream.send(
-            encode_line('STARTUP', self.server.service, self._node, self.name),
+            encode_line('STARTUP', self.server.service, who, self.name),
         )
         try:
             line = await read_line(reader)
--- a/deckdrum/platform/frontend.py
+++ b/deckdrum/platform/frontend.py
@@ -8,7 +8,7 @@
 from deckdrum.node import Node
 from deckdrum.node.stopping import Entrance
 from deckdrum.operations import Standing
-from deckdrum.outcomes import Code, refuse
+from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.platform.lines import LineError, LineReader
 from deckdrum.platform.wire import (
     decode_request,
@@ -19,6 +19,7 @@
 )
 from deckdrum.serving import CallerSession
 from deckdrum.utils import Address, Listener, Stream
+from deckdrum.workspaces import fingerprint_key
 
 #: Longest wait for a client's first message, in seconds.
 START_LIMIT: Final = 10.0
@@ -92,16 +93,16 @@
             line = await self._reader.read()
         if line is None:
             return None
-        database, _ = decode_startup(line)
+        database, key = decode_startup(line)
         if not await self._node.wait_configured(CONFIGURED_LIMIT):
             refusal = refuse(Code.NOT_READY)
             await self._stream.send(encode_refusal(refusal))
             return None
-        session = self._node.open_session(database)
-        if session is None:
-            refusal = refuse(Code.NOT_CONFIGURED, f'database {database}')
-            await self._stream.send(encode_refusal(refusal))
-        return session
+        opened = self._node.host.open_session(database, fingerprint_key(key))
+        if isinstance(opened, Refusal):
+            await self._stream.send(encode_refusal(opened))
+            return None
+        return opened
 
     async def _say_last(self, text: str) -> None:
         refusal = refuse(Code.PROTOCOL_VIOLATION, text)
--- a/deckdrum/platform/records.py
+++ b/deckdrum/platform/records.py
@@ -20,6 +20,7 @@
 from deckdrum.outcomes.errors import DocumentError
 from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Address
+from deckdrum.workspaces import Workspace, WorkspaceBook, fingerprint_key
 
 _MS: Final = 1000
 #: Kinds in the store by the product's kinds.
@@ -61,6 +62,8 @@
     objective_ms: float = 500
     priority: int = 2
     max_staleness_ms: float | None = None
+    #: Whether clients need no key.
+    public: bool = False
 
 
 class _Service(_CamelCase):
@@ -73,6 +76,22 @@
     sync_replicas: int = 0
 
 
+class _Tenant(_CamelCase):
+    """One of the operator's tenants, the product's workspaces."""
+
+    name: str
+    #: As the operator writes them.  Peers pass on fingerprints instead.
+    api_keys: list[str] = []
+    fingerprints: list[str] = []
+    #: Operations a second, of all nodes together.
+    rate_per_s: float | None = None
+    burst: float = float(0)
+
+    def find_fingerprints(self) -> list[str]:
+        """Return the fingerprints of its keys."""
+        return self.fingerprints or list(map(fingerprint_key, self.api_keys))
+
+
 class _Limits(_CamelCase):
     """Limits for clients; the others concern HTTP."""
 
@@ -86,6 +105,8 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    #: None where no route asks for a key.
+    tenants: list[_Tenant] | None = None
 
 
 class _Server(_CamelCase):
@@ -182,10 +203,46 @@
             for service in raw.services
         },
         idle_transaction_limit=raw.limits.tx_idle_ms / _MS,
-        encoded=bytes(spec),
+        encoded=_hide_keys(raw, spec),
+        workspaces=_decode_tenants(raw.tenants),
     )
 
 
+def _decode_tenants(raw: list[_Tenant] | None) -> WorkspaceBook | None:
+    if raw is None:
+        return None
+    return WorkspaceBook(
+        {
+            tenant.name: Workspace(
+                tenant.name,
+                tenant.rate_per_s,
+                tenant.burst,
+            )
+            for tenant in raw
+        },
+        {
+            fingerprint: tenant.name
+            for tenant in raw
+            for fingerprint in tenant.find_fingerprints()
+        },
+    )
+
+
+def _hide_keys(raw: _Config, spec: msgspec.Raw) -> bytes:
+    """Return a configuration with fingerprints in place of its keys."""
+    if raw.tenants is None:
+        return bytes(spec)
+    hidden = [
+        msgspec.structs.replace(
+            tenant,
+            api_keys=[],
+            fingerprints=tenant.find_fingerprints(),
+        )
+        for tenant in raw.tenants
+    ]
+    return msgspec.json.encode(msgspec.structs.replace(raw, tenants=hidden))
+
+
 def _decode_route(raw: _Route) -> Route:
     max_age = float('inf')
     if raw.max_staleness_ms is not None:
@@ -198,6 +255,7 @@
         statement_limit=raw.timeout_ms / _MS,
         objective=raw.objective_ms / _MS,
         priority=raw.priority,
+        is_public=raw.public,
     )
 
 
--- a/deckdrum/platform/wire.py
+++ b/deckdrum/platform/wire.py
@@ -59,6 +59,8 @@
         (Code.UNCONFIRMED, Code.CONNECTION_LOST, Code.ANSWER_TOO_LARGE),
     ),
     ('NODB', (Code.NOT_CONFIGURED,)),
+    ('NOAUTH', (Code.UNKNOWN_KEY,)),
+    ('TOOMANY', (Code.LIMIT_REACHED,)),
     ('FAILED', (Code.STATEMENT_FAILED,)),
     ('TIMEOUT', (Code.TIMED_OUT,)),
     ('READONLY', (Code.READ_ONLY,)),
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -200,6 +200,7 @@
             min(limit, QUEUE_LIMIT),
             self.state.values,
             max(0, self.due - self.started_at),
+            self.state.workspace,
         )
         if isinstance(lease, Refusal):
             return lease
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -125,17 +125,18 @@
         state.note_change(answer)
         return answer
 
-    def explain(self, refusal: Refusal, request: Request, search: str) -> None:
+    def explain(self, refusal: Refusal, search: Search) -> None:
         """Log why a request got no success."""
         self.runtime.journal.record_often(
             'request.refused',
-            request=request.id,
+            request=search.request.id,
             service=self.runtime.name,
+            workspace=search.state.workspace,
             code=refusal.code,
             fate=refusal.fate,
             term=self.runtime.belief.term,
             primary=self.runtime.belief.primary,
-            reason=search,
+            reason=search.describe(),
         )
 
     async def _start(
@@ -183,7 +184,7 @@
         while True:
             refusal = await self._launch(search, route)
             if refusal is not None and not search.running:
-                self.explain(refusal, search.request, search.describe())
+                self.explain(refusal, search)
                 return refusal
             ended = await self._await_end(search)
             if ended is None:
@@ -193,7 +194,7 @@
                 return ended, ended.end
             refusal = await self._retries.weigh(search, ended)
             if refusal is not None:
-                self.explain(refusal, search.request, search.describe())
+                self.explain(refusal, search)
                 return refusal
 
     async def _launch(self, search: Search, route: Route) -> Refusal | None:
@@ -378,6 +379,7 @@
             'request.served',
             request=search.request.id,
             database=search.state.database,
+            workspace=search.state.workspace,
             kind=kind,
             server=target.handle.id,
             role=role,
--- a/deckdrum/serving/host.py
+++ b/deckdrum/serving/host.py
@@ -3,12 +3,13 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-from deckdrum.control import Route
+from deckdrum.control import Access
 from deckdrum.fleet.policies import Policy
 from deckdrum.operations import Answer, Request
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.execution import Execution
 from deckdrum.serving.runners import StatementRunner
+from deckdrum.serving.state import SessionState
 
 if TYPE_CHECKING:
     from deckdrum.serving.session import CallerSession
@@ -28,8 +29,8 @@
     policies: frozenset[Policy]
 
     @abstractmethod
-    def find_route(self, database: str) -> Route | None:
-        """Return the route in force for a database name."""
+    def find_access(self, state: SessionState) -> Access | Refusal:
+        """Return what a session may use now."""
 
     @abstractmethod
     def find_runner(self, service: str) -> StatementRunner | None:
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -219,10 +219,12 @@
         limit: float,
         values: Mapping[str, str],
         patience: float = math.inf,
+        workspace: str | None = None,
     ) -> ServerLease | Refusal:
         """Lend a connection, best one that has the session's `values`.
 
-        After `patience` seconds the request will be late.
+        After `patience` seconds the request will be late.  The connection is
+        of a `workspace`, or of anybody.
 
         Raises
         ------
@@ -232,15 +234,21 @@
         if self._has_few and Policy.FEW_WAIT in self._policies:
             limit = min(limit, FEW_WAIT)
         if not self.is_holder:
-            return await self.loans.acquire(group, limit)
-        borrowed = await self._borrow_beside(group, limit)
+            return await self.loans.acquire(group, limit, workspace=workspace)
+        borrowed = await self._borrow_beside(group, limit, workspace)
         if borrowed is not None:
             return borrowed
         try:
-            return await self.acquire_own(group, limit, values, patience)
+            return await self.acquire_own(
+                group,
+                limit,
+                values,
+                patience,
+                workspace,
+            )
         except ConnectionLimitError:
             # Connections of nodes that were killed linger for a while.
-            return await self.loans.acquire(group, limit)
+            return await self.loans.acquire(group, limit, workspace=workspace)
 
     async def acquire_own(
         self,
@@ -248,6 +256,7 @@
         limit: float,
         values: Mapping[str, str],
         patience: float = math.inf,
+        workspace: str | None = None,
     ) -> ServerLease | Refusal:
         """Lend a connection of this node's own; see `acquire`."""
         return await self.pool.acquire(
@@ -255,6 +264,7 @@
             limit,
             lambda link: link.state.values == values,
             patience,
+            workspace,
         )
 
     async def release(self, lease: ServerLease, is_clean: bool) -> None:
@@ -374,6 +384,7 @@
         self,
         group: str,
         limit: float,
+        workspace: str | None,
     ) -> ServerLease | None:
         """Borrow if the few own connections are busy and others are not."""
         if Policy.BORROWING not in self._policies:
@@ -381,7 +392,7 @@
         if not self._has_few or not self.pool.queue.is_busy:
             return None
         try:
-            lease = await self.loans.acquire(group, limit)
+            lease = await self.loans.acquire(group, limit, workspace=workspace)
         except ConnectionError:
             # The others have none either: the request waits for its turn.
             return None
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from deckdrum.control import Access
 from deckdrum.operations import (
     Answer,
     Begin,
@@ -39,11 +40,18 @@
         The node.
     database : str
         The database name that the caller has connected to.
+    fingerprint : str
+        Of the caller's key.
     """
 
-    def __init__(self, host: SessionHost, database: str) -> None:
+    def __init__(
+        self,
+        host: SessionHost,
+        database: str,
+        fingerprint: str = '',
+    ) -> None:
         self._host = host
-        self.state = SessionState(database)
+        self.state = SessionState(database, fingerprint)
         self._transactions = TransactionRunner(host, self.state)
         self.is_busy = False
         #: When the last operation ended, in kernel seconds.
@@ -129,10 +137,10 @@
         is_open = self.state.transaction is not None
         if not isinstance(operation, Begin) or is_open:
             return _refuse_order(request)
-        route = self._host.find_route(self.state.database)
-        if route is None:
-            return refuse(Code.NOT_CONFIGURED, self.state.database)
-        self.state.transaction = Transaction(operation.read_only, route)
+        access = self._find_access()
+        if isinstance(access, Refusal):
+            return access
+        self.state.transaction = Transaction(operation.read_only, access.route)
         return Answer(standing=Standing.OPEN)
 
     async def _rollback(self, request: Request) -> Outcome:
@@ -163,9 +171,10 @@
         transaction = self.state.transaction
         if transaction is not None:
             return await self._run_checked(request, effect, transaction)
-        route = self._host.find_route(self.state.database)
-        if route is None:
-            return refuse(Code.NOT_CONFIGURED, self.state.database)
+        access = self._find_access()
+        if isinstance(access, Refusal):
+            return access
+        route = access.route
         runner = self._host.find_runner(route.service)
         if runner is None:
             return refuse(Code.NOT_CONFIGURED, route.service)
@@ -185,6 +194,13 @@
             transaction.has_written = True
         return await self._transactions.run(request, transaction)
 
+    def _find_access(self) -> Access | Refusal:
+        """Return what the session may use now, and note for whom."""
+        access = self._host.find_access(self.state)
+        if isinstance(access, Access):
+            self.state.workspace = access.workspace.name
+        return access
+
     def _tell_loss(self) -> Refusal | None:
         """Tell once that the product has rolled the transaction back."""
         transaction = self.state.transaction
--- a/deckdrum/serving/state.py
+++ b/deckdrum/serving/state.py
@@ -96,10 +96,28 @@
 class SessionState:
     """State of one session.
 
-    `floor` is the position of the session's latest change.
+    Attributes
+    ----------
+    database : str
+        Name that the caller has connected to.
+    fingerprint : str
+        Of the caller's key.
+    workspace : str
+        Which workspace held the key when the latest transaction, or statement
+        outside one, began.
+    values : dict of str to str
+        Session values.
+    prepared : dict of str to PreparedStatement
+        Prepared statements by the caller's names.
+    floor : Position
+        Position of the session's latest change.
+    transaction : Transaction or None
+        The open one.
     """
 
     database: str
+    fingerprint: str = ''
+    workspace: str = ''
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     floor: Position = NOWHERE
--- a/deckdrum/serving/tests/test_lost_answers.py
+++ b/deckdrum/serving/tests/test_lost_answers.py
@@ -135,7 +135,7 @@
     async def scenario(deployment: Deployment) -> None:
         client = await deployment.connect(CURRENT)
         node = deployment.nodes[0].node
-        execution = node.find_execution(SERVICE)
+        execution = node.host.find_execution(SERVICE)
         assert execution is not None
         for _ in range(3):
             assert (await client.ask('READ a')).is_done
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -122,11 +122,15 @@
     ) -> Outcome:
         """Open the transaction on a server with its first statement."""
         # A new configuration may have come since BEGIN was answered.
-        route = self._host.find_route(self._state.database)
-        runner = self._host.find_runner(route.service) if route else None
-        if route is None or runner is None:
-            return await self.fail('its route was removed')
+        access = self._host.find_access(self._state)
+        if isinstance(access, Refusal):
+            return await self.fail(access.text, code=access.code)
+        route = access.route
+        runner = self._host.find_runner(route.service)
+        if runner is None:
+            return await self.fail(f'no group {route.service} here')
         transaction.route = route
+        self._state.workspace = access.workspace.name
         begin = Begin(transaction.read_only)
         begun = await runner.begin(request, begin, route, self._state)
         if isinstance(begun, Refusal):
--- a/deckdrum/standins/users/connections.py
+++ b/deckdrum/standins/users/connections.py
@@ -10,6 +10,8 @@
     """State of one connection to a database."""
 
     stream: Stream
+    #: For whom it was opened.
+    who: str = ''
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, tuple[str, str]] = field(default_factory=dict)
     transaction: str = ''
--- a/deckdrum/standins/users/records.py
+++ b/deckdrum/standins/users/records.py
@@ -21,3 +21,5 @@
     text: str
     log_end: int
     values: tuple[tuple[str, str], ...] = ()
+    #: For whom its connection was opened.
+    who: str = ''
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -202,11 +202,11 @@
         await self.publish()
 
     async def _serve(self, stream: Stream) -> None:
-        connection = Connection(stream)
         buffer = bytearray()
         line = await read_line(stream, buffer)
         if line is None or not await self._open(stream, line):
             return
+        connection = Connection(stream, line.split(' ')[2])
         try:
             while line := await read_line(stream, buffer):
                 await self._stay_dark()
@@ -364,6 +364,7 @@
             text,
             len(self.log),
             tuple(sorted(connection.values.items())),
+            connection.who,
         )
         self.group.ran.append(ran)
         return f'COMPLETE {self.name}.{len(self.group.ran)}\r\n'
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -84,6 +84,11 @@
     return defaults | fields
 
 
+def build_tenant(name: str, *keys: str, **fields: Any) -> dict[str, Any]:
+    """Return a workspace as the operator writes it, without a limit."""
+    return {'name': name, 'apiKeys': list(keys), 'priority': 1} | fields
+
+
 @dataclass(slots=True)
 class Reply:
     """A whole answer: rows, the word and text of its end, and the state."""
@@ -110,10 +115,15 @@
         self.greeting = Reply()
 
     @classmethod
-    async def connect(cls, address: Address, database: str) -> 'LineClient':
-        """Open a session."""
+    async def connect(
+        cls,
+        address: Address,
+        database: str,
+        key: str = 'test',
+    ) -> 'LineClient':
+        """Open a session with a key."""
         client = cls(await dial(address, 1))
-        await client.send(f'STARTUP {database} test')
+        await client.send(f'STARTUP {database} {key}')
         client.greeting = await client.read_reply()
         return client
 
@@ -270,6 +280,17 @@
         await running.frontend.close()
         await running.store.close()
 
+    async def configure(self, version: int, **fields: Any) -> None:
+        """Have a configuration come into force on every node."""
+        config = build_config(version, **fields)
+        config['services'][0]['maxConns'] = self.group.max_connections
+        await self.store.write('config', 'main', config)
+        await self.wait_for(
+            lambda: all(
+                running.node.view.version == version for running in self.nodes
+            ),
+        )
+
     async def cut_off(self, number: int, server: str) -> None:
         """Cut a node off from a database; what is open hangs."""
         node = self.nodes[number].node
@@ -281,10 +302,15 @@
         """End the cuts of a node."""
         self._cuts.pop(number, None)
 
-    async def connect(self, database: str, node: int = 0) -> LineClient:
-        """Open a session at a node."""
+    async def connect(
+        self,
+        database: str,
+        node: int = 0,
+        key: str = 'test',
+    ) -> LineClient:
+        """Open a session at a node, with a key."""
         address = self.nodes[node].frontend.address
-        return await LineClient.connect(address, database)
+        return await LineClient.connect(address, database, key)
 
     async def wait_for(
         self,
