Keep the limits of workspaces by one counting node each

Cause: nothing counted. Change: a few nodes of each data centre keep limits, each workspace one of them. Every operation asks there; callers are refused at once with a code of their own and a time to come back. While a keeper is silent a deputy lets through a part of the tolerance, after one that is known not to run a successor counts on; a node that reaches none has a small part, which all nodes together may spend.

--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -10,7 +10,7 @@
 
 import msgpack
 
-from deckdrum.fleet import questions
+from deckdrum.fleet import limits, questions
 from deckdrum.fleet.base import Message
 
 #: Largest message accepted from a peer, in bytes.
@@ -173,6 +173,8 @@
     questions.Forward,
     questions.ForwardNext,
     questions.ForwardAnswer,
+    limits.AskLimit,
+    limits.LimitAnswer,
 )
 _NUMBERS: Final = MappingProxyType(
     {message_type: number for number, message_type in enumerate(_TYPES)},
--- a/deckdrum/fleet/settings.py
+++ b/deckdrum/fleet/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
+from deckdrum.load.limits import STANDARD_TOLERANCE, Tolerance
 from deckdrum.utils import Address
 
 
@@ -24,6 +25,8 @@
         Of its randomness; 0 takes a fresh one.
     policies : frozenset of Policy
         Mechanisms in force.
+    limit_tolerance : Tolerance
+        What workspaces may begin beyond their limits.
     """
 
     name: str
@@ -32,3 +35,4 @@
     seeds: tuple[Address, ...] = ()
     seed: int = 0
     policies: frozenset[Policy] = ALL_POLICIES
+    limit_tolerance: Tolerance = STANDARD_TOLERANCE
--- a/deckdrum/forwarding/receiving.py
+++ b/deckdrum/forwarding/receiving.py
@@ -81,6 +81,9 @@
         """Return what the other node has found."""
         return self._access
 
+    async def spend_limit(self, access: Access) -> Refusal | None:
+        """Leave the limit to the node whose caller it is."""
+
     def find_runner(self, service: str) -> StatementRunner | None:
         """Return what runs statements here: they are handed over once."""
         return self._execution
--- a/deckdrum/node/answering.py
+++ b/deckdrum/node/answering.py
@@ -8,6 +8,7 @@
 
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
+from deckdrum.fleet.limits import AskLimit
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.questions import (
     AskProof,
@@ -19,6 +20,7 @@
     ServerAnswer,
     TermEnded,
 )
+from deckdrum.limits import LimitCounter
 from deckdrum.serving.servers import FRESH_ANSWER, ServerHandle
 from deckdrum.serving.service import ServiceRuntime
 
@@ -32,10 +34,17 @@
     ----------
     services : mapping of str to ServiceRuntime
         The node's database groups.
+    limits : LimitCounter
+        Counts for workspaces.
     """
 
-    def __init__(self, services: Mapping[str, ServiceRuntime]) -> None:
+    def __init__(
+        self,
+        services: Mapping[str, ServiceRuntime],
+        limits: LimitCounter,
+    ) -> None:
         self._services = services
+        self._limits = limits
 
     async def answer(self, question: Message) -> Message | None:
         """Return the answer to a question; None if it is no question."""
@@ -75,6 +84,9 @@
             return SampleAnswer(0, 0, -1)
         return await runtime.tell_sample()
 
+    async def _count_operation(self, question: AskLimit) -> Message:
+        return await self._limits.answer(question)
+
     async def _end_term(self, question: EndTerm) -> Message:
         runtime = self._services.get(question.service)
         if runtime is not None:
@@ -96,6 +108,7 @@
 _REPLIES: Final[_Replies] = MappingProxyType(
     {
         Heartbeat: Answerer._send_back,
+        AskLimit: Answerer._count_operation,
         AskProof: Answerer._tell_proof,
         AskSample: Answerer._tell_sample,
         AskServer: Answerer._tell_server,
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -113,7 +113,6 @@
         )
         self.lender = Lender(self.services, counters)
         self.peers.lend = self.lender.lend
-        self.peers.answer = Answerer(self.services).answer
         self._care = MemberCare(
             settings.name,
             self.view,
@@ -133,11 +132,16 @@
         )
         #: Opens sessions of callers.
         self.host = NodeHost(
+            settings,
             self.view,
+            self.peers,
             self._book,
             self._sessions,
-            settings.policies,
+            journal,
+            counters,
         )
+        answerer = Answerer(self.services, self.host.counter)
+        self.peers.answer = answerer.answer
         self._forwarded = ForwardedWork(
             self._book.find_execution,
             lambda: self.view.configuration,
@@ -213,6 +217,7 @@
         """Call for no more callers; what is under way goes on."""
         if not self.is_stopping:
             self.is_stopping = True
+            self.host.counter.is_stopping = True
             await self._registration.announce_leave()
             self.journal.record(
                 'node.stopping',
@@ -268,6 +273,7 @@
             await self._changed.wait()
             await curio.sleep(FOLLOW_PAUSE)
             self._changed.clear()
+            await self.host.counter.adopt_members()
             await self._book.adopt(
                 self._registration.member,
                 is_returning=self._registration.is_returning,
--- a/deckdrum/node/host.py
+++ b/deckdrum/node/host.py
@@ -1,7 +1,9 @@
 """What the sessions of a node's callers need of it."""
 
 from deckdrum.control import Access, ControlView, Route, find_access
-from deckdrum.fleet.policies import Policy
+from deckdrum.fleet.nodes import NodePeers
+from deckdrum.fleet.settings import NodeSettings
+from deckdrum.limits import LimitAsker, LimitCounter
 from deckdrum.node.services import ServiceBook
 from deckdrum.node.sessions import SessionBook
 from deckdrum.operations import Request
@@ -14,6 +16,8 @@
     StatementRunner,
 )
 from deckdrum.serving.state import SessionState
+from deckdrum.utils import Journal
+from deckdrum.utils.counters import Counters
 
 
 class NodeHost(SessionHost):
@@ -21,27 +25,51 @@
 
     Parameters
     ----------
+    settings : NodeSettings
+        The node.
     view : ControlView
         Knows the configuration in force.
+    peers : NodePeers
+        The other nodes, some of which count for workspaces.
     book : ServiceBook
         Knows what runs statements.
     sessions : SessionBook
         Keeps the open sessions.
-    policies : frozenset of Policy
-        Mechanisms in force.
+    journal : Journal
+        For operations that limits turn away.
+    counters : Counters
+        For metrics.
     """
 
     def __init__(
         self,
+        settings: NodeSettings,
         view: ControlView,
+        peers: NodePeers,
         book: ServiceBook,
         sessions: SessionBook,
-        policies: frozenset[Policy],
+        journal: Journal,
+        counters: Counters,
     ) -> None:
-        self.policies = policies
+        self.policies = settings.policies
+        #: Counts for the workspaces whose limits this node keeps.
+        self.counter = LimitCounter(
+            settings.name,
+            view,
+            peers,
+            settings.limit_tolerance,
+        )
         self._view = view
         self._book = book
         self._sessions = sessions
+        self._limits = LimitAsker(
+            settings.name,
+            view,
+            peers,
+            self.counter,
+            journal,
+            counters,
+        )
 
     def open_session(
         self,
@@ -65,6 +93,10 @@
             state.fingerprint,
         )
 
+    async def spend_limit(self, access: Access) -> Refusal | None:
+        """Begin an operation within its workspace's limit, or refuse it."""
+        return await self._limits.spend(access.workspace)
+
     def find_runner(self, service: str) -> StatementRunner | None:
         """Return what runs statements of a group, here or elsewhere."""
         return self._book.find_runner(service)
--- a/deckdrum/outcomes/codes.py
+++ b/deckdrum/outcomes/codes.py
@@ -34,6 +34,7 @@
     NOT_READY = 'DD010'
     UNKNOWN_KEY = 'DD011'
     LIMIT_REACHED = 'DD012'
+    LIMIT_UNKNOWN = 'DD013'
     UNCONFIRMED = 'DD100'
     CONNECTION_LOST = 'DD101'
     ANSWER_TOO_LARGE = 'DD102'
@@ -115,6 +116,12 @@
             'the workspace has used up its limit',
             1.0,
         ),
+        _entry(
+            Code.LIMIT_UNKNOWN,
+            Fate.NOT_RUN,
+            'this node reaches none that counts for the workspace',
+            _AT_ONCE,
+        ),
         _entry(
             Code.READ_ONLY,
             Fate.NOT_RUN,
--- a/deckdrum/platform/settings.py
+++ b/deckdrum/platform/settings.py
@@ -8,6 +8,7 @@
 
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.fleet.settings import NodeSettings
+from deckdrum.load.limits import Tolerance
 from deckdrum.outcomes.errors import SettingsError
 from deckdrum.utils import Address
 
@@ -32,6 +33,10 @@
 
     #: Time between SIGTERM and SIGKILL, in seconds.
     grace_s: float = 6.0
+    #: Window of the limits in seconds, and what may be run beyond them in it.
+    quota_window_s: float = 5.0
+    quota_overrun: float = 0.1
+    quota_slack: float = 20.0
 
 
 class _Store(msgspec.Struct, rename='camel'):
@@ -112,6 +117,11 @@
             peer_address=Address(self.ip, self.peer_port),
             seeds=seeds,
             policies=policies,
+            limit_tolerance=Tolerance(
+                self.bounds.quota_window_s,
+                self.bounds.quota_overrun,
+                self.bounds.quota_slack,
+            ),
         )
 
 
--- a/deckdrum/platform/wire.py
+++ b/deckdrum/platform/wire.py
@@ -48,6 +48,7 @@
             Code.READ_NOT_POSSIBLE,
             Code.PRIMARY_REFUSED,
             Code.NOT_READY,
+            Code.LIMIT_UNKNOWN,
         ),
     ),
     (
--- a/deckdrum/serving/host.py
+++ b/deckdrum/serving/host.py
@@ -32,6 +32,10 @@
     def find_access(self, state: SessionState) -> Access | Refusal:
         """Return what a session may use now."""
 
+    @abstractmethod
+    async def spend_limit(self, access: Access) -> Refusal | None:
+        """Begin an operation within its workspace's limit, or refuse it."""
+
     @abstractmethod
     def find_runner(self, service: str) -> StatementRunner | None:
         """Return what runs statements of a group: this node, or another."""
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -137,7 +137,7 @@
         is_open = self.state.transaction is not None
         if not isinstance(operation, Begin) or is_open:
             return _refuse_order(request)
-        access = self._find_access()
+        access = await self._admit()
         if isinstance(access, Refusal):
             return access
         self.state.transaction = Transaction(operation.read_only, access.route)
@@ -171,7 +171,7 @@
         transaction = self.state.transaction
         if transaction is not None:
             return await self._run_checked(request, effect, transaction)
-        access = self._find_access()
+        access = await self._admit()
         if isinstance(access, Refusal):
             return access
         route = access.route
@@ -194,12 +194,13 @@
             transaction.has_written = True
         return await self._transactions.run(request, transaction)
 
-    def _find_access(self) -> Access | Refusal:
-        """Return what the session may use now, and note for whom."""
+    async def _admit(self) -> Access | Refusal:
+        """Begin an operation; return what it may use, and note for whom."""
         access = self._host.find_access(self.state)
-        if isinstance(access, Access):
-            self.state.workspace = access.workspace.name
-        return access
+        if isinstance(access, Refusal):
+            return access
+        self.state.workspace = access.workspace.name
+        return await self._host.spend_limit(access) or access
 
     def _tell_loss(self) -> Refusal | None:
         """Tell once that the product has rolled the transaction back."""
--- /dev/null
+++ b/deckdrum/testing/limits.py
@@ -0,0 +1,159 @@
+"""Many nodes that keep limits, without sockets, in virtual time."""
+
+import curio
+
+from deckdrum.control import Configuration, ControlView, Entry, Kind, Member
+from deckdrum.fleet.base import Message
+from deckdrum.fleet.health import PeerHealth
+from deckdrum.fleet.limits import AskLimit
+from deckdrum.fleet.messages import Heartbeat
+from deckdrum.fleet.nodes import NodePeers, PeerAnswer
+from deckdrum.limits import LimitAsker, LimitCounter
+from deckdrum.load.limits import STANDARD_TOLERANCE
+from deckdrum.outcomes import Refusal
+from deckdrum.utils import Address
+from deckdrum.utils.counters import Counters
+from deckdrum.utils.journal import silent_journal
+from deckdrum.workspaces import Workspace, WorkspaceBook
+
+#: One way between two nodes, in seconds.
+HOP = 0.0005
+CENTRES = ('ba-hall', 'tt-hall', 'nr-hall')
+
+
+def find_worst_window(times: list[float], window: float) -> int:
+    """Return the most operations that were begun in any window.
+
+    Examples
+    --------
+    >>> find_worst_window([0.0, 1.0, 4.9, 5.1, 5.2], window=5)
+    4
+    """
+    ordered = sorted(times)
+    worst = 0
+    first = 0
+    for place, time in enumerate(ordered):
+        while time - ordered[first] >= window:
+            first += 1
+        worst = max(worst, place - first + 1)
+    return worst
+
+
+class FleetPeers(NodePeers):
+    """A node's way to the others of a `LimitFleet`."""
+
+    def __init__(self, fleet: 'LimitFleet', node: int) -> None:
+        self._fleet = fleet
+        self._node = node
+        self.health = PeerHealth(self.ask, silent_journal('test'))
+
+    async def ask(
+        self,
+        address: Address,
+        question: Message,
+        limit: float = 1,
+    ) -> PeerAnswer:
+        """Ask a node of the fleet, or wait in vain for one that is cut off."""
+        other = address.port
+        await curio.sleep(2 * HOP)
+        if other in self._fleet.dead:
+            return ConnectionRefusedError('no process')
+        if self._fleet.is_cut(self._node, other):
+            await curio.sleep(limit)
+            return None
+        if isinstance(question, Heartbeat):
+            return question
+        if isinstance(question, AskLimit):
+            counter = self._fleet.nodes[other].counter
+            return await counter.answer(question)
+        return None
+
+
+class FleetNode:
+    """One node of a `LimitFleet`."""
+
+    def __init__(self, fleet: 'LimitFleet', number: int) -> None:
+        journal = silent_journal('test')
+        # Nothing of the store is asked here.
+        self.view = ControlView(None, journal)  # type: ignore[arg-type]
+        peers = FleetPeers(fleet, number)
+        name = f'n{number}'
+        self.counter = LimitCounter(name, self.view, peers, STANDARD_TOLERANCE)
+        self.asker = LimitAsker(
+            name,
+            self.view,
+            peers,
+            self.counter,
+            journal,
+            Counters(),
+        )
+
+
+class LimitFleet:
+    """Nodes whose callers share the limit of one workspace.
+
+    Parameters
+    ----------
+    count : int
+        Number of nodes.
+    workspace : Workspace
+        The workspace.
+    """
+
+    def __init__(self, count: int, workspace: Workspace) -> None:
+        #: Nodes whose processes do not run, and groups that reach only
+        #: themselves.
+        self.dead: set[int] = set()
+        self.parts: list[set[int]] = []
+        #: When operations were begun, in kernel seconds, and how many were not.
+        self.begun: list[float] = []
+        self.refused = 0
+        self.workspace = workspace
+        self.nodes = [FleetNode(self, number) for number in range(count)]
+        self._version = 0
+
+    async def start(self) -> None:
+        """Let every node know the others and the limit."""
+        await self.limit(self.workspace)
+        for node in self.nodes:
+            await self.introduce(node)
+
+    async def introduce(self, node: FleetNode) -> None:
+        """Let a node know the others."""
+        for number, _ in enumerate(self.nodes):
+            centre = CENTRES[number % len(CENTRES)]
+            member = Member(f'n{number}', f'127.0.0.1:{number}', centre, 'run')
+            entry = Entry(member.name, number + 1, member)
+            await node.view.adopt_entry(Kind.MEMBERS, entry)
+        await node.counter.adopt_members()
+
+    async def limit(self, workspace: Workspace) -> None:
+        """Bring a limit into force on every node."""
+        self.workspace = workspace
+        self._version += 1
+        book = WorkspaceBook({workspace.name: workspace}, {})
+        for node in self.nodes:
+            node.view.configuration = Configuration(
+                self._version, {}, {}, 3, b'', book
+            )
+
+    async def restart(self, number: int) -> None:
+        """Begin a new life of a node."""
+        node = FleetNode(self, number)
+        node.view.configuration = self.nodes[number].view.configuration
+        self.nodes[number] = node
+        self.dead.discard(number)
+        await self.introduce(node)
+
+    def is_cut(self, one: int, other: int) -> bool:
+        """Tell whether two nodes do not reach each other."""
+        return any((one in part) != (other in part) for part in self.parts)
+
+    async def send(self, number: int) -> Refusal | None:
+        """Let a caller of a node begin an operation."""
+        refusal = await self.nodes[number].asker.spend(self.workspace)
+        if refusal is None:
+            self.begun.append(await curio.clock())
+        else:
+            self.refused += 1
+        return refusal
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -16,6 +16,7 @@
 _PREFIX: Final = 'deckdrum_node_'
 _SERVED_LABELS: Final = ('database', 'kind', 'role')
 _LATENCY_LABELS: Final = ('guarantee', 'outcome')
+_LIMIT_LABELS: Final = ('workspace', 'code')
 _CALL_LABELS: Final = ('call', 'kind', 'outcome')
 
 
@@ -41,6 +42,7 @@
         self.events: Counter[str] = Counter()
         self.served: Counter[tuple[str, str, str]] = Counter()
         self.store_calls: Counter[tuple[str, str, str]] = Counter()
+        self.limited: Counter[tuple[str, str]] = Counter()
         #: Present values by name, read when they are rendered.
         self.gauges: dict[str, Callable[[], float]] = {}
         self._latency: dict[tuple[str, str], list[int]] = {}
@@ -68,6 +70,10 @@
         """
         self.store_calls[call, kind, outcome] += 1
 
+    def count_limited(self, workspace: str, code: str) -> None:
+        """Count an operation that a workspace's limit has turned away."""
+        self.limited[workspace, code] += 1
+
     def describe_store_calls(self) -> dict[str, int]:
         """Return the calls to the store so far, as they stand in logs."""
         return {
@@ -97,6 +103,7 @@
         yield self._collect_events(core)
         yield self._collect_served(core)
         yield self._collect_store_calls(core)
+        yield self._collect_limited(core)
         yield self._collect_latency(core)
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
@@ -141,6 +148,16 @@
             family.add_metric(labels, number)
         return family
 
+    def _collect_limited(self, core: Any) -> Any:
+        family = core.CounterMetricFamily(
+            f'{_PREFIX}limited',
+            'Operations that limits have turned away, by workspace and code',
+            labels=_LIMIT_LABELS,
+        )
+        for labels, number in self.limited.items():
+            family.add_metric(labels, number)
+        return family
+
     def _collect_latency(self, core: Any) -> Any:
         family = core.HistogramMetricFamily(
             f'{_PREFIX}request_seconds',
