Hand a workspace's statements to one holder of its group

Change: where few nodes hold connections, a workspace's statements go to one of them in the fleet by rank, also from other holders; the next one stands in. Who holds what moves to a module of its own.

--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -26,6 +26,7 @@
 )
 from deckdrum.outcomes.errors import BrokenInvariantError
 from deckdrum.utils import ByteStream
+from deckdrum.utils.ranks import weigh
 
 #: Longest wait for a lender's answer beyond the wait that it is asked to
 #: bear, in seconds.
@@ -44,6 +45,12 @@
 Prepared = dict[tuple[str, str], str]
 
 
+def rank_lender(own: Member, lender: Member) -> tuple[bool, bytes]:
+    """Return a lender's place for a node: the nearest first, then spread."""
+    is_far = lender.data_centre != own.data_centre
+    return is_far, weigh(own.name, lender.name)
+
+
 class BorrowedStream(ByteStream):
     """Bytes of a borrowed connection, carried by its lender.
 
--- a/deckdrum/fleet/policies.py
+++ b/deckdrum/fleet/policies.py
@@ -22,6 +22,8 @@
     RETRY_BUDGET = 'retry-budget'
     #: Where few nodes hold a group's connections the others hand it statements.
     FORWARDING = 'forwarding'
+    #: Statements of one workspace meet at one holder.
+    WORKSPACE_HOLDERS = 'workspace-holders'
     #: Connections are borrowed of nodes that hold more or idle ones.
     BORROWING = 'borrowing'
     #: A primary that cannot be reached is reached through another node.
--- a/deckdrum/forwarding/receiving.py
+++ b/deckdrum/forwarding/receiving.py
@@ -84,7 +84,11 @@
     async def spend_limit(self, access: Access) -> Refusal | None:
         """Leave the limit to the node whose caller it is."""
 
-    def find_runner(self, service: str) -> StatementRunner | None:
+    def find_runner(
+        self,
+        service: str,
+        workspace: str,
+    ) -> StatementRunner | None:
         """Return what runs statements here: they are handed over once."""
         return self._execution
 
--- a/deckdrum/forwarding/sending.py
+++ b/deckdrum/forwarding/sending.py
@@ -4,7 +4,6 @@
 behind.  One that was not sent goes to the next holder.
 """
 
-from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 from typing import Any, Final, TypeGuard
 
@@ -124,6 +123,11 @@
             deadline,
         )
 
+    async def limit_route(self) -> Route:
+        """Return the route with the time that is left for the statement."""
+        left = self.deadline + FORWARD_MARGIN - await curio.clock()
+        return replace(self.route, statement_limit=max(left, FORWARD_MARGIN))
+
     def encode(self, limit: float) -> Forward:
         """Return the message that gives a holder `limit` seconds."""
         bound = replace(self.route, statement_limit=limit)
@@ -184,7 +188,8 @@
         )
         ended = await self._hand_over(work)
         if ended is None:
-            return await self._here.run_single(request, effect, route, state)
+            left = await work.limit_route()
+            return await self._here.run_single(request, effect, left, state)
         if isinstance(ended, Refusal):
             return ended
         holder = ended.holder
@@ -206,7 +211,8 @@
         work = await Handover.start(request, begin, route, state, version, True)
         ended = await self._hand_over(work)
         if ended is None:
-            return await self._here.begin(request, begin, route, state)
+            left = await work.limit_route()
+            return await self._here.begin(request, begin, left, state)
         if isinstance(ended, Refusal):
             return ended
         transaction = RemoteTransaction(
@@ -221,17 +227,19 @@
         transaction.is_open = True
         return Begun(ended.outcome, forwarded=transaction)
 
-    def _is_alone(self) -> bool:
-        """Tell whether no holder answers this node."""
-        names = [holder.name for holder in self._runtime.holders]
+    def _may_run_here(self) -> bool:
+        """Tell whether this node holds connections, or no holder answers."""
+        if self._runtime.holding.is_holder:
+            return True
+        names = [holder.name for holder in self._runtime.holding.others]
         return all(map(self._health.is_cut_off, names))
 
     async def _hand_over(self, work: Handover) -> Ended | Refusal | None:
         """Try holders until one answers; None if this node is cut off."""
         while True:
             now = await curio.clock()
-            holder = self._pick(work.tried, now)
-            if holder is None and self._is_alone():
+            holder = self._pick(work, now)
+            if holder is None and self._may_run_here():
                 return None
             if holder is None and await self._await_holders(work, now):
                 continue
@@ -266,13 +274,16 @@
         await self._peers.forwards.keep(holder.endpoint, handed.channel)
         return None
 
-    def _pick(self, tried: Collection[str], now: float) -> Member | None:
-        """Return the holder to ask next, the nearest that can help."""
+    def _pick(self, work: Handover, now: float) -> Member | None:
+        """Return the holder to ask next, the best that can help."""
+        tried = work.tried
         if len(tried) >= MOST_TRIED:
             return None
         left = [
             holder
-            for holder in self._runtime.holders
+            for holder in self._runtime.holding.find_holders(
+                work.state.workspace
+            )
             if holder.name not in tried
             and not self._health.is_silent(holder.name)
         ]
@@ -288,7 +299,7 @@
 
     async def _await_holders(self, work: Handover, now: float) -> bool:
         """Wait a moment if holders start again; tell whether to try anew."""
-        names = [holder.name for holder in self._runtime.holders]
+        names = [holder.name for holder in self._runtime.holding.others]
         is_starting = any(map(self._health.is_refusing, names))
         has_time = now - work.began <= NONE_LIMIT
         if not is_starting or not has_time or len(work.tried) >= MOST_TRIED:
--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -27,7 +27,7 @@
     return [
         number
         for number, running in enumerate(deployment.nodes)
-        if not running.node.services[SERVICE].is_forwarding
+        if running.node.services[SERVICE].holding.is_holder
     ]
 
 
@@ -36,13 +36,15 @@
     return next(
         number
         for number, running in enumerate(deployment.nodes)
-        if running.node.services[SERVICE].is_forwarding
+        if not running.node.services[SERVICE].holding.is_holder
     )
 
 
 def _find_first_holder(deployment: Deployment, caller: int) -> RunningNode:
     """Return the holder that a node asks first."""
-    name = deployment.nodes[caller].node.services[SERVICE].holders[0].name
+    name = (
+        deployment.nodes[caller].node.services[SERVICE].holding.others[0].name
+    )
     return next(
         running
         for running in deployment.nodes
@@ -229,7 +231,7 @@
             peers.run_forwarded = _stay_silent
         await client.ask('READ a')
         await curio.sleep(LIFE_LIMIT)
-        for holder in node.services[SERVICE].holders:
+        for holder in node.services[SERVICE].holding.others:
             assert node.peers.health.is_silent(holder.name)
 
     play(scenario, nodes=NODES, max_connections=FEW, settle=2.5)
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -104,7 +104,7 @@
         record = self._runtime.belief.record
         if record is not None and record.phase is Phase.FENCING:
             return await self._look_at_claim(record)
-        if self._runtime.is_forwarding:
+        if not self._runtime.holding.is_holder:
             # Those who use the servers see what becomes of them.
             self._without_since = None
             return LOOK_PAUSE
@@ -375,7 +375,7 @@
 
     def _list_users(self) -> list[Member]:
         """Return the other nodes that use the group's servers themselves."""
-        return self._runtime.holders or self._tools.peers.others
+        return self._runtime.holding.others or self._tools.peers.others
 
     def _rank(self, silent: Container[str] = ()) -> int:
         """Return how many nodes act before this one, but for silent ones."""
--- a/deckdrum/load/placement.py
+++ b/deckdrum/load/placement.py
@@ -16,7 +16,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
 from typing import Final
@@ -105,6 +105,24 @@
     )
 
 
+def rank_holders(
+    service: str,
+    workspace: str,
+    holders: Iterable[str],
+) -> list[str]:
+    """Return the holders of a group's connections, a workspace's own first.
+
+    Its statements meet there, so that they find its connections open: a server
+    works longer on a new connection than on a usual statement.
+
+    Examples
+    --------
+    >>> rank_holders('stalls', 'growers', ['n1', 'n2', 'n3'])
+    ['n1', 'n2', 'n3']
+    """
+    return sorted(holders, key=partial(weigh, service, workspace))
+
+
 def deal_connections(
     server: str,
     nodes: Mapping[str, str],
--- a/deckdrum/node/host.py
+++ b/deckdrum/node/host.py
@@ -97,9 +97,13 @@
         """Begin an operation within its workspace's limit, or refuse it."""
         return await self._limits.spend(access.workspace)
 
-    def find_runner(self, service: str) -> StatementRunner | None:
-        """Return what runs statements of a group, here or elsewhere."""
-        return self._book.find_runner(service)
+    def find_runner(
+        self,
+        service: str,
+        workspace: str,
+    ) -> StatementRunner | None:
+        """Return what runs a workspace's statements, here or elsewhere."""
+        return self._book.find_runner(service, workspace)
 
     def find_execution(self, service: str) -> Execution | None:
         """Return what runs statements of a group at this node itself."""
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -54,10 +54,14 @@
         """Return what runs statements of a group at this node itself."""
         return self._executions.get(service)
 
-    def find_runner(self, service: str) -> StatementRunner | None:
-        """Return what runs statements of a group, here or elsewhere."""
+    def find_runner(
+        self,
+        service: str,
+        workspace: str,
+    ) -> StatementRunner | None:
+        """Return what runs a workspace's statements, here or elsewhere."""
         runtime = self.services.get(service)
-        if runtime is not None and runtime.is_forwarding:
+        if runtime is not None and runtime.holding.find_holders(workspace):
             return self._forwarders[service]
         return self.find_execution(service)
 
--- a/deckdrum/serving/host.py
+++ b/deckdrum/serving/host.py
@@ -37,8 +37,12 @@
         """Begin an operation within its workspace's limit, or refuse it."""
 
     @abstractmethod
-    def find_runner(self, service: str) -> StatementRunner | None:
-        """Return what runs statements of a group: this node, or another."""
+    def find_runner(
+        self,
+        service: str,
+        workspace: str,
+    ) -> StatementRunner | None:
+        """Return what runs a workspace's statements: this node, or another."""
 
     @abstractmethod
     def find_execution(self, service: str) -> Execution | None:
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -19,18 +19,14 @@
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.fleet.questions import AskSample, SampleAnswer
 from deckdrum.leadership.belief import VALIDITY, LeadershipBelief
-from deckdrum.load.placement import (
-    USEFUL_CONNECTIONS,
-    deal_connections,
-    pick_holders,
-)
+from deckdrum.load.placement import USEFUL_CONNECTIONS
 from deckdrum.members import GroupShare
+from deckdrum.serving.holding import Holding, list_staying
 from deckdrum.serving.proofs import SHARED_AGE, ProofSources, Source
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.sessions import Position
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
-from deckdrum.utils.ranks import weigh
 from deckdrum.utils.tasks import SharedCall
 
 #: Weight of a group of callers by the priority of its route; 0 is the most
@@ -90,11 +86,8 @@
         self.on_trouble: Callable[[ServerHandle], None] | None = None
         #: Whether this node is changing the primary.
         self.is_changing = False
-        #: The other nodes that hold connections to the group's servers, the
-        #: nearest first, if not every node does.
-        self.holders: list[Member] = []
-        #: Whether this node hands the group's statements to one of them.
-        self.is_forwarding = False
+        #: Which nodes hold the group's connections.
+        self.holding = Holding(declaration.name, peers, policies)
         #: Statements at the primary that have no answer yet.
         self.in_flight = 0
         self._make_backend = make_backend
@@ -108,8 +101,6 @@
             counters,
         )
         self._shares: dict[str, GroupShare] = {}
-        #: What the connections were last dealt for.
-        self._dealt: tuple[int, dict[str, Member], set[str]] | None = None
         self._discovered_at = float('-inf')
         self._sampling = SharedCall(self._sample)
         self._asking_primary = SharedCall(self._ask_primary)
@@ -163,44 +154,19 @@
     ) -> None:
         """Deal the servers' connections among the nodes that stay."""
         self.declaration = declaration
-        staying = {
-            name: member.data_centre
-            for name, member in members.items()
-            if not member.is_leaving and not member.is_gone
-        }
-        staying[own.name] = own.data_centre
         limit = declaration.max_connections
-        dealt = (limit, dict(members), set(self.servers))
-        if dealt == self._dealt:
+        if self.holding.is_dealt_for(limit, members, self.servers):
             return
-        self._dealt = dealt
         if Policy.SHARED_PROOF in self.policies:
+            staying = list_staying(own, members)
             self._proofs.pick_collector(own, members, staying)
-        holders: tuple[str, ...] = ()
-        if Policy.FORWARDING in self.policies:
-            holders = pick_holders(self.name, staying, limit)
-        self.holders = [members[name] for name in holders if name != own.name]
-        self.holders.sort(key=partial(_rank_lender, own))
-        self._peers.health.rely_on(self.name, self.holders)
-        self.is_forwarding = bool(holders) and own.name not in holders
-        for name, handle in self.servers.items():
-            centre = handle.server.data_centre
-            deal = deal_connections(name, staying, limit, centre, holders)
-            if Policy.NEAREST_CONNECTIONS not in self.policies:
-                deal = deal.level()
-            lenders = [
-                members[holder]
-                for holder in deal.holders
-                if holder != own.name and holder in members
-            ]
-            if Policy.BORROWING not in self.policies:
-                lenders = []
-            lenders.sort(key=partial(_rank_lender, own))
-            await handle.adopt_deal(
-                lenders,
-                deal.holders.get(own.name, 0),
-                self._shares,
-            )
+        await self.holding.deal(
+            limit,
+            own,
+            members,
+            self.servers,
+            self._shares,
+        )
 
     async def admit_group(self, route: Route) -> None:
         """Give the callers of a route their share of the connections."""
@@ -408,9 +374,3 @@
             # Whoever changes the primary announces it.
             await self.belief.wait_changed(min(DISCOVERY_PAUSE, limit))
         await self.discover()
-
-
-def _rank_lender(own: Member, lender: Member) -> tuple[bool, bytes]:
-    """Return a lender's place for a node: the nearest first, then spread."""
-    is_far = lender.data_centre != own.data_centre
-    return is_far, weigh(own.name, lender.name)
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -175,7 +175,10 @@
         if isinstance(access, Refusal):
             return access
         route = access.route
-        runner = self._host.find_runner(route.service)
+        runner = self._host.find_runner(
+            route.service,
+            self.state.workspace,
+        )
         if runner is None:
             return refuse(Code.NOT_CONFIGURED, route.service)
         return await runner.run_single(request, effect, route, self.state)
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -126,11 +126,11 @@
         if isinstance(access, Refusal):
             return await self.fail(access.text, code=access.code)
         route = access.route
-        runner = self._host.find_runner(route.service)
+        self._state.workspace = access.workspace.name
+        runner = self._host.find_runner(route.service, self._state.workspace)
         if runner is None:
             return await self.fail(f'no group {route.service} here')
         transaction.route = route
-        self._state.workspace = access.workspace.name
         begin = Begin(transaction.read_only)
         begun = await runner.begin(request, begin, route, self._state)
         if isinstance(begun, Refusal):
--- a/deckdrum/workspaces/tests/test_keys.py
+++ b/deckdrum/workspaces/tests/test_keys.py
@@ -188,7 +188,7 @@
         caller = next(
             number
             for number, running in enumerate(deployment.nodes)
-            if running.node.services['stalls'].is_forwarding
+            if not running.node.services['stalls'].holding.is_holder
         )
         client = await deployment.connect(CURRENT, caller, KEY)
         assert (await client.ask('READ a')).is_done
@@ -213,7 +213,7 @@
         caller = next(
             number
             for number, running in enumerate(deployment.nodes)
-            if running.node.services['stalls'].is_forwarding
+            if not running.node.services['stalls'].holding.is_holder
         )
         newest = decode_configuration(
             _encode(build_config(3, tenants=[GROWERS, SHOPPERS])),
