Keep the reads of a workspace to one replica while it has room

Cause: a holder's pool of each replica had to keep every workspace that it serves. Change: among idle replicas the one first by the workspace's rank, and beside a server's time the time that opening a connection takes there, as it is observed. Reads of nobody's go to the nearest as before.

--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -119,6 +119,10 @@
         """Whether more connections are open than there are slots."""
         return len(self._idle) + self.queue.held > self.queue.slots
 
+    def has_idle(self, workspace: str) -> bool:
+        """Tell whether a connection of a workspace is open and unused."""
+        return any(link.workspace == workspace for link in self._idle)
+
     async def acquire(
         self,
         group: str,
--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -42,6 +42,9 @@
 #: Lenders asked for one connection.
 LENDERS_ASKED: Final = 3
 
+#: Weight of the latest connection in the usual time of one.
+_LEARN_RATE: Final = 0.2
+
 Prepared = dict[tuple[str, str], str]
 
 
@@ -109,6 +112,8 @@
         self._direct = direct
         #: Until when the server is not asked for more connections.
         self.full_until = float('-inf')
+        #: Usual time until a new connection can be used, in seconds.
+        self.opening_time: float = 0
 
     async def connect(self, limit: float) -> BackendLink:
         """Open a connection, unless the server has just been found full."""
@@ -126,10 +131,13 @@
             raise NoneFreeError(f'{self.name} was full a moment ago')
         self._direct.server = self.server
         try:
-            return await self._direct.connect_for(group, limit, workspace)
+            link = await self._direct.connect_for(group, limit, workspace)
         except ConnectionLimitError:
             self.full_until = now + FULL_PAUSE
             raise
+        taken = await curio.clock() - now
+        self.opening_time += (taken - self.opening_time) * _LEARN_RATE
+        return link
 
     def wrap(self, stream: ByteStream) -> BackendLink:
         """Return the link over a connection that has been started."""
--- a/deckdrum/fleet/policies.py
+++ b/deckdrum/fleet/policies.py
@@ -24,6 +24,8 @@
     FORWARDING = 'forwarding'
     #: Statements of one workspace meet at one holder.
     WORKSPACE_HOLDERS = 'workspace-holders'
+    #: Reads of one workspace keep to one replica while it has room.
+    WORKSPACE_REPLICAS = 'workspace-replicas'
     #: Connections are borrowed of nodes that hold more or idle ones.
     BORROWING = 'borrowing'
     #: A primary that cannot be reached is reached through another node.
--- a/deckdrum/load/placement.py
+++ b/deckdrum/load/placement.py
@@ -123,6 +123,20 @@
     return sorted(holders, key=partial(weigh, service, workspace))
 
 
+def rank_replicas(workspace: str, replicas: Iterable[str]) -> list[str]:
+    """Return replicas, the one first that a workspace keeps to.
+
+    Without a preference its reads would be spread over all, and each would
+    have to keep connections of every workspace.
+
+    Examples
+    --------
+    >>> rank_replicas('growers', ['i-1', 'i-2'])
+    ['i-1', 'i-2']
+    """
+    return sorted(replicas, key=partial(weigh, workspace))
+
+
 def deal_connections(
     server: str,
     nodes: Mapping[str, str],
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -9,6 +9,7 @@
 
 from deckdrum.control import Guarantee, Route
 from deckdrum.fleet.policies import Policy
+from deckdrum.load.placement import rank_replicas
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.state import SessionState
@@ -108,7 +109,10 @@
             floor = await self._find_floor(route, state)
         if floor is not None:
             replica = await self._pick_replica(
-                floor, passed_over, route.objective
+                floor,
+                passed_over,
+                route.objective,
+                state.workspace,
             )
             if replica is not None:
                 return Target(replica, floor, False, floor.term)
@@ -137,6 +141,7 @@
         floor: Position,
         passed_over: Container[str],
         objective: float,
+        workspace: str,
     ) -> ServerHandle | None:
         now = await curio.clock()
         distance = min(DISTANCE_PART * objective, MOST_DISTANCE)
@@ -155,29 +160,53 @@
             return None
         best = min(
             fitting,
-            key=lambda handle: self._rank(handle, now, distance),
+            key=lambda handle: self._rank(handle, now, distance, workspace),
         )
         if primary is None or primary.server.is_draining:
             return best
         # A busy replica leaves the read to an idle primary.
         # Distance does not count here: bytes are no reason to load a primary.
-        cost = self._rank(primary, now) + PRIMARY_COST
-        return None if cost < self._rank(best, now) else best
+        cost = self._rank(primary, now, 0, workspace) + PRIMARY_COST
+        return None if cost < self._rank(best, now, 0, workspace) else best
+
+    def _is_preferred(self, handle: ServerHandle, workspace: str) -> bool:
+        """Tell whether a server is the first choice while all are idle.
+
+        A workspace keeps to one replica, so that its connections there stay in
+        use; reads of nobody's go to the nearest.
+        """
+        policies = self._runtime.policies
+        if not workspace or Policy.WORKSPACE_REPLICAS not in policies:
+            return handle.server.data_centre == self._data_centre
+        replicas = [replica.id for replica in self._runtime.replicas]
+        return rank_replicas(workspace, replicas)[:1] == [handle.id]
 
     def _rank(
         self,
         handle: ServerHandle,
         now: float,
-        distance: float = 0,
+        distance: float,
+        workspace: str,
     ) -> float:
         """Return the expected cost of a read in seconds.
 
-        `distance` is what another data centre costs.
+        `distance` is what another data centre costs.  Without an open
+        connection of the workspace it costs the time to open one.
         """
         idle = max(0, now - handle.answered_at)
         fade = math.exp2(-idle / _FADE_TIME)
         usual = max(_FIRST_TIME, handle.usual_time * fade)
-        is_far = handle.server.data_centre != self._data_centre
-        way = distance if is_far else 0
+        way = 0 if self._is_preferred(handle, workspace) else distance
         hop = 0 if handle.is_holder else LOAN_COST
-        return (handle.load + 1) * usual + way + hop
+        opening = _find_opening(handle, workspace)
+        return (handle.load + 1) * usual + way + hop + opening
+
+
+def _find_opening(handle: ServerHandle, workspace: str) -> float:
+    """Return how long a connection of a workspace takes to open, in seconds.
+
+    That is nothing if one is open, and where there are no workspaces.
+    """
+    if not workspace or handle.pool.has_idle(workspace):
+        return 0
+    return handle.own.opening_time
