Let workspaces take turns in a queue

Cause: in the order of arrival a workspace with many times its usual makes all others wait behind it, also below its limit. Change: a statement waits for those of its own workspace before it, those under way among them, and for as many of each other. What can be in time goes first, as before.

--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -151,7 +151,12 @@
         ConnectionError
             If the database cannot be reached.
         """
-        permit = await self.queue.acquire(group, limit, patience)
+        permit = await self.queue.acquire(
+            group,
+            limit,
+            patience,
+            workspace or '',
+        )
         if isinstance(permit, Refusal):
             return permit
         try:
--- a/deckdrum/bench/experiments/shares.py
+++ b/deckdrum/bench/experiments/shares.py
@@ -142,6 +142,7 @@
         group: str,
         limit: float,
         patience: float = math.inf,
+        owner: str = '',
     ) -> Permit | Refusal:
         """Wait behind everybody who came before."""
         return await super().acquire('everybody', limit)
--- a/deckdrum/load/tests/test_waiting.py
+++ b/deckdrum/load/tests/test_waiting.py
@@ -153,3 +153,53 @@
     returns: list[float] = run_virtual(scenario)
     assert len(set(returns)) > 3
     assert max(returns) <= 2 * LIMIT
+
+
+#: Statements a second of one connection.
+SPEED = 1 / WORK
+
+
+async def _ask_for(
+    queue: FairQueue,
+    owner: str,
+    tally: Tally,
+) -> None:
+    began = await curio.clock()
+    permit = await queue.acquire(GROUP, LIMIT, OBJECTIVE - WORK, owner)
+    if isinstance(permit, Refusal):
+        tally.refused += 1
+        return
+    waited = await curio.clock() - began
+    await curio.sleep(WORK)
+    await queue.release(permit)
+    if waited + WORK <= OBJECTIVE:
+        tally.in_time += 1
+    else:
+        tally.late += 1
+
+
+async def _replay_hot(hot: float, seed: int) -> tuple[Tally, Tally]:
+    """Ask for ten workspaces at half of capacity, and for a hot one beside."""
+    randomness = Random(seed)
+    queue = FairQueue(CONNECTIONS, {})
+    usual, heated = Tally(), Tally()
+    rate = CONNECTIONS * SPEED
+    async with curio.TaskGroup() as asking:
+        end = await curio.clock() + 20
+        while await curio.clock() < end:
+            await curio.sleep(randomness.expovariate(rate * (0.5 + hot)))
+            if randomness.random() < 0.5 / (0.5 + hot):
+                owner = f'w{randomness.randrange(10)}'
+                await asking.spawn(_ask_for, queue, owner, usual)
+            else:
+                await asking.spawn(_ask_for, queue, 'hot', heated)
+    return usual, heated
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('hot', [0.7, 1.5, 3.0])
+def test_hot_workspace_costs_no_other_its_time(hot: float, seed: int) -> None:
+    usual, heated = run_virtual(_replay_hot, hot, seed)
+    assert usual.in_time >= 0.95 * usual.asked
+    # What the others leave is the hot one's.
+    assert heated.in_time >= 0.3 * 20 * CONNECTIONS * SPEED
--- a/deckdrum/load/waiting.py
+++ b/deckdrum/load/waiting.py
@@ -6,9 +6,15 @@
 its objective: nearly all are answered, and nearly all late.  Here those that
 can still be in time go first.  What is late already is run in the time that is
 left over; of that only a little may wait, and the others are told at once.
+
+Beside it: one workspace sends many times its usual.  By the order of arrival
+all others would wait behind it.  Here the workspaces take turns: a statement
+waits for those of its own workspace that came before it, and for as many of
+each other.
 """
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 #: Statements that may wait though they are late, for each connection: as many
@@ -20,14 +26,41 @@
 SPREAD: Final = 8
 
 
-def pick_next(dues: Iterable[float], now: float) -> int:
+def count_turns(owners: Iterable[str], held: Mapping[str, int]) -> list[int]:
+    """Return how many of its own workspace go before each waiter.
+
+    Parameters
+    ----------
+    owners : iterable of str
+        Workspaces of the waiters, in the order in which they came.
+    held : mapping of str to int
+        Connections that workspaces use now; each counts as one before.
+
+    Examples
+    --------
+    >>> count_turns(['growers', 'growers', 'shoppers'], {})
+    [0, 1, 0]
+    >>> count_turns(['growers', 'shoppers'], {'growers': 2})
+    [2, 0]
+    """
+    before = Counter(held)
+    turns = []
+    for owner in owners:
+        turns.append(before[owner])
+        before[owner] += 1
+    return turns
+
+
+def pick_next(dues: Sequence[float], turns: Sequence[int], now: float) -> int:
     """Return the place of the waiter that is next.
 
     Parameters
     ----------
-    dues : iterable of float
+    dues : sequence of float
         Until when each must have its turn to be answered in time, in the order
         in which they came, in kernel seconds.
+    turns : sequence of int
+        How many of its own workspace go before each.
     now : float
         In kernel seconds.
 
@@ -35,20 +68,42 @@
     --------
     The first is late already, the second is not.
 
-    >>> pick_next([1.0, 5.0, 6.0], now=2.0)
+    >>> pick_next([1.0, 5.0, 6.0], [0, 1, 2], now=2.0)
     1
-    >>> pick_next([1.0, 1.5], now=2.0)
+    >>> pick_next([1.0, 1.5], [0, 1], now=2.0)
     0
+
+    The last is of another workspace than the others.
+
+    >>> pick_next([5.0, 5.1, 5.2], [1, 2, 0], now=2.0)
+    2
     """
-    for place, due in enumerate(dues):
-        if due >= now:
-            return place
-    return 0
+    places = range(len(dues))
+    in_time = [place for place in places if dues[place] >= now]
+    return min(in_time or places, key=lambda place: (turns[place], place))
+
+
+def count_before(
+    dues: Sequence[float],
+    turns: Sequence[int],
+    turn: int,
+    now: float,
+) -> int:
+    """Return how many waiters go before one that has just come.
 
+    `turn` is how many of its own workspace go before it.
 
-def count_before(dues: Iterable[float], now: float) -> int:
-    """Return how many waiters go before one that has just come."""
-    return sum(due >= now for due in dues)
+    Examples
+    --------
+    >>> count_before([5.0, 5.1, 5.2], [0, 1, 2], turn=0, now=2.0)
+    1
+    >>> count_before([5.0, 5.1, 5.2], [0, 1, 2], turn=3, now=2.0)
+    3
+    """
+    return sum(
+        due >= now and other <= turn
+        for due, other in zip(dues, turns, strict=True)
+    )
 
 
 def may_wait_late(dues: Iterable[float], now: float, connections: int) -> bool:
--- a/deckdrum/members/queue.py
+++ b/deckdrum/members/queue.py
@@ -3,7 +3,8 @@
 The free connection goes to the waiting group that holds the fewest
 connections for its weight; among equals to the one that has used the least.
 
-Within a group those that can still be in time go first (`load.waiting`).
+Within a group those that can still be in time go first, and workspaces take
+turns (`load.waiting`).
 
 Beyond its share a group borrows.  What other groups have lately needed, up to
 their shares, is not lent: they find it free.  A need that is not felt again
@@ -11,7 +12,7 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -20,6 +21,7 @@
 
 from deckdrum.load.waiting import (
     count_before,
+    count_turns,
     find_return,
     may_wait_late,
     pick_next,
@@ -48,6 +50,7 @@
 
     group: str
     granted_at: float
+    owner: str = ''
     spent: bool = False
 
 
@@ -56,6 +59,8 @@
     group: str
     #: Until when it must have its turn to be in time, in kernel seconds.
     due: float
+    #: Workspace that it belongs to; empty where there are none.
+    owner: str
     ready: Any = field(default_factory=curio.Event)
     permit: Permit | None = None
 
@@ -64,12 +69,13 @@
 class _Account:
     """Holdings of one group.
 
-    Connections held, seconds used, waiters, and how many connections it
-    lately needed at a time (`needed` as of `needed_at`).
+    Connections held, in all and by workspace, seconds used, waiters, and how
+    many connections it lately needed at a time (`needed` as of `needed_at`).
     """
 
     share: GroupShare
     held: int = 0
+    held_by: Counter[str] = field(default_factory=Counter)
     used: float = 0
     needed: float = 0
     needed_at: float = 0
@@ -80,9 +86,21 @@
         """Until when each waiter must have its turn, in their order."""
         return [waiter.due for waiter in self.waiting]
 
+    @property
+    def turns(self) -> list[int]:
+        """How many of its own workspace go before each waiter."""
+        owners = [waiter.owner for waiter in self.waiting]
+        return count_turns(owners, self.held_by)
+
+    def count_before(self, owner: str, now: float) -> int:
+        """Return how many waiters go before one more of a workspace."""
+        own = sum(waiter.owner == owner for waiter in self.waiting)
+        turn = self.held_by[owner] + own
+        return count_before(self.dues, self.turns, turn, now)
+
     def take_next(self, now: float) -> _Waiter:
         """Remove the waiter that is next and return it."""
-        place = pick_next(self.dues, now)
+        place = pick_next(self.dues, self.turns, now)
         waiter = self.waiting[place]
         del self.waiting[place]
         return waiter
@@ -173,6 +191,7 @@
         group: str,
         limit: float,
         patience: float = math.inf,
+        owner: str = '',
     ) -> Permit | Refusal:
         """Wait for a connection.
 
@@ -184,6 +203,8 @@
             Longest wait in seconds.
         patience : float
             Longest wait after which the request can be answered in time.
+        owner : str
+            Workspace of the group that takes turns with others.
 
         Returns
         -------
@@ -196,15 +217,19 @@
         now = await curio.clock()
         account.note_need(now)
         if not account.waiting and self._may_grant(account, now):
-            return self._grant(account, group, now)
+            return self._grant(account, group, owner, now)
         if len(account.waiting) >= account.share.max_waiting:
-            return self._turn_away(Code.QUEUE_FULL, account, now, 'is full')
-        expected = self._expect_wait(account, now)
+            return await self._refuse(
+                Code.QUEUE_FULL, account, owner, 'is full'
+            )
+        expected = self._expect_wait(account, owner, now)
         is_late = expected > patience and not self._may_be_late(account, now)
         if expected > limit or is_late:
             reason = 'waits too long'
-            return self._turn_away(Code.QUEUE_TIMEOUT, account, now, reason)
-        waiter = _Waiter(group, now + patience)
+            return await self._refuse(
+                Code.QUEUE_TIMEOUT, account, owner, reason
+            )
+        waiter = _Waiter(group, now + patience, owner)
         account.waiting.append(waiter)
         try:
             await self._wait_in_time(waiter, account, limit, patience)
@@ -213,9 +238,10 @@
             raise
         if waiter.permit is None:
             account.waiting.remove(waiter)
-            now = await curio.clock()
             reason = 'has no connection free'
-            return self._turn_away(Code.QUEUE_TIMEOUT, account, now, reason)
+            return await self._refuse(
+                Code.QUEUE_TIMEOUT, account, owner, reason
+            )
         return waiter.permit
 
     async def release(self, permit: Permit) -> None:
@@ -225,6 +251,9 @@
         permit.spent = True
         account = self._find(permit.group)
         account.held -= 1
+        account.held_by[permit.owner] -= 1
+        if not account.held_by[permit.owner]:
+            del account.held_by[permit.owner]
         hold = await curio.clock() - permit.granted_at
         account.used += hold
         self._usual_hold += (hold - self._usual_hold) * _HOLD_WEIGHT
@@ -242,9 +271,14 @@
             self._accounts[group] = account
         return account
 
-    def _expect_wait(self, account: _Account, now: float) -> float:
+    def _expect_wait(
+        self,
+        account: _Account,
+        owner: str,
+        now: float,
+    ) -> float:
         """Return the likely wait of one request more, in seconds."""
-        ahead = count_before(account.dues, now)
+        ahead = account.count_before(owner, now)
         return ahead * self._usual_hold / self._count_connections(account)
 
     def _may_be_late(self, account: _Account, now: float) -> bool:
@@ -256,15 +290,16 @@
         """Return the connections that serve a group's waiters."""
         return max(account.held, self._count_share(account))
 
-    def _turn_away(
+    async def _refuse(
         self,
         code: Code,
         account: _Account,
-        now: float,
+        owner: str,
         reason: str,
     ) -> Refusal:
         """Return a refusal that tells when the queue will have emptied."""
-        wait = self._expect_wait(account, now) + self._usual_hold
+        now = await curio.clock()
+        wait = self._expect_wait(account, owner, now) + self._usual_hold
         self.turned_away += 1
         retry_after = find_return(wait, self.turned_away)
         return refuse(code, f'the group {reason}', retry_after)
@@ -294,10 +329,17 @@
                 reserved += max(0, own - account.held)
         return reserved
 
-    def _grant(self, account: _Account, group: str, now: float) -> Permit:
+    def _grant(
+        self,
+        account: _Account,
+        group: str,
+        owner: str,
+        now: float,
+    ) -> Permit:
         account.held += 1
+        account.held_by[owner] += 1
         self.granted += 1
-        return Permit(group, now)
+        return Permit(group, now, owner)
 
     async def _wait_in_time(
         self,
@@ -341,5 +383,10 @@
                 return
             account = min(ready, key=_Account.rank)
             waiter = account.take_next(now)
-            waiter.permit = self._grant(account, waiter.group, now)
+            waiter.permit = self._grant(
+                account,
+                waiter.group,
+                waiter.owner,
+                now,
+            )
             await waiter.ready.set()
