Tell what became of each workspace's statements and of connections

Change: nodes log what they have counted, at most every 5 s; deckdrumctl report adds it up by group and workspace, and by group for connections. Measured: tests; the parts of a workspace's statements add up to what was asked.

--- a/deckdrum/backends/__init__.py
+++ b/deckdrum/backends/__init__.py
@@ -11,13 +11,14 @@
     ServerStatus,
     WrongServerError,
 )
-from deckdrum.backends.pool import Lease, Pool, PooledLink
+from deckdrum.backends.pool import ConnectionFigures, Lease, Pool, PooledLink
 
 __all__ = [
     'Backend',
     'BackendLink',
     'BackendServer',
     'Call',
+    'ConnectionFigures',
     'ConnectionLimitError',
     'Lease',
     'NoneFreeError',
--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -17,6 +17,25 @@
 WARM_CONNECTIONS: Final = 3
 
 
+@dataclass(slots=True)
+class ConnectionFigures:
+    """What became of connections so far.
+
+    Attributes
+    ----------
+    opened : int
+        Opened, since none of the workspace was idle.
+    reused : int
+        Found open.
+    closed_for_room : int
+        Idle ones that were closed for one of another workspace.
+    """
+
+    opened: int = 0
+    reused: int = 0
+    closed_for_room: int = 0
+
+
 class PooledLink(ABC):
     """A connection that a pool can keep."""
 
@@ -102,11 +121,7 @@
     ) -> None:
         self.database = database
         self.queue = FairQueue(slots, shares)
-        self.opened = 0
-        #: Connections that were found open, and idle ones that were closed to
-        #: make room for one of another workspace.
-        self.reused = 0
-        self.closed_for_room = 0
+        self.figures = ConnectionFigures()
         self._idle: list[LinkT] = []
 
     @property
@@ -202,7 +217,7 @@
             link = await self.database.connect(CONNECT_LIMIT)
         except ConnectionError:
             return
-        self.opened += 1
+        self.figures.opened += 1
         self._idle.append(link)
 
     async def trim(self) -> None:
@@ -224,12 +239,12 @@
         link = self._pick_idle(fits, workspace)
         while link is not None:
             if link.is_usable:
-                self.reused += 1
+                self.figures.reused += 1
                 return link
             await link.close()
             link = self._pick_idle(fits, workspace)
         await self._make_room()
-        self.opened += 1
+        self.figures.opened += 1
         opened: LinkT = await self.database.connect_for(
             group,
             CONNECT_LIMIT,
@@ -266,5 +281,5 @@
         ask in turn.
         """
         while self._idle and self.has_surplus:
-            self.closed_for_room += 1
+            self.figures.closed_for_room += 1
             await self._idle.pop(0).close()
--- a/deckdrum/backends/tests/test_pool.py
+++ b/deckdrum/backends/tests/test_pool.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from deckdrum.backends import Lease, Pool, PooledLink
+from deckdrum.backends import ConnectionFigures, Lease, Pool, PooledLink
 from deckdrum.backends.pool import Connectable
 from deckdrum.outcomes import Refusal
 from deckdrum.utils.virtualtime import run_virtual
@@ -72,7 +72,7 @@
         assert (first.workspace, second.workspace) == ('growers', 'shoppers')
         assert await _use(pool, 'growers') is first
         assert await _use(pool, 'shoppers') is second
-        assert (pool.opened, pool.reused) == (2, 2)
+        assert pool.figures == ConnectionFigures(opened=2, reused=2)
 
     _play(scenario)
 
@@ -95,7 +95,7 @@
         await _use(pool, 'growers')
         await _use(pool, 'stewards')
         assert pool.database.open == ['growers', 'stewards']
-        assert pool.closed_for_room == 1
+        assert pool.figures.closed_for_room == 1
 
     _play(scenario)
 
@@ -104,6 +104,6 @@
     async def scenario(pool: _Pool) -> None:
         first = await _use(pool, 'growers')
         assert await _use(pool, None) is first
-        assert pool.opened == 1
+        assert pool.figures.opened == 1
 
     _play(scenario)
--- a/deckdrum/commands/reporting.py
+++ b/deckdrum/commands/reporting.py
@@ -15,6 +15,14 @@
 from typing import Final
 
 from deckdrum.commands.explaining import LogLine, read_lines
+from deckdrum.commands.working import (
+    Connections,
+    Work,
+    describe_connections,
+    describe_work,
+    summarize_connections,
+    summarize_work,
+)
 
 _PERCENT: Final = 100
 _MEDIAN: Final = 50
@@ -77,6 +85,10 @@
         Tries that were given up because their answers are lost.
     losses : tuple of Loss
         Why operations were not served or late, the most frequent first.
+    work : tuple of Work
+        What became of the statements of each group and workspace.
+    connections : tuple of Connections
+        What became of the connections to each group.
     """
 
     reads: Mapping[str, int]
@@ -87,6 +99,8 @@
     late: int
     answers_lost: int
     losses: tuple[Loss, ...]
+    work: tuple[Work, ...]
+    connections: tuple[Connections, ...]
 
 
 def summarize_lines(lines: Iterable[LogLine]) -> Report:
@@ -114,6 +128,8 @@
         events['request.late'],
         events['answer.lost'],
         tuple(_find_losses(ordered)),
+        summarize_work(ordered),
+        summarize_connections(ordered),
     )
 
 
@@ -148,11 +164,16 @@
     if as_json:
         say(json.dumps(figures))
     else:
-        figures.pop('losses')
+        for told_apart in ('losses', 'work', 'connections'):
+            figures.pop(told_apart)
         for name, figure in figures.items():
             say(f'{name}: {"none" if figure is None else figure}')
         for loss in report.losses:
             say(describe_loss(loss))
+        for work in report.work:
+            say(describe_work(work))
+        for connections in report.connections:
+            say(describe_connections(connections))
     return bool(report.reads or report.refusals)
 
 
--- a/deckdrum/commands/tests/test_reporting.py
+++ b/deckdrum/commands/tests/test_reporting.py
@@ -135,3 +135,34 @@
     said: list[str] = []
     assert not tell_report([path], as_json=False, say=said.append)
     assert said[-1].startswith('lost: stalls 1 times in 0.3 s')
+
+
+def test_work_adds_up_over_the_lives_of_nodes(tmp_path: Path) -> None:
+    path = write_log(
+        tmp_path,
+        build_line(1, 'node.started'),
+        build_line(5, 'work.figures', work={'stalls/growers/done': 4}),
+        build_line(
+            10,
+            'work.figures',
+            work={'stalls/growers/done': 7, 'stalls/growers/limit': 2},
+        ),
+        build_line(11, 'node.started'),
+        build_line(16, 'work.figures', work={'stalls/growers/done': 1}),
+    )
+    work = summarize_lines(read_lines([path])).work
+    assert len(work) == 1
+    assert (work[0].service, work[0].workspace) == ('stalls', 'growers')
+    assert work[0].asked == 10
+    assert work[0].outcomes == {'done': 8, 'limit': 2}
+
+
+def test_connections_are_told_by_group(tmp_path: Path) -> None:
+    figures = {'opened': 1, 'reused': 3, 'closed_for_room': 1}
+    path = write_log(
+        tmp_path,
+        build_line(5, 'connection.figures', connections={'stalls': figures}),
+    )
+    connections = summarize_lines(read_lines([path])).connections
+    assert connections[0].reused_share == 0.75
+    assert connections[0].opened == 1
--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -66,7 +66,7 @@
                 assert (await client.ask('READ a')).is_done
         for number, running in enumerate(deployment.nodes):
             handles = running.node.services[SERVICE].servers.values()
-            opened = sum(handle.pool.opened for handle in handles)
+            opened = sum(handle.pool.figures.opened for handle in handles)
             assert bool(opened) == (number in holders)
 
     play(scenario, nodes=NODES, max_connections=FEW, settle=2.5)
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -31,9 +31,6 @@
 BackendMaker = Callable[..., Backend]
 #: Pause between two rounds of upkeep, in seconds.
 UPKEEP_PAUSE: Final = 0.25
-#: Pause between two lines of figures, in seconds: the calls to the store of a
-#: node that ends without a word are known but for those since the last line.
-FIGURES_PAUSE: Final = 5.0
 #: Wait after a change of the view for others that come with it, in seconds.
 FOLLOW_PAUSE: Final = 0.01
 #: Pause between two looks for the first configuration, in seconds.
@@ -199,7 +196,7 @@
         for run in (
             self._follow_changes,
             self._run_upkeep,
-            self._tell_figures,
+            self._book.figures.run,
             self.peers.run,
             self._registration.run,
             self._care.run,
@@ -279,16 +276,6 @@
                 is_returning=self._registration.is_returning,
             )
 
-    async def _tell_figures(self) -> None:
-        """Log what this node has asked of the store, as often as it grows."""
-        told: dict[str, int] = {}
-        while True:
-            await curio.sleep(FIGURES_PAUSE)
-            calls = self.counters.describe_store_calls()
-            if calls != told:
-                told = calls
-                self.journal.record('store.calls', calls=calls)
-
     async def _run_upkeep(self) -> None:
         """End transactions that rest too long; forget removed servers."""
         while True:
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -10,6 +10,7 @@
 from deckdrum.forwarding import Forwarder
 from deckdrum.leadership.changes import ChangeTools
 from deckdrum.leadership.supervision import Supervisor
+from deckdrum.node.figures import FigureTeller
 from deckdrum.serving.execution import Execution
 from deckdrum.serving.routing import Router
 from deckdrum.serving.runners import StatementRunner
@@ -46,6 +47,8 @@
         self._make_direct = make_direct
         self._journal = journal
         self._counters = counters
+        #: Tells what was counted.
+        self.figures = FigureTeller(self.services, counters, journal)
         self._executions: dict[str, Execution] = {}
         self._forwarders: dict[str, Forwarder] = {}
         self._supervisors: list[Any] = []
--- a/deckdrum/node/sessions.py
+++ b/deckdrum/node/sessions.py
@@ -1,17 +1,33 @@
 """The open sessions of a node."""
 
 from collections.abc import Callable
+from types import MappingProxyType
+from typing import Final
 
 import curio
 
 from deckdrum.control import Route
 from deckdrum.forwarding.receiving import SessionRegister
-from deckdrum.operations import Request
-from deckdrum.outcomes import Refusal
+from deckdrum.operations import Begin, Commit, Execute, Request, Run
+from deckdrum.outcomes import Code, Fate, Refusal
 from deckdrum.serving import CallerSession, Outcome
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 
+#: What turned statements away, as figures name it; a doubt has no cause here.
+CAUSES: Final = MappingProxyType(
+    {
+        Code.LIMIT_REACHED: 'limit',
+        Code.LIMIT_UNKNOWN: 'limit unknown',
+        Code.UNKNOWN_KEY: 'key',
+        Code.QUEUE_FULL: 'load',
+        Code.QUEUE_TIMEOUT: 'load',
+        Code.READ_NOT_POSSIBLE: 'load',
+        Code.PRIMARY_REFUSED: 'load',
+        Code.NO_PRIMARY: 'no primary',
+    },
+)
+
 
 class SessionBook(SessionRegister):
     """Knows the open sessions, and ends transactions that rest.
@@ -104,6 +120,13 @@
         fate = outcome.code if isinstance(outcome, Refusal) else 'done'
         self._counters.note_latency(guarantee, fate, seconds)
         is_late = route is not None and seconds > route.objective
+        service = route.service if route else ''
+        if _is_owed(request, outcome):
+            self._counters.count_work(
+                service,
+                session.state.workspace,
+                name_outcome(outcome, is_late=is_late),
+            )
         if not is_refused and not is_late:
             return
         self._journal.record_often(
@@ -112,9 +135,37 @@
             operation=type(request.operation).__name__,
             database=session.state.database,
             workspace=session.state.workspace,
-            service=route.service if route else '',
+            service=service,
             standing=session.standing,
             outcome=outcome.text if isinstance(outcome, Refusal) else 'done',
             seconds=round(seconds, 3),
             version=self._read_version(),
         )
+
+
+def name_outcome(outcome: Outcome, *, is_late: bool) -> str:
+    """Return what became of a statement, as figures name it.
+
+    Examples
+    --------
+    >>> from deckdrum.outcomes import refuse
+    >>> name_outcome(refuse(Code.LIMIT_REACHED), is_late=False)
+    'limit'
+    >>> name_outcome(refuse(Code.CONNECTION_LOST), is_late=True)
+    'doubt'
+    """
+    if not isinstance(outcome, Refusal):
+        return 'late' if is_late else 'done'
+    if outcome.fate is Fate.UNKNOWN:
+        return 'doubt'
+    return CAUSES.get(outcome.code, 'other')
+
+
+def _is_owed(request: Request, outcome: Outcome) -> bool:
+    """Tell whether a request counts as a statement of its caller.
+
+    What the node answers by itself does not, unless it refuses to begin.
+    """
+    if isinstance(request.operation, Run | Execute | Commit):
+        return True
+    return isinstance(request.operation, Begin) and isinstance(outcome, Refusal)
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -1,6 +1,8 @@
 """One database group as a node serves it."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import asdict
 from functools import partial
 from typing import Final
 
@@ -101,6 +103,8 @@
             counters,
         )
         self._shares: dict[str, GroupShare] = {}
+        #: What became of connections to servers that are gone.
+        self.former_connections: Counter[str] = Counter()
         self._discovered_at = float('-inf')
         self._sampling = SharedCall(self._sample)
         self._asking_primary = SharedCall(self._ask_primary)
@@ -143,6 +147,7 @@
                 handle.update(server)
         for name in self.servers.keys() - listed.keys():
             handle = self.servers.pop(name)
+            self.former_connections.update(asdict(handle.pool.figures))
             await handle.pool.close_idle()
         await self.belief.adopt_servers(self.servers)
 
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -43,6 +43,8 @@
         self.served: Counter[tuple[str, str, str]] = Counter()
         self.store_calls: Counter[tuple[str, str, str]] = Counter()
         self.limited: Counter[tuple[str, str]] = Counter()
+        #: Statements by group, workspace and what became of them.
+        self.work: Counter[tuple[str, str, str]] = Counter()
         #: Present values by name, read when they are rendered.
         self.gauges: dict[str, Callable[[], float]] = {}
         self._latency: dict[tuple[str, str], list[int]] = {}
@@ -70,6 +72,17 @@
         """
         self.store_calls[call, kind, outcome] += 1
 
+    def count_work(self, service: str, workspace: str, outcome: str) -> None:
+        """Count a caller's statement by what became of it."""
+        self.work[service, workspace, outcome] += 1
+
+    def describe_work(self) -> dict[str, int]:
+        """Return the statements so far, as they stand in logs."""
+        return {
+            '/'.join(labels): number
+            for labels, number in sorted(self.work.items())
+        }
+
     def count_limited(self, workspace: str, code: str) -> None:
         """Count an operation that a workspace's limit has turned away."""
         self.limited[workspace, code] += 1
