--- a/deckdrum/commands/working.py
+++ b/deckdrum/commands/working.py
@@ -79,8 +79,8 @@
     """Return what became of connections, by group."""
     totals: defaultdict[str, Counter[str]] = defaultdict(Counter)
     for line in _find_latest(ordered, _CONNECTIONS):
-        for service, figures in line.fields['connections'].items():
-            totals[service].update(figures)
+        for group, figures in line.fields['connections'].items():
+            totals[group].update(figures)
     return tuple(
         _make_connections(service, total)
         for service, total in sorted(totals.items())
