Close the connection of the workspace that has used a pool least

Cause: the longest unused was closed, so workspaces that come once in a while pushed out connections that large ones need again at once. Change: uses count, each less with every later one; the least used goes.

--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from deckdrum.load.keeping import UseRates
 from deckdrum.members import FairQueue, GroupShare, Permit
 from deckdrum.outcomes import Refusal
 
@@ -123,6 +124,7 @@
         self.queue = FairQueue(slots, shares)
         self.figures = ConnectionFigures()
         self._idle: list[LinkT] = []
+        self._rates = UseRates()
 
     @property
     def idle(self) -> int:
@@ -236,6 +238,8 @@
         fits: Callable[[LinkT], bool] | None,
         workspace: str | None,
     ) -> LinkT:
+        if workspace:
+            self._rates.note(workspace)
         link = self._pick_idle(fits, workspace)
         while link is not None:
             if link.is_usable:
@@ -275,11 +279,12 @@
         return self._idle.pop(best)
 
     async def _make_room(self) -> None:
-        """Close what is idle for longest in place of the one to be opened.
+        """Close what is least used in place of the one to be opened.
 
         So no more are open than are dealt to this pool, whatever workspaces
         ask in turn.
         """
         while self._idle and self.has_surplus:
             self.figures.closed_for_room += 1
-            await self._idle.pop(0).close()
+            owners = [link.workspace for link in self._idle]
+            await self._idle.pop(self._rates.pick_least(owners)).close()
