--- a/deckdrum/commands/arguments.py
+++ b/deckdrum/commands/arguments.py
@@ -10,7 +10,7 @@
 from deckdrum.utils import Address
 
 #: Kinds of file that `validate` checks.
-CHECKED_KINDS: Final = ('document', 'platform', 'settings')
+CHECKED_KINDS: Final = ('configuration', 'document', 'platform', 'settings')
 
 
 def add_arguments(command: argparse.ArgumentParser, name: str) -> None:
@@ -28,8 +28,9 @@
         '--kind',
         choices=CHECKED_KINDS,
         default='document',
-        help="a configuration document, a proxy's settings or the "
-        "settings that the users' platform gives a node",
+        help="the operators' configuration on the users' platform, a "
+        "configuration document, a proxy's settings or the settings that "
+        "the users' platform gives a node",
     )
 
 
--- a/deckdrum/commands/control.py
+++ b/deckdrum/commands/control.py
@@ -40,6 +40,7 @@
     SettingsError,
     StoreError,
 )
+from deckdrum.platform.configuration import check_configuration
 from deckdrum.platform.settings import (
     load_settings as load_platform_settings,
 )
@@ -96,10 +97,21 @@
     )
 
 
+def _check_configuration(path: Path) -> str:
+    configuration = check_configuration(path.read_bytes())
+    book = configuration.workspaces
+    workspaces = len(book.workspaces) if book else 'no'
+    return (
+        f'version {configuration.version}, {len(configuration.routes)} routes, '
+        f'{len(configuration.services)} services, {workspaces} workspaces'
+    )
+
+
 _Check = Callable[[Path], str]
 #: What `validate` checks, by the kind of file.
 _CHECKS: Final[Mapping[str, _Check]] = MappingProxyType(
     {
+        'configuration': _check_configuration,
         'document': _check_document,
         'settings': _check_settings,
         'platform': _check_platform,
--- /dev/null
+++ b/deckdrum/platform/configuration.py
@@ -0,0 +1,225 @@
+"""The operator's configuration, decoded and checked."""
+
+from collections import Counter
+from types import MappingProxyType
+from typing import Final
+
+import msgspec
+
+from deckdrum.control import (
+    Configuration,
+    Guarantee,
+    Route,
+    ServiceDeclaration,
+)
+from deckdrum.outcomes.errors import DocumentError
+from deckdrum.workspaces import Workspace, WorkspaceBook, fingerprint_key
+
+_MS: Final = 1000
+_GUARANTEES: Final = MappingProxyType(
+    {
+        'primary': Guarantee.CURRENT,
+        'bounded': Guarantee.BOUNDED,
+        'own_writes': Guarantee.OWN_CHANGES,
+    },
+)
+
+
+class CamelCase(msgspec.Struct, rename='camel'):
+    """Base of what the platform writes: its names are in camel case."""
+
+
+class _Route(CamelCase):
+    """One of the operator's routes.  Times are in milliseconds."""
+
+    #: Not a network host: the database name of the clients' STARTUP.
+    host: str
+    service: str
+    kind: str = 'primary'
+    timeout_ms: float = 2000
+    objective_ms: float = 500
+    priority: int = 2
+    max_staleness_ms: float | None = None
+    #: Whether clients need no key.
+    public: bool = False
+
+
+class _Service(CamelCase):
+    """One of the operator's services."""
+
+    name: str
+    #: Connections that one server accepts, from all nodes together.
+    max_conns: int = 20
+    #: Replicas that have received a change before it is acknowledged.
+    sync_replicas: int = 0
+
+
+class _Tenant(CamelCase):
+    """One of the operator's tenants, the product's workspaces."""
+
+    name: str
+    #: As the operator writes them.  Peers pass on fingerprints instead.
+    api_keys: list[str] = []
+    fingerprints: list[str] = []
+    #: Operations a second, of all nodes together.
+    rate_per_s: float | None = None
+    burst: float = float(0)
+
+    def find_fingerprints(self) -> list[str]:
+        """Return the fingerprints of its keys."""
+        return self.fingerprints or list(map(fingerprint_key, self.api_keys))
+
+
+class _Limits(CamelCase):
+    """Limits for clients; the others concern HTTP."""
+
+    tx_idle_ms: float = 3000
+
+
+class _Config(CamelCase):
+    """The operator's configuration."""
+
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    #: None where no route asks for a key.
+    tenants: list[_Tenant] | None = None
+
+
+def decode_configuration(encoded: bytes) -> Configuration:
+    """Return the operator's configuration.
+
+    Raises
+    ------
+    DocumentError
+        With the place and what was expected there.
+    """
+    try:
+        return decode_spec('', msgspec.Raw(encoded))
+    except (msgspec.DecodeError, KeyError) as error:
+        raise DocumentError(f'the configuration: {error}') from error
+
+
+def check_configuration(encoded: bytes) -> Configuration:
+    """Return the operator's configuration if nothing in it is contradictory.
+
+    Nodes take what the store has taken; this is for operators before that.
+
+    Raises
+    ------
+    DocumentError
+        With the first fault; a key is told by its fingerprint.
+    """
+    configuration = decode_configuration(encoded)
+    raw = msgspec.json.decode(encoded, type=_Config)
+    tenants = raw.tenants or []
+    _refuse_twice('workspace', [tenant.name for tenant in tenants])
+    _refuse_twice(
+        'key',
+        [
+            fingerprint
+            for tenant in tenants
+            for fingerprint in tenant.find_fingerprints()
+        ],
+    )
+    _refuse_twice('route', [route.host for route in raw.routes])
+    for route in raw.routes:
+        if route.service not in configuration.services:
+            raise DocumentError(
+                f'route {route.host}: service {route.service}, '
+                'expected one that is declared',
+            )
+    for tenant in tenants:
+        _check_limit(tenant)
+    return configuration
+
+
+def decode_spec(_: str, spec: msgspec.Raw) -> Configuration:
+    """Return the configuration that an object of the store holds."""
+    raw = msgspec.json.decode(spec, type=_Config)
+    return Configuration(
+        version=raw.version,
+        routes={route.host: _decode_route(route) for route in raw.routes},
+        services={
+            service.name: ServiceDeclaration(
+                service.name,
+                service.max_conns,
+                service.sync_replicas,
+            )
+            for service in raw.services
+        },
+        idle_transaction_limit=raw.limits.tx_idle_ms / _MS,
+        encoded=_hide_keys(raw, spec),
+        workspaces=_decode_tenants(raw.tenants),
+    )
+
+
+def _decode_tenants(raw: list[_Tenant] | None) -> WorkspaceBook | None:
+    if raw is None:
+        return None
+    return WorkspaceBook(
+        {
+            tenant.name: Workspace(
+                tenant.name,
+                tenant.rate_per_s,
+                tenant.burst,
+            )
+            for tenant in raw
+        },
+        {
+            fingerprint: tenant.name
+            for tenant in raw
+            for fingerprint in tenant.find_fingerprints()
+        },
+    )
+
+
+def _refuse_twice(what: str, names: list[str]) -> None:
+    for name, count in Counter(names).items():
+        if count > 1:
+            raise DocumentError(f'{what} {name}: {count} times, expected once')
+
+
+def _check_limit(tenant: _Tenant) -> None:
+    if tenant.rate_per_s is not None and tenant.rate_per_s < 0:
+        raise DocumentError(
+            f'workspace {tenant.name}: rate {tenant.rate_per_s}, '
+            'expected 0 or more operations a second',
+        )
+    if tenant.burst < 0:
+        raise DocumentError(
+            f'workspace {tenant.name}: burst {tenant.burst}, '
+            'expected 0 or more operations',
+        )
+
+
+def _hide_keys(raw: _Config, spec: msgspec.Raw) -> bytes:
+    """Return a configuration with fingerprints in place of its keys."""
+    if raw.tenants is None:
+        return bytes(spec)
+    hidden = [
+        msgspec.structs.replace(
+            tenant,
+            api_keys=[],
+            fingerprints=tenant.find_fingerprints(),
+        )
+        for tenant in raw.tenants
+    ]
+    return msgspec.json.encode(msgspec.structs.replace(raw, tenants=hidden))
+
+
+def _decode_route(raw: _Route) -> Route:
+    max_age = float('inf')
+    if raw.max_staleness_ms is not None:
+        max_age = raw.max_staleness_ms / _MS
+    return Route(
+        database=raw.host,
+        service=raw.service,
+        guarantee=_GUARANTEES[raw.kind],
+        max_age=max_age,
+        statement_limit=raw.timeout_ms / _MS,
+        objective=raw.objective_ms / _MS,
+        priority=raw.priority,
+        is_public=raw.public,
+    )
--- a/deckdrum/platform/store.py
+++ b/deckdrum/platform/store.py
@@ -16,6 +16,7 @@
     Member,
 )
 from deckdrum.outcomes.errors import StoreError
+from deckdrum.platform.configuration import decode_configuration
 from deckdrum.platform.records import (
     CONFIGURATION_NAME,
     KIND_NAMES,
@@ -23,7 +24,6 @@
     EventList,
     ObjectList,
     StoreObject,
-    decode_configuration,
     decode_entry,
     encode_record,
 )
--- /dev/null
+++ b/deckdrum/platform/tests/test_configuration.py
@@ -0,0 +1,62 @@
+"""What the operator's configuration is checked for, before it is stored."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from deckdrum.commands import control
+from deckdrum.outcomes.errors import DocumentError
+from deckdrum.platform.configuration import check_configuration
+from deckdrum.testing.nodes import build_config, build_route, build_tenant
+
+GROWERS = build_tenant('growers', 'key-1', ratePerS=2, burst=4)
+
+
+def check(**fields: Any) -> None:
+    check_configuration(json.dumps(build_config(2, **fields)).encode())
+
+
+def test_whole_configuration_passes() -> None:
+    check(tenants=[GROWERS, build_tenant('shoppers', 'key-2')])
+
+
+@pytest.mark.parametrize(
+    ('fault', 'fields'),
+    [
+        ('workspace growers: 2 times', {'tenants': [GROWERS, GROWERS]}),
+        (
+            'key [0-9a-f]{32}: 2 times',
+            {'tenants': [GROWERS, build_tenant('shoppers', 'key-1')]},
+        ),
+        (
+            'rate -1.0, expected 0 or more',
+            {'tenants': [build_tenant('growers', ratePerS=-1)]},
+        ),
+        (
+            'burst -1.0, expected 0 or more',
+            {'tenants': [build_tenant('growers', burst=-1)]},
+        ),
+        (
+            'service barns, expected one that is declared',
+            {'routes': [build_route('db', 'primary', service='barns')]},
+        ),
+    ],
+)
+def test_contradiction_is_told(fault: str, fields: dict[str, Any]) -> None:
+    with pytest.raises(DocumentError, match=fault):
+        check(**fields)
+
+
+def test_command_tells_what_a_configuration_holds(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = tmp_path / 'config.json'
+    path.write_text(json.dumps(build_config(2, tenants=[GROWERS])))
+    arguments = ['validate', '--kind', 'configuration', str(path)]
+    assert control.main(arguments) == 0
+    said = capsys.readouterr().out
+    assert '3 routes, 1 services, 1 workspaces' in said
+    assert 'key-1' not in said
--- a/deckdrum/workspaces/tests/test_keys.py
+++ b/deckdrum/workspaces/tests/test_keys.py
@@ -7,7 +7,7 @@
 import pytest
 
 from deckdrum.fleet.questions import AskNews
-from deckdrum.platform.records import decode_configuration
+from deckdrum.platform.configuration import decode_configuration
 from deckdrum.standins.users.store import StoreFault
 from deckdrum.testing.nodes import (
     BOUNDED,
