Fewer holders where connections belong to workspaces

Cause: with two connections for each holder and server a workspace's own was closed before its next statement in one of three cases. Change: as few holders as can use the connections hold them all; a node's share is enough only if it is one connection for each workspace.

--- a/deckdrum/load/placement.py
+++ b/deckdrum/load/placement.py
@@ -13,8 +13,18 @@
 positions and for a connection before nearly every statement, and would learn of
 a replica behind or a primary lost by its own failures.  A few holders see
 enough statements to know, and their few queues show who waits.
+
+*Where connections belong to workspaces*, and a node's share is fewer than
+these, as few nodes as can use them hold all, and each workspace's statements go
+to one holder in the fleet and keep to one replica.  The load that this answers:
+78 workspaces in turn at 29 connections a server, each new connection longer at
+work than a statement.  The part that is dealt is the same: with 0.8 in place of
+0.5 a calm day opens 2,746 connections in place of 3,854, and after all nodes
+have lost power the two worst windows keep 0.15 of their worth in place of 0.56,
+since what lingers leaves too few for the next lives (one run each).
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -70,6 +80,7 @@
     service: str,
     nodes: Mapping[str, str],
     max_connections: int,
+    workspaces: int = 0,
 ) -> tuple[str, ...]:
     """Return who holds a group's connections; nothing if every node does.
 
@@ -81,6 +92,8 @@
         Data centres by the names of the nodes.
     max_connections : int
         Connections that each of its servers accepts.
+    workspaces : int
+        Workspaces to which connections belong; 0 where they are nobody's.
 
     Examples
     --------
@@ -89,9 +102,11 @@
     4
     >>> pick_holders('stalls', nodes, max_connections=40)
     ()
+    >>> len(pick_holders('stalls', nodes, max_connections=40, workspaces=50))
+    4
     """
-    shared = _count_shared(len(nodes), max_connections)
-    if shared >= len(nodes):
+    shared = _count_shared(len(nodes), max_connections, workspaces)
+    if shared // len(nodes) >= max(1, workspaces):
         return ()
     by_centre = _rank_by_centre(service, nodes)
     each = shared // len(by_centre)
@@ -99,7 +114,10 @@
         # Fewer connections than data centres: one for each of some.
         centres = sorted(by_centre, key=partial(weigh, service))
         return tuple(by_centre[centre][0] for centre in centres[:shared])
-    count = min(MOST_HOLDERS, max(1, each // USEFUL_CONNECTIONS))
+    count = max(1, each // USEFUL_CONNECTIONS)
+    if workspaces:
+        count = math.ceil(each / MOST_HELD)
+    count = min(MOST_HOLDERS, count)
     return tuple(
         name for ranked in by_centre.values() for name in ranked[:count]
     )
@@ -143,6 +161,7 @@
     max_connections: int,
     data_centre: str = '',
     holders: Sequence[str] = (),
+    workspaces: int = 0,
 ) -> Deal:
     """Return who holds how many of a server's connections.
 
@@ -159,6 +178,8 @@
     holders : sequence of str
         Who holds some, if not every node can; without these as many as can,
         spread over the data centres.
+    workspaces : int
+        Workspaces to which connections belong; 0 where they are nobody's.
 
     Examples
     --------
@@ -168,7 +189,7 @@
     >>> deal_connections('i-1', nodes, 6, data_centre='b', holders=['n1', 'n2'])
     Deal(holders={'n2': 2, 'n1': 1})
     """
-    shared = _count_shared(len(nodes), max_connections)
+    shared = _count_shared(len(nodes), max_connections, workspaces)
     if holders:
         most = MOST_HELD
         named = holders
@@ -187,9 +208,11 @@
     )
 
 
-def _count_shared(nodes: int, max_connections: int) -> int:
+def _count_shared(nodes: int, max_connections: int, workspaces: int) -> int:
     """Return how many of a server's connections are dealt."""
     shared = max(1, int(max_connections * DEALT_PART))
+    if workspaces:
+        return shared
     if shared < nodes <= max_connections - RESERVED_CONNECTIONS:
         return nodes
     return shared
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -77,8 +77,10 @@
         configuration = self._tools.view.configuration
         if configuration is None:
             return
+        book = configuration.workspaces
+        workspaces = len(book.workspaces) if book else 0
         for declaration in configuration.services.values():
-            await self._adopt_service(declaration, own)
+            await self._adopt_service(declaration, own, workspaces)
             if is_returning:
                 await self._take_proof(declaration.name)
 
@@ -93,6 +95,7 @@
         self,
         declaration: ServiceDeclaration,
         own: Member,
+        workspaces: int,
     ) -> None:
         view = self._tools.view
         name = declaration.name
@@ -105,7 +108,7 @@
             if server.service == name
         }
         await runtime.adopt_servers(listed)
-        await runtime.deal(declaration, own, view.members)
+        await runtime.deal(declaration, own, view.members, workspaces)
         known = view.find_leadership(name)
         if known is not None:
             await runtime.belief.adopt_record(*known)
--- a/deckdrum/serving/holding.py
+++ b/deckdrum/serving/holding.py
@@ -1,6 +1,7 @@
 """Which nodes hold connections to the servers of one group."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from functools import partial
 
 from deckdrum.control import Member
@@ -8,6 +9,7 @@
 from deckdrum.fleet.nodes import NodePeers
 from deckdrum.fleet.policies import Policy
 from deckdrum.load.placement import (
+    Deal,
     deal_connections,
     pick_holders,
     rank_holders,
@@ -16,6 +18,28 @@
 from deckdrum.serving.servers import ServerHandle
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What the deal of a group's connections follows from.
+
+    Attributes
+    ----------
+    max_connections : int
+        Connections that each server accepts, from all nodes.
+    workspaces : int
+        Workspaces to which connections belong; 0 where they are nobody's.
+    members : mapping of str to Member
+        Every registered node.
+    servers : frozenset of str
+        Ids of the group's servers.
+    """
+
+    max_connections: int
+    workspaces: int
+    members: Mapping[str, Member]
+    servers: frozenset[str]
+
+
 class Holding:
     """Deals the connections of one group among the nodes that stay.
 
@@ -46,22 +70,12 @@
         self._own = ''
         self._orders: dict[str, list[Member]] = {}
         #: What the connections were last dealt for.
-        self._dealt: tuple[int, dict[str, Member], set[str]] | None = None
-
-    def is_dealt_for(
-        self,
-        max_connections: int,
-        members: Mapping[str, Member],
-        servers: Mapping[str, ServerHandle],
-    ) -> bool:
-        """Tell whether the connections were dealt for just these."""
-        return self._dealt == (max_connections, dict(members), set(servers))
+        self._dealt: Terms | None = None
 
     async def deal(
         self,
-        max_connections: int,
+        terms: 'Terms',
         own: Member,
-        members: Mapping[str, Member],
         servers: Mapping[str, ServerHandle],
         shares: Mapping[str, GroupShare],
     ) -> None:
@@ -69,41 +83,46 @@
 
         Parameters
         ----------
-        max_connections : int
-            Connections that each server accepts, from all nodes.
+        terms : Terms
+            What the deal follows from.
         own : Member
             This node.
-        members : mapping of str to Member
-            Every registered node.
         servers : mapping of str to ServerHandle
             The group's servers.
         shares : mapping of str to GroupShare
             Shares of the groups of callers.
         """
-        self._dealt = (max_connections, dict(members), set(servers))
+        self._dealt = terms
+        members = terms.members
         staying = list_staying(own, members)
         holders: tuple[str, ...] = ()
         if Policy.FORWARDING in self._policies:
-            holders = pick_holders(self._service, staying, max_connections)
-        self._adopt_holders(own, [name for name in holders], members)
+            holders = pick_holders(
+                self._service,
+                staying,
+                terms.max_connections,
+                terms.workspaces,
+            )
+        self._adopt_holders(own, list(holders), members)
         for name, handle in servers.items():
-            centre = handle.server.data_centre
             deal = deal_connections(
-                name, staying, max_connections, centre, holders
+                name,
+                staying,
+                terms.max_connections,
+                handle.server.data_centre,
+                holders,
+                terms.workspaces,
             )
             if Policy.NEAREST_CONNECTIONS not in self._policies:
                 deal = deal.level()
-            lenders = [
-                members[holder]
-                for holder in deal.holders
-                if holder != own.name and holder in members
-            ]
-            if Policy.BORROWING not in self._policies:
-                lenders = []
-            lenders.sort(key=partial(rank_lender, own))
+            lenders = self._list_lenders(deal, own, members)
             held = deal.holders.get(own.name, 0)
             await handle.adopt_deal(lenders, held, shares)
 
+    def is_dealt(self, terms: 'Terms') -> bool:
+        """Tell whether the connections were dealt on just these terms."""
+        return self._dealt == terms
+
     def find_holders(self, workspace: str) -> list[Member]:
         """Return the nodes that a workspace's statements are handed to.
 
@@ -115,6 +134,22 @@
             self._orders[workspace] = order
         return order
 
+    def _list_lenders(
+        self,
+        deal: Deal,
+        own: Member,
+        members: Mapping[str, Member],
+    ) -> list[Member]:
+        """Return whom this node borrows from, the nearest first."""
+        if Policy.BORROWING not in self._policies:
+            return []
+        lenders = [
+            members[holder]
+            for holder in deal.holders
+            if holder != own.name and holder in members
+        ]
+        return sorted(lenders, key=partial(rank_lender, own))
+
     def _adopt_holders(
         self,
         own: Member,
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -23,7 +23,7 @@
 from deckdrum.leadership.belief import VALIDITY, LeadershipBelief
 from deckdrum.load.placement import USEFUL_CONNECTIONS
 from deckdrum.members import GroupShare
-from deckdrum.serving.holding import Holding, list_staying
+from deckdrum.serving.holding import Holding, Terms, list_staying
 from deckdrum.serving.proofs import SHARED_AGE, ProofSources, Source
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.sessions import Position
@@ -156,22 +156,25 @@
         declaration: ServiceDeclaration,
         own: Member,
         members: Mapping[str, Member],
+        workspaces: int,
     ) -> None:
-        """Deal the servers' connections among the nodes that stay."""
+        """Deal the servers' connections among the nodes that stay.
+
+        They belong to a number of `workspaces`, or to nobody.
+        """
         self.declaration = declaration
-        limit = declaration.max_connections
-        if self.holding.is_dealt_for(limit, members, self.servers):
+        terms = Terms(
+            declaration.max_connections,
+            workspaces,
+            dict(members),
+            frozenset(self.servers),
+        )
+        if self.holding.is_dealt(terms):
             return
         if Policy.SHARED_PROOF in self.policies:
             staying = list_staying(own, members)
             self._proofs.pick_collector(own, members, staying)
-        await self.holding.deal(
-            limit,
-            own,
-            members,
-            self.servers,
-            self._shares,
-        )
+        await self.holding.deal(terms, own, self.servers, self._shares)
 
     async def admit_group(self, route: Route) -> None:
         """Give the callers of a route their share of the connections."""
