Tell a time to come back also for a limit of nothing; nodes alone know why

Cause, found on a second reading: a limit of 0 operations a second made the time to come back infinite, and the answer's encoding failed, which ended the caller's task. A node that knows no other node took the whole part of the tolerance that is for nodes which reach no keeper, since it divided by one. Change: at most 60 s are told; a node without a list of members begins nothing.

--- a/deckdrum/limits/asking.py
+++ b/deckdrum/limits/asking.py
@@ -123,6 +123,10 @@
 
     async def _spend_alone(self, workspace: Workspace) -> Refusal | None:
         """Begin one of the few operations of a node that reaches no keeper."""
+        nodes = len(self._view.members)
+        if not nodes:
+            # Its part cannot be told: each of very many may be in this state.
+            return self._refuse(Code.LIMIT_UNKNOWN, workspace, 0)
         now = await curio.clock()
         rate = workspace.rate or 0
         at_once, alone_rate = find_alone_allowance(
@@ -131,7 +135,7 @@
             rate,
             workspace.burst,
             self._counter.tolerance,
-            max(1, len(self._view.members)),
+            nodes,
         )
         allowance = self._alone.get(workspace.name)
         if allowance is None:
--- a/deckdrum/limits/tests/test_limits.py
+++ b/deckdrum/limits/tests/test_limits.py
@@ -210,3 +210,27 @@
         assert (await client.ask('READ a')).is_done
 
     play(scenario)
+
+
+def test_limit_of_nothing_is_refused_with_a_time_to_come_back() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        tenant = build_tenant('growers', 'key', ratePerS=0, burst=0)
+        await deployment.configure(2, tenants=[tenant])
+        client = await deployment.connect(CURRENT, 0, 'key')
+        for _ in range(8):
+            reply = await client.ask('READ a')
+        assert reply.text.startswith('TOOMANY')
+        assert 'retry after' in reply.text
+
+    play(scenario)
+
+
+def test_nodes_that_know_no_others_begin_nothing() -> None:
+    async def scenario() -> None:
+        fleet = LimitFleet(NODES, LARGE)
+        await fleet.limit(LARGE)
+        for number in range(NODES):
+            await fleet.send(number)
+        assert not fleet.begun
+
+    run_virtual(scenario)
--- a/deckdrum/load/limits.py
+++ b/deckdrum/load/limits.py
@@ -24,6 +24,8 @@
 #: Operations that a keeper may let through at once when it takes over: enough
 #: for callers who come unevenly, and few beside the tolerance (20 in a window).
 FIRST_TOKENS: Final = 3.0
+#: Longest time to come back that a caller is told, in seconds.
+MOST_WAIT: Final = 60.0
 #: Parts of the tolerance: for the burst at the keeper, for deputies of one that
 #: may still count, and for nodes that reach no keeper.  A tenth is left for
 #: what is counted twice while keepers change.  The first lets a workspace with
@@ -89,6 +91,8 @@
     0.5
     >>> allowance.take(rate=2, burst=4, now=0.5)
     0
+    >>> allowance.take(rate=0, burst=0, now=0.5)
+    60.0
     """
 
     def __init__(self, level: float, since: float) -> None:
@@ -107,7 +111,9 @@
         if self._level >= 1:
             self._level -= 1
             return 0
-        return (1 - self._level) / rate if rate else float('inf')
+        missing = 1 - self._level
+        # A limit of nothing is looked at again now and then.
+        return min(MOST_WAIT, missing / rate) if rate else MOST_WAIT
 
 
 def pick_keepers(nodes: Mapping[str, str]) -> tuple[str, ...]:
