--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -113,10 +113,7 @@
         """Yield the metrics as `prometheus_client` families."""
         from prometheus_client import core
 
-        yield self._collect_events(core)
-        yield self._collect_served(core)
-        yield self._collect_store_calls(core)
-        yield self._collect_limited(core)
+        yield from self._collect_counters(core)
         yield self._collect_latency(core)
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
@@ -131,45 +128,39 @@
         rendered: bytes = generate_latest(registry)
         return rendered
 
-    def _collect_events(self, core: Any) -> Any:
-        family = core.CounterMetricFamily(
-            f'{_PREFIX}events',
-            'Events by name',
-            labels=('event',),
-        )
-        for event, number in self.events.items():
-            family.add_metric((event,), number)
-        return family
-
-    def _collect_served(self, core: Any) -> Any:
-        family = core.CounterMetricFamily(
-            f'{_PREFIX}served',
-            'Answered statements by the role of the server',
-            labels=_SERVED_LABELS,
-        )
-        for labels, number in self.served.items():
-            family.add_metric(labels, number)
-        return family
-
-    def _collect_store_calls(self, core: Any) -> Any:
-        family = core.CounterMetricFamily(
-            f'{_PREFIX}store_calls',
-            'Calls to the store by what they asked and what came of them',
-            labels=_CALL_LABELS,
-        )
-        for labels, number in self.store_calls.items():
-            family.add_metric(labels, number)
-        return family
-
-    def _collect_limited(self, core: Any) -> Any:
-        family = core.CounterMetricFamily(
-            f'{_PREFIX}limited',
-            'Operations that limits have turned away, by workspace and code',
-            labels=_LIMIT_LABELS,
-        )
-        for labels, number in self.limited.items():
-            family.add_metric(labels, number)
-        return family
+    def _collect_counters(self, core: Any) -> Iterator[Any]:
+        for name, told, labels, counter in (
+            ('events', 'Events by name', ('event',), self._label_events()),
+            (
+                'served',
+                'Answered statements by the role of the server',
+                _SERVED_LABELS,
+                self.served,
+            ),
+            (
+                'store_calls',
+                'Calls to the store by what they asked and what came of them',
+                _CALL_LABELS,
+                self.store_calls,
+            ),
+            (
+                'limited',
+                'Operations that limits have turned away',
+                _LIMIT_LABELS,
+                self.limited,
+            ),
+        ):
+            family = core.CounterMetricFamily(
+                f'{_PREFIX}{name}',
+                told,
+                labels=labels,
+            )
+            for values, number in counter.items():
+                family.add_metric(values, number)
+            yield family
+
+    def _label_events(self) -> dict[tuple[str, ...], int]:
+        return {(event,): number for event, number in self.events.items()}
 
     def _collect_latency(self, core: Any) -> Any:
         family = core.HistogramMetricFamily(
