Two holders a data centre also where connections belong to workspaces

Cause: one holder a data centre has more connections of each server, and answers for all at once when the whole fleet starts on half a core. Change: the former number. That holders hold all where a node's share is fewer than the workspaces stays.

--- a/deckdrum/load/placement.py
+++ b/deckdrum/load/placement.py
@@ -15,8 +15,8 @@
 enough statements to know, and their few queues show who waits.
 
 *Where connections belong to workspaces*, and a node's share is fewer than
-these, as few nodes as can use them hold all, and each workspace's statements go
-to one holder in the fleet and keep to one replica.  The load that this answers:
+these, holders hold all as well, and each workspace's statements go to one of
+them in the fleet and keep to one replica.  The load that this answers:
 78 workspaces in turn at 29 connections a server, each new connection longer at
 work than a statement.  The part that is dealt is the same: with 0.8 in place of
 0.5 a calm day opens 2,746 connections in place of 3,854, and after all nodes
@@ -24,7 +24,6 @@
 since what lingers leaves too few for the next lives (one run each).
 """
 
-import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -103,7 +102,7 @@
     >>> pick_holders('stalls', nodes, max_connections=40)
     ()
     >>> len(pick_holders('stalls', nodes, max_connections=40, workspaces=50))
-    4
+    6
     """
     shared = _count_shared(len(nodes), max_connections, workspaces)
     if shared // len(nodes) >= max(1, workspaces):
@@ -114,10 +113,7 @@
         # Fewer connections than data centres: one for each of some.
         centres = sorted(by_centre, key=partial(weigh, service))
         return tuple(by_centre[centre][0] for centre in centres[:shared])
-    count = max(1, each // USEFUL_CONNECTIONS)
-    if workspaces:
-        count = math.ceil(each / MOST_HELD)
-    count = min(MOST_HOLDERS, count)
+    count = min(MOST_HOLDERS, max(1, each // USEFUL_CONNECTIONS))
     return tuple(
         name for ranked in by_centre.values() for name in ranked[:count]
     )
