Do not read what arrives while a stream is being closed

A node that stops closed a resting connection at 26.909 s and yet ran the request that had been sent to it at 26.905 s. Cause, from the trace: the connection was quiet when it was looked at; the request arrived before the shutdown. The shutdown wakes the task that reads, and it got the bytes that were there, handed them over and could not answer. Change: a stream that is closed meanwhile returns nothing. The request is not run, and its caller comes to another node. Measured: a test that puts bytes between the look and the close fails before and passes now.

--- a/deckdrum/utils/streams.py
+++ b/deckdrum/utils/streams.py
@@ -114,7 +114,8 @@
     async def receive(self) -> bytes:
         """Return the next bytes, or ``b''`` once the peer has closed.
 
-        A reset by the peer counts as a close.
+        A reset by the peer counts as a close, and what comes while the stream
+        is closed here is dropped.
         """
         if self.closed:
             return b''
@@ -122,7 +123,9 @@
             chunk: bytes = await self._sock.recv(RECEIVE_BYTES)
         except OSError:
             return b''
-        return chunk
+        # What arrived while the stream was being closed gets no answer any
+        # more: a statement among it must not be run.
+        return b'' if self.closed else chunk
 
     async def send(self, payload: bytes) -> None:
         """Send all of `payload`.
--- a/deckdrum/utils/tests/test_streams.py
+++ b/deckdrum/utils/tests/test_streams.py
@@ -90,3 +90,34 @@
         return found
 
     assert curio.run(main) == b''
+
+
+def test_what_comes_while_a_stream_is_closed_is_not_read() -> None:
+    """It could be run for a caller to whom no answer can be sent any more."""
+
+    async def main() -> bytes:
+        accepted: list[Stream] = []
+
+        async def keep(stream: Stream) -> None:
+            accepted.append(stream)
+            await curio.sleep(5)
+
+        listener = Listener(Address('127.0.0.1', 0), keep)
+        await listener.start()
+        peer = await dial(listener.address, 1)
+        while not accepted:
+            await curio.sleep(0.01)
+        stream = accepted[0]
+        waiting = await curio.spawn(_wait_for_bytes, stream)
+        await curio.sleep(0.01)
+        assert stream.is_quiet()
+        # The peer's bytes arrive before the task that waits has run.
+        peer._raw.send(b'QUERY 1 READ a\r\n')
+        assert not stream.is_quiet()
+        await stream.close()
+        found: bytes = await waiting.join()
+        await peer.close()
+        await listener.close()
+        return found
+
+    assert run_virtual(main) == b''
