--- a/deckdrum/load/placement.py
+++ b/deckdrum/load/placement.py
@@ -21,7 +21,8 @@
 work than a statement.  The part that is dealt is the same: with 0.8 in place of
 0.5 a calm day opens 2,746 connections in place of 3,854, and after all nodes
 have lost power the two worst windows keep 0.15 of their worth in place of 0.56,
-since what lingers leaves too few for the next lives (one run each).
+since what lingers leaves too few for the next lives (one run each, with one
+holder a data centre).
 """
 
 from collections import defaultdict
--- a/deckdrum/load/tests/test_workspaces.py
+++ b/deckdrum/load/tests/test_workspaces.py
@@ -72,7 +72,7 @@
 def test_statements_of_a_workspace_meet_at_open_connections() -> None:
     scattered = run_virtual(_replay, _place_by_node, 1)
     gathered = run_virtual(_replay, _place_by_workspace, 1)
-    assert scattered < 0.3
+    assert scattered < 0.25
     assert gathered > 2 * scattered
 
 
