Tell why a change of primary came to nothing, and who uses a leaving server

Cause: the log of a change that was given up, or found outdated, repeated only why it had begun. Whether a node knew that a server leaves, since when, and from whom, stood nowhere.

Change: `finding` in the lines of a change names what stood in the way and what each server last said of itself; `server.used_while_leaving` (also counted) tells role, term and how long the node has known; lines of the directory and of the record tell who has told of them.

No change of logic.

Conclusion: a use as primary or as replica, known or not, and the cause of a change that is given up can be told apart now.

--- a/deckdrum/control/descriptions.py
+++ b/deckdrum/control/descriptions.py
@@ -11,10 +11,20 @@
 _Description = tuple[str, dict[str, Any]]
 
 
-def describe_record(record: Record, revision: int) -> _Description | None:
-    """Return event and fields for the log; None for other records."""
+def describe_record(
+    record: Record,
+    revision: int,
+    source: str,
+) -> _Description | None:
+    """Return event and fields for the log; None for other records.
+
+    `source` is who has told of it: the store, or a peer's address.
+    """
     describe = _DESCRIBERS.get(type(record))
-    return None if describe is None else describe(record, revision)
+    if describe is None:
+        return None
+    event, fields = describe(record, revision)
+    return event, {**fields, 'told_by': source}
 
 
 def _describe_server(server: BackendServer, revision: int) -> _Description:
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -39,6 +39,8 @@
 
 #: Nodes that a line of the log names.
 MEMBERS_SHOWN: Final = 8
+#: How the log names the store as the source of a record.
+TOLD_BY_STORE: Final = 'store'
 
 _ChangeCall = Callable[[Kind], Awaitable[None]]
 
@@ -125,12 +127,20 @@
         await self.adopt_update(kind, listing)
         return True
 
-    async def adopt_update(self, kind: Kind, update: Update) -> None:
-        """Take over what the store or a peer has told, if it is newer."""
+    async def adopt_update(
+        self,
+        kind: Kind,
+        update: Update,
+        source: str = TOLD_BY_STORE,
+    ) -> None:
+        """Take over what the store or a peer has told, if it is newer.
+
+        `source` is who has told it, for the log.
+        """
         known = self._known[kind]
         if isinstance(update, Changes):
             known.revision = max(known.revision, update.revision)
-            await self._adopt_entries(kind, update.entries)
+            await self._adopt_entries(kind, update.entries, source)
             return
         if update.revision < known.revision:
             return
@@ -141,11 +151,11 @@
             if name not in names
         ]
         known.note_listing(update.revision)
-        await self._adopt_entries(kind, (*update.entries, *gone))
+        await self._adopt_entries(kind, (*update.entries, *gone), source)
 
     async def adopt_entry(self, kind: Kind, entry: Entry) -> None:
         """Take over one record, such as one that this node has written."""
-        await self._adopt_entries(kind, (entry,))
+        await self._adopt_entries(kind, (entry,), TOLD_BY_STORE)
 
     async def put(
         self,
@@ -221,7 +231,10 @@
             await self._tell(Kind.SERVERS)
 
     async def _adopt_entries(
-        self, kind: Kind, entries: Iterable[Entry]
+        self,
+        kind: Kind,
+        entries: Iterable[Entry],
+        source: str,
     ) -> None:
         has_changed = False
         joined: list[str] = []
@@ -233,7 +246,7 @@
                 self._known[kind].keep(entry)
                 continue
             has_changed = True
-            await self._adopt(kind, entry, known)
+            await self._adopt(kind, entry, known, source)
             if isinstance(entry.record, Member):
                 joined.append(entry.name)
         if joined:
@@ -247,32 +260,51 @@
             await self._tell(kind)
 
     async def _adopt(
-        self, kind: Kind, entry: Entry, known: Entry | None
+        self,
+        kind: Kind,
+        entry: Entry,
+        known: Entry | None,
+        source: str,
     ) -> None:
         if isinstance(entry.record, Configuration):
             self._known[kind].keep(entry)
             await self.adopt_configuration(entry.record)
             return
         if entry.record is None:
-            await self._remove(kind, known)
+            await self._remove(kind, known, source)
             return
         self._removed.pop(entry.name, None)
         self._known[kind].keep(entry)
-        self._log_adopted(entry.record, entry.revision)
+        self._log_adopted(entry.record, entry.revision, source)
 
-    async def _remove(self, kind: Kind, known: Entry | None) -> None:
+    async def _remove(
+        self,
+        kind: Kind,
+        known: Entry | None,
+        source: str,
+    ) -> None:
         if known is None or kind is Kind.CONFIGURATION:
             return
         # The entry tells its last change; it was removed later, and before
         # the revision up to which the kind is known now.
         self._known[kind].drop(known.name, self._known[kind].revision)
-        self._journal.record(f'{kind}.removed', name=known.name)
+        self._journal.record(
+            f'{kind}.removed',
+            name=known.name,
+            revision=self._known[kind].revision,
+            told_by=source,
+        )
         if isinstance(known.record, BackendServer):
             now = await curio.clock()
             self._removed[known.name] = (now, known.record)
 
-    def _log_adopted(self, record: Record, revision: int) -> None:
-        described = describe_record(record, revision)
+    def _log_adopted(
+        self,
+        record: Record,
+        revision: int,
+        source: str,
+    ) -> None:
+        described = describe_record(record, revision, source)
         if described is not None:
             event, fields = described
             self._journal.record(event, **fields)
--- a/deckdrum/fleet/nodes.py
+++ b/deckdrum/fleet/nodes.py
@@ -218,7 +218,7 @@
     async def adopt_news(self, news: News, address: Address) -> None:
         """Take over a peer's news; what cannot be read is told."""
         try:
-            await self._adopt(news)
+            await self._adopt(news, str(address))
         except (DecodeError, DocumentError, ValueError) as error:
             self._journal.record(
                 'peer.bad_news', peer=str(address), reason=str(error)
@@ -248,11 +248,12 @@
         if isinstance(answer, News):
             await self.adopt_news(answer, address)
 
-    async def _adopt(self, news: News) -> None:
+    async def _adopt(self, news: News, source: str) -> None:
         # The records first: a damaged configuration must not hide them.
         for name, body in news.updates.items():
             kind = Kind(name)
-            await self._view.adopt_update(kind, decode_update(kind, body))
+            update = decode_update(kind, body)
+            await self._view.adopt_update(kind, update, source)
         if news.configuration:
             encoded = decompress_configuration(news.configuration)
             configuration = self._store.decode_configuration(encoded)
--- a/deckdrum/leadership/changes.py
+++ b/deckdrum/leadership/changes.py
@@ -24,7 +24,7 @@
 
     `takes_over` tells that another node has left it undone; `phases` maps
     steps to their end, in seconds.  Once the former primary may have stepped
-    down, its term cannot go on.
+    down, its term cannot go on.  `finding` tells what stood in the way.
     """
 
     service: str
@@ -35,6 +35,7 @@
     term: int = 0
     promoted: str = ''
     has_stepped_down: bool = False
+    finding: str = ''
     phases: dict[str, float] = field(default_factory=dict)
 
     async def note(self, phase: str) -> None:
@@ -52,6 +53,7 @@
             primary=self.promoted,
             planned=self.is_planned,
             reason=reason,
+            finding=self.finding,
             phases={
                 name: round(ended_at - start, 3)
                 for name, ended_at in self.phases.items()
--- a/deckdrum/leadership/claims.py
+++ b/deckdrum/leadership/claims.py
@@ -36,7 +36,8 @@
     async def make(self, report: ChangeReport) -> Claim | None:
         """Claim the change of the group; None if another node was first."""
         known = self._tools.view.find_leadership(self._runtime.name)
-        if self._is_outdated(report):
+        report.finding = self._find_outdated(report)
+        if report.finding:
             report.log(
                 self._runtime.journal,
                 'leadership.change_outdated',
@@ -117,18 +118,22 @@
         )
         await self._put(record, claim.fence)
 
-    def _is_outdated(self, report: ChangeReport) -> bool:
-        """Tell whether the primary was changed, or is, since the decision."""
+    def _find_outdated(self, report: ChangeReport) -> str:
+        """Return what shows that the primary was changed, or is, if anything.
+
+        That is since the decision was taken.
+        """
         belief = self._runtime.belief
         if belief.has_primary and belief.primary != report.former:
-            return True
+            return f'{belief.primary} leads term {belief.term}'
         known = self._tools.view.find_leadership(self._runtime.name)
         if known is None:
-            return False
+            return ''
         record = known[1]
+        told = f'the record has {record.primary or "nobody"}, {record.phase}'
         if record.phase is Phase.FENCING:
-            return not report.takes_over
-        return record.primary != report.former
+            return '' if report.takes_over else f'{told} by {record.driver}'
+        return '' if record.primary == report.former else told
 
     async def _put(self, record: GroupRecord, revision: int) -> int | None:
         """Store a record conditionally; return its new revision if done."""
--- a/deckdrum/leadership/holds.py
+++ b/deckdrum/leadership/holds.py
@@ -30,6 +30,13 @@
     def __init__(self, runtime: ServiceRuntime) -> None:
         self._runtime = runtime
 
+    def describe(self) -> str:
+        """Return what each server last said of itself, for the log."""
+        return '; '.join(
+            f'{name}: {handle.status or handle.fault}'
+            for name, handle in self._runtime.servers.items()
+        )
+
     async def count_answering(self, former: str) -> int:
         """Return how many of the servers but the former primary answer."""
         replicas = self._list_replicas(former)
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -160,6 +160,7 @@
             await report.note('wait')
         if not await self._holds.still_hold(held, term):
             # One that has restarted may have given proof meanwhile.
+            report.finding = f'no longer held: {self._holds.describe()}'
             return None
         if former is not None:
             # It may have come to life meanwhile; a promotion ends its term.
@@ -187,6 +188,7 @@
         ending = await curio.spawn(self._end_term, term - 1, report.is_planned)
         if report.is_planned:
             if not (await ending.join()).has_most:
+                report.finding = 'most nodes do not consent'
                 return None
             await self._step_down(report, term)
         # Otherwise at the same time: the nodes may be out of reach.
@@ -195,8 +197,10 @@
         consent: Consent = await ending.join()
         await report.note('end term')
         if held is None:
+            report.finding = f'nobody holds: {self._holds.describe()}'
             return None
         if len(held) < self._holds.needed and not consent.has_most:
+            report.finding = f'few hold or consent: {self._holds.describe()}'
             return None
         return held, consent
 
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -215,6 +215,8 @@
             if search.may_have_run:
                 return self._retries.give_up(search)
             return refuse(Code.NO_PRIMARY, 'it does not answer this node')
+        if target.handle.server.is_draining:
+            self._note_leaving(search, target, now)
         search.tries += 1
         # A second try beside this one goes to another server.
         search.passed_over.add(target.handle.id)
@@ -236,6 +238,24 @@
         )
         return None
 
+    def _note_leaving(
+        self,
+        search: Search,
+        target: Target,
+        now: float,
+    ) -> None:
+        """Tell that a statement goes to a server that is to leave."""
+        self.runtime.counters.count('leaving_servers_used')
+        self.runtime.journal.record_often(
+            'server.used_while_leaving',
+            request=search.request.id,
+            service=self.runtime.name,
+            server=target.handle.id,
+            role='primary' if target.is_primary else 'replica',
+            term=target.term,
+            known_for=round(now - target.handle.leaving_since, 3),
+        )
+
     async def _choose(
         self,
         search: Search,
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -105,8 +105,12 @@
         self.is_holder = True
         self._lending = loans
         self._asking_status = SharedCall(self.ask_status)
-        #: Why it last left a question without an answer.
+        #: Why it last left a question without an answer, or refused it.
         self.fault = ''
+        #: What it last said of itself, unless the latest question failed.
+        self.status: ServerStatus | None = None
+        #: Since when it is known that the server leaves, in kernel seconds.
+        self.leaving_since = math.inf
         #: When the server last answered anything, in kernel seconds.
         self.answered_at = float('-inf')
         #: When a question was last left without an answer.
@@ -142,10 +146,12 @@
         queues = (self.pool.queue, self.loans.queue)
         return sum(queue.held + queue.waiting for queue in queues)
 
-    def update(self, server: BackendServer) -> None:
-        """Take over a new entry of the same server."""
+    def update(self, server: BackendServer, now: float) -> None:
+        """Take over a new entry of the same server at `now`."""
         self.own.server = server
         self._lending.server = server
+        since = min(self.leaving_since, now)
+        self.leaving_since = since if server.is_draining else math.inf
 
     async def adopt_deal(
         self,
@@ -312,6 +318,7 @@
             None if the server did not answer or refused.
         """
         asked_at = await curio.clock()
+        self.status = None
         try:
             async with curio.timeout_after(limit):
                 reply = await self._call_step(step, arguments)
@@ -325,7 +332,9 @@
             return None
         self.note_answer(await curio.clock())
         if not isinstance(reply, Rejection):
+            self.status = reply
             return reply
+        self.fault = f'{step}: {reply.cause}: {reply.text}'
         if reply.position is not None and reply.tells_position:
             self.told = ToldPosition(reply.position, asked_at)
         return None
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -132,19 +132,20 @@
 
     async def adopt_servers(self, listed: Mapping[str, BackendServer]) -> None:
         """Take over the servers of this group from the directory."""
+        now = await curio.clock()
         for name, server in listed.items():
             handle = self.servers.get(name)
             if handle is None:
                 own = OwnBackend(self._make_backend(server))
-                self.servers[name] = ServerHandle(
+                handle = ServerHandle(
                     own,
                     LoanBackend(own, self._peers.loans, self._peers.health),
                     USEFUL_CONNECTIONS,
                     self._shares,
                     self.policies,
                 )
-            else:
-                handle.update(server)
+                self.servers[name] = handle
+            handle.update(server, now)
         for name in self.servers.keys() - listed.keys():
             handle = self.servers.pop(name)
             self.former_connections.update(asdict(handle.pool.figures))
