Tests of unfinished changes: wait for a successor, and keep traffic going

Cause: two checks asked the stand-in for its primary at a moment when nobody leads, which raises; one waited for a change that nothing began, since a lost primary is noticed by traffic. All three failed for these reasons, not for the fault that they are to show.

Change: the checks look for another server that leads; a writer runs on. The bounds are the same, and one more is checked: the gap of the first change.

--- a/deckdrum/leadership/tests/test_unfinished_changes.py
+++ b/deckdrum/leadership/tests/test_unfinished_changes.py
@@ -15,12 +15,13 @@
 on, and ``PAUSE 2`` holds it.
 """
 
+from functools import partial
 from typing import Any
 
 import curio
 import pytest
 
-from deckdrum.standins.users import StoreFault
+from deckdrum.standins.users import DatabaseServer, StoreFault
 from deckdrum.store.records import Phase
 from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
 
@@ -56,6 +57,13 @@
     return deployment.store.read('deckdrum-leadership', SERVICE)
 
 
+def _has_successor(deployment: Deployment, former: DatabaseServer) -> bool:
+    return any(
+        server.role == 'primary' and server is not former
+        for server in deployment.group.servers.values()
+    )
+
+
 def test_claim_passes_a_term_that_only_the_servers_know() -> None:
     async def scenario(deployment: Deployment) -> None:
         old = deployment.group.primary
@@ -91,7 +99,7 @@
         old = deployment.group.primary
         await old.drain()
         await deployment.wait_for(
-            lambda: deployment.group.primary is not old,
+            partial(_has_successor, deployment, old),
             DRAIN_TIME,
         )
         assert await client.write_until_done() < GAP_AIM
@@ -105,9 +113,10 @@
         client = await deployment.connect(CURRENT)
         await client.ask('WRITE a 1')
         await deployment.group.primary.crash()
+        writing = await curio.spawn(client.write_until_done)
         await deployment.wait_for(lambda: bool(deployment.group.promotions))
         deployment.store.fault = StoreFault.BUSY
-        await client.write_until_done()
+        assert await writing.join() < GAP_AIM
         await curio.sleep(2)
         deployment.store.fault = StoreFault.NONE
         await deployment.wait_for(
@@ -139,7 +148,7 @@
         second = deployment.group.primary
         await second.drain()
         await deployment.wait_for(
-            lambda: deployment.group.primary is not second,
+            partial(_has_successor, deployment, second),
             DRAIN_TIME,
         )
         assert await client.write_until_done() < GAP_AIM
