Let a group go on after a change of primary that came to nothing

Cause: what an unfinished change leaves behind blocked every later one. (1) The number of a claimed term rose above what this node believes, not above what the servers follow; a replica does not hold for its own term, so each claim was given up after 1.2 s and the next was the same. (2) A claim that is given up by a driver that knew no former primary names nobody; such a record did not reopen the term that the claim had ended, so a running primary was never used again, and (3) every change of a primary that a node did know was taken as outdated, a leaving one's too. (4) A change that was won and not settled, since the store was away, stayed claimed: no later change was made. Found beside it, by reading: (5) an older word that a change was given up could reopen a term whose end a later claim had asked for.

Change: claims pass the highest term that a server has told; a given-up change reopens its term whoever it names, unless a server has passed it or a later claim has ended it (the question to end a term carries the claim's revision); a record that names nobody makes no change outdated; a won change is settled by whoever would have taken it over.

Conclusion: (1) with (2) brings about the very lines of the incident. Which of (1) to (4) its group met first its logs do not tell.

--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -70,12 +70,13 @@
     """Ask a peer to stop using the primary of a term.
 
     `may_finish` tells that the primary still answers, so that statements
-    under way are worth a short wait.
+    under way are worth a short wait.  `fence` is the revision of the claim.
     """
 
     service: str
     term: int
     may_finish: bool
+    fence: int
 
 
 class TermEnded(Message, frozen=True):
--- a/deckdrum/leadership/belief.py
+++ b/deckdrum/leadership/belief.py
@@ -44,11 +44,15 @@
         self.ended_term = 0
         #: Highest term whose changes are not released to callers any more.
         self.closed_term = 0
+        #: Highest term that a server has said it leads or follows.
+        self.seen_term = 0
         #: Set whenever the belief changes.
         self.changed = curio.Event()
         self._journal = journal
         self._record_revision = 0
         self._record: GroupRecord | None = None
+        #: Revision of the latest claim that has ended a term here.
+        self._ended_by = 0
         #: When each replica was last asked and did not hold.
         self._proofs: dict[str, float] = {}
         #: When the store, or a peer with proof, was last asked and knew of no
@@ -128,6 +132,7 @@
         asked_at: float,
     ) -> None:
         """Take over what a server said of itself when asked at `asked_at`."""
+        self.seen_term = max(self.seen_term, status.term)
         if status.role is ServerRole.PRIMARY:
             if status.term > max(self.term, self.ended_term):
                 await self._adopt(status.term, name, 'the server says so')
@@ -174,15 +179,13 @@
         self._record_revision = revision
         self._record = record
         if record.phase is Phase.FENCING:
-            await self.end_term(record.term - 1, f'{record.driver} changes it')
+            reason = f'{record.driver} changes it'
+            await self.end_term(record.term - 1, reason, revision)
         elif record.term > self.ended_term and record.primary:
             if record.term > self.term or not self.has_primary:
                 await self._adopt(record.term, record.primary, 'the record')
-        elif record.term == self.ended_term and record.primary:
-            # A change was given up: the former term goes on.
-            self.ended_term = record.term - 1
-            self.closed_term = min(self.closed_term, self.ended_term)
-            await self._adopt(record.term, record.primary, 'change given up')
+        elif record.term == self.ended_term and revision > self._ended_by:
+            await self._reopen(record)
 
     def note_handed(self, term: int, asked_at: float) -> None:
         """Take over a peer's proof, which was as good as of `asked_at`."""
@@ -193,8 +196,13 @@
         """Return the age of the present proof in seconds."""
         return now - (self.read_valid_until() - VALIDITY)
 
-    async def end_term(self, term: int, reason: str) -> None:
-        """Stop using the primary of `term` and of earlier terms."""
+    async def end_term(self, term: int, reason: str, fence: int = 0) -> None:
+        """Stop using the primary of `term` and of earlier terms.
+
+        `fence` is the revision of the claim that ends it, if one does: only a
+        later record can tell that the change was given up.
+        """
+        self._ended_by = max(self._ended_by, fence)
         if term <= self.ended_term:
             return
         had_primary = self.has_primary
@@ -230,6 +238,16 @@
             await self.changed.wait()
         self.changed.clear()
 
+    async def _reopen(self, record: GroupRecord) -> None:
+        """Let a term go on whose change was given up."""
+        if self.seen_term > record.term:
+            return
+        self.ended_term = record.term - 1
+        self.closed_term = min(self.closed_term, self.ended_term)
+        # A driver that knew no primary names none; the servers tell who leads.
+        if record.primary:
+            await self._adopt(record.term, record.primary, 'change given up')
+
     def _note_proof(self, name: str, asked_at: float) -> None:
         known = self._proofs.get(name, float('-inf'))
         self._proofs[name] = max(known, asked_at)
--- a/deckdrum/leadership/claims.py
+++ b/deckdrum/leadership/claims.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import curio
+from msgspec.structs import replace
 
 from deckdrum.control import Kind
 from deckdrum.leadership.changes import ChangeReport, ChangeTools, Claim
@@ -46,7 +47,8 @@
             return None
         belief = self._runtime.belief
         sent_at = await curio.clock()
-        term = max(belief.term, belief.ended_term) + 1
+        # Replicas hold only for terms above the one that they follow.
+        term = max(belief.term, belief.ended_term, belief.seen_term) + 1
         if known is not None and known[1].phase is Phase.FENCING:
             term = max(term, known[1].term)
         number = self._tools.randomness.getrandbits(_OPERATION_BITS)
@@ -65,6 +67,11 @@
         report.term = term
         return Claim(record, revision, sent_at)
 
+    def is_won(self, record: GroupRecord) -> bool:
+        """Tell whether a claimed change has led to a primary already."""
+        belief = self._runtime.belief
+        return belief.has_primary and belief.term >= record.term
+
     def is_overtaken(self, claim: Claim) -> bool:
         """Tell whether the record was changed since the claim."""
         known = self._tools.view.find_leadership(self._runtime.name)
@@ -88,6 +95,23 @@
         )
         await self._put(record, claim.fence)
 
+    async def settle_won(self) -> None:
+        """Record the primary of a change that its driver did not settle.
+
+        Every later change would find the record claimed, and be outdated.
+        """
+        known = self._tools.view.find_leadership(self._runtime.name)
+        if known is None:
+            return
+        belief = self._runtime.belief
+        record = replace(
+            known[1],
+            term=belief.term,
+            primary=belief.primary,
+            phase=Phase.SETTLED,
+        )
+        await self._put(record, known[0])
+
     async def record_first(self) -> None:
         """Record who leads a group whose primary was never changed.
 
@@ -133,7 +157,8 @@
         told = f'the record has {record.primary or "nobody"}, {record.phase}'
         if record.phase is Phase.FENCING:
             return '' if report.takes_over else f'{told} by {record.driver}'
-        return '' if record.primary == report.former else told
+        # A change that was given up may name nobody: that replaces no one.
+        return '' if record.primary in {'', report.former} else told
 
     async def _put(self, record: GroupRecord, revision: int) -> int | None:
         """Store a record conditionally; return its new revision if done."""
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -149,7 +149,7 @@
         """End the old term safely; return who may lead, the best first."""
         term = claim.record.term
         former = self._runtime.servers.get(report.former)
-        ready = await self._stop_term(report, term)
+        ready = await self._stop_term(report, claim)
         if ready is None:
             return None
         held, consent = ready
@@ -176,7 +176,7 @@
     async def _stop_term(
         self,
         report: ChangeReport,
-        term: int,
+        claim: Claim,
     ) -> tuple[dict[str, ServerStatus], Consent] | None:
         """Have nodes, primary and replicas stop; None if that is too few.
 
@@ -185,7 +185,8 @@
         tuple or None
             The replicas that hold, and the nodes that have stopped.
         """
-        ending = await curio.spawn(self._end_term, term - 1, report.is_planned)
+        term = claim.record.term
+        ending = await curio.spawn(self._end_term, report, claim)
         if report.is_planned:
             if not (await ending.join()).has_most:
                 report.finding = 'most nodes do not consent'
@@ -219,14 +220,21 @@
         await self._catch_up(final, former.id)
         await report.note('step down')
 
-    async def _end_term(self, term: int, is_planned: bool) -> Consent:
+    async def _end_term(self, report: ChangeReport, claim: Claim) -> Consent:
         """Tell every node to stop; return how many have."""
+        term = claim.record.term - 1
         await self._runtime.belief.end_term(term, 'this node changes it')
-        question = EndTerm(self._runtime.name, term, is_planned)
+        question = EndTerm(
+            self._runtime.name,
+            term,
+            report.is_planned,
+            claim.fence,
+        )
         own = await curio.spawn(
             self._runtime.close_term,
             term,
-            is_planned,
+            report.is_planned,
+            claim.fence,
             daemon=True,
         )
         answers = await self._tools.peers.ask_all(question, END_TERM_LIMIT)
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -152,7 +152,7 @@
             await curio.spawn(self._claims.record_first, daemon=True)
 
     async def _look_at_claim(self, record: GroupRecord) -> float:
-        """Take a change over whose driver has not finished it."""
+        """Finish a change whose driver has not, or take it over."""
         now = await curio.clock()
         if self._claim_seen[0] != record.operation:
             self._claim_seen = (record.operation, now)
@@ -162,6 +162,9 @@
         if now - self._claim_seen[1] < wait:
             return LOOK_PAUSE
         await self._runtime.discover()
+        if self._claims.is_won(record):
+            await self._claims.settle_won()
+            return RETRY_PAUSE
         return await self._change(
             record.former,
             'a change was left undone',
--- a/deckdrum/leadership/tests/test_belief.py
+++ b/deckdrum/leadership/tests/test_belief.py
@@ -206,3 +206,30 @@
         assert not belief.is_valid(10.0)
 
     run(scenario)
+
+
+def test_older_word_that_a_change_was_given_up_reopens_nothing() -> None:
+    """The end that a later claim asks for comes before the record does."""
+
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_status('b', build_status(), 10.0)
+        await belief.end_term(1, 'a later claim', fence=7)
+        belief.close_term(1)
+        back = build_record(term=1, primary='a', phase=Phase.SETTLED)
+        await belief.adopt_record(6, back)
+        assert not belief.is_valid(10.0)
+        assert not belief.may_release(1, 10.0)
+        await belief.adopt_record(8, back)
+        assert belief.is_valid(10.0)
+
+    run(scenario)
+
+
+def test_given_up_change_of_a_passed_term_reopens_nothing() -> None:
+    async def scenario(belief: LeadershipBelief) -> None:
+        await belief.note_status('b', build_status(term=2), 10.0)
+        back = build_record(term=1, phase=Phase.SETTLED)
+        await belief.adopt_record(6, back)
+        assert not belief.has_primary
+
+    run(scenario)
--- a/deckdrum/leadership/tests/test_proof.py
+++ b/deckdrum/leadership/tests/test_proof.py
@@ -201,7 +201,7 @@
         assert await runtime.prove()
         assert 0 <= await runtime.tell_proof(1) < VALIDITY
         assert await runtime.tell_proof(2) < 0
-        await runtime.close_term(1, may_finish=False)
+        await runtime.close_term(1, may_finish=False, fence=0)
         assert await runtime.tell_proof(1) < 0
 
     play(scenario)
--- a/deckdrum/node/answering.py
+++ b/deckdrum/node/answering.py
@@ -90,7 +90,11 @@
     async def _end_term(self, question: EndTerm) -> Message:
         runtime = self._services.get(question.service)
         if runtime is not None:
-            await runtime.close_term(question.term, question.may_finish)
+            await runtime.close_term(
+                question.term,
+                question.may_finish,
+                question.fence,
+            )
         return TermEnded(question.service, question.term)
 
 
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -305,13 +305,20 @@
         """Get proof that the term has not ended; tell whether there is."""
         return await self._proofs.renew()
 
-    async def close_term(self, term: int, may_finish: bool) -> None:
+    async def close_term(
+        self,
+        term: int,
+        may_finish: bool,
+        fence: int,
+    ) -> None:
         """End a term and release no change of it that is answered later.
 
+        `fence` is the revision of the claim that ends it.
+
         Statements under way get a bounded wait if they `may_finish`; an
         answer that comes afterwards is a doubt.
         """
-        await self.belief.end_term(term, 'a node changes the primary')
+        await self.belief.end_term(term, 'a node changes the primary', fence)
         async with curio.ignore_after(FINISH_LIMIT):
             while may_finish and self.in_flight:
                 await curio.sleep(_FINISH_POLL)
