End the use of a leaving server by time

Cause: nothing but a successor ended the use of a leaving primary. Where there was none, or its change failed again and again, a node that knew sent it work for as long as it answered. An entry that lapsed and came back counted as new, and a planned change without the consent of most nodes was tried for ever.

Change: the directory remembers when each server was first known to leave, also over a lapse of its entry (`control/departures`). After half of the time for which it serves on (`drainMs` of the deployment) it gets no work, whoever asks: this node's callers, holders, borrowers. Where all servers have left, work is refused at once, as not run. Questions go on, so that replicas serve reads of bounded age. Once the whole time is up a change is made without consent.

Conclusion: the bound is the deployment's own. Half is left for late news (up to 3.5 s of 7) and for work that waits.

--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -13,6 +13,11 @@
 import curio
 
 from deckdrum.backends.base import BackendServer
+from deckdrum.control.departures import (
+    STANDARD_DRAIN_TIME,
+    Departure,
+    Departures,
+)
 from deckdrum.control.descriptions import describe_record
 from deckdrum.control.known import KnownRecords
 from deckdrum.control.records import Configuration, Member
@@ -54,12 +59,15 @@
         The store.
     journal : Journal
         For changes of what is known.
+    drain_time : float
+        For how long a server that leaves serves on at least, in seconds.
     """
 
     def __init__(
         self,
         store: ControlStore,
         journal: Journal,
+        drain_time: float = STANDARD_DRAIN_TIME,
     ) -> None:
         self.store = store
         self.configuration: Configuration | None = None
@@ -72,6 +80,8 @@
         self._known = {kind: KnownRecords() for kind in Kind}
         #: Servers that left the list, with the time of their removal.
         self._removed: dict[str, tuple[float, BackendServer]] = {}
+        #: Since when servers leave, whether they say so or drop out.
+        self._departures = Departures(drain_time)
 
     @property
     def version(self) -> int:
@@ -111,6 +121,10 @@
             return None
         return entry.revision, entry.record
 
+    def find_departure(self, server: str) -> Departure:
+        """Return what is known of a server's planned end."""
+        return self._departures.find(server)
+
     def find_member(self, name: str) -> Entry | None:
         """Return a node's registration."""
         return self._known[Kind.MEMBERS].entries.get(name)
@@ -215,6 +229,8 @@
         """Count servers that left the list as leaving, then forget them."""
         now = await curio.clock()
         has_changed = False
+        listed = self._known[Kind.SERVERS].entries
+        self._departures.forget_unlisted(listed, now)
         for name, (removed_at, server) in list(self._removed.items()):
             age = now - removed_at
             if age >= REMOVAL_GRACE + LEAVING_TIME:
@@ -273,10 +289,19 @@
         if entry.record is None:
             await self._remove(kind, known, source)
             return
-        self._removed.pop(entry.name, None)
+        if isinstance(entry.record, BackendServer):
+            await self._note_server(entry.record)
         self._known[kind].keep(entry)
         self._log_adopted(entry.record, entry.revision, source)
 
+    async def _note_server(self, server: BackendServer) -> None:
+        """Note whether a server that is listed stays."""
+        self._removed.pop(server.id, None)
+        if server.is_draining:
+            self._departures.note(server.id, await curio.clock())
+        else:
+            self._departures.clear(server.id)
+
     async def _remove(
         self,
         kind: Kind,
@@ -297,6 +322,7 @@
         if isinstance(known.record, BackendServer):
             now = await curio.clock()
             self._removed[known.name] = (now, known.record)
+            self._departures.note(known.name, now)
 
     def _log_adopted(
         self,
--- a/deckdrum/fleet/settings.py
+++ b/deckdrum/fleet/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from deckdrum.control.departures import STANDARD_DRAIN_TIME
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.load.limits import STANDARD_TOLERANCE, Tolerance
 from deckdrum.utils import Address
@@ -27,6 +28,8 @@
         Mechanisms in force.
     limit_tolerance : Tolerance
         What workspaces may begin beyond their limits.
+    drain_time : float
+        For how long a server that leaves serves on at least, in seconds.
     """
 
     name: str
@@ -36,3 +39,4 @@
     seed: int = 0
     policies: frozenset[Policy] = ALL_POLICIES
     limit_tolerance: Tolerance = STANDARD_TOLERANCE
+    drain_time: float = STANDARD_DRAIN_TIME
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -200,7 +200,9 @@
             if self._runtime.primary is not primary:
                 return 0
         status = await self._runtime.ask(primary)
-        is_planned = status is not None
+        # Once it may end at any moment, nothing is worth waiting for.
+        has_time = not primary.departure.may_end(await curio.clock())
+        is_planned = status is not None and has_time
         reason = 'the primary is to leave'
         return await self._change(primary.id, reason, is_planned=is_planned)
 
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -78,7 +78,7 @@
         self._store = store
         self._dialer = DetourDialer(dial_straight)
         self._randomness = Random(settings.seed or None)
-        self.view = ControlView(store, journal)
+        self.view = ControlView(store, journal, settings.drain_time)
         self.view.on_change.append(self._note_change)
         self.feed = StoreFeed(self.view, store, journal, self._randomness)
         self.peers = NodePeers(
--- a/deckdrum/node/lending.py
+++ b/deckdrum/node/lending.py
@@ -61,7 +61,7 @@
             If the borrower is gone; the connection is closed then.
         """
         handle = self._find(question)
-        if handle is None or not handle.is_holder:
+        if handle is None or not await _may_lend(handle, question):
             await channel.send(_NOT_LENT)
             return
         if not await self._can_lend(handle):
@@ -123,6 +123,18 @@
         await channel.send(LinkReturned())
 
 
+async def _may_lend(handle: ServerHandle, question: BorrowLink) -> bool:
+    """Tell whether a connection of this node's own may be lent.
+
+    One to a server that has left serves questions, which are of no group: the
+    borrower may not know yet that it leaves.
+    """
+    is_barred = bool(question.group) and handle.departure.has_left(
+        await curio.clock()
+    )
+    return handle.is_holder and not is_barred
+
+
 async def _carry_both(
     channel: StreamChannel,
     stream: ByteStream,
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -107,7 +107,7 @@
             for server in view.servers.values()
             if server.service == name
         }
-        await runtime.adopt_servers(listed)
+        await runtime.adopt_servers(listed, view.find_departure)
         await runtime.deal(declaration, own, view.members, workspaces)
         known = view.find_leadership(name)
         if known is not None:
--- a/deckdrum/platform/settings.py
+++ b/deckdrum/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from deckdrum.control.departures import STANDARD_DRAIN_TIME
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.fleet.settings import NodeSettings
 from deckdrum.load.limits import Tolerance
@@ -17,6 +18,7 @@
 #: Where metrics are served, on the machine's own address.  It stands in
 #: `deploy/system.toml` too, and lies outside the ports that days draw.
 METRICS_PORT: Final = 9464
+_MS: Final = 1000
 
 
 class _Listen(msgspec.Struct, rename='camel'):
@@ -37,6 +39,8 @@
     quota_window_s: float = 5.0
     quota_overrun: float = 0.1
     quota_slack: float = 20.0
+    #: For how long a server that leaves serves on, in milliseconds.
+    drain_ms: float = STANDARD_DRAIN_TIME * _MS
 
 
 class _Store(msgspec.Struct, rename='camel'):
@@ -122,6 +126,7 @@
                 self.bounds.quota_overrun,
                 self.bounds.quota_slack,
             ),
+            drain_time=self.bounds.drain_ms / _MS,
         )
 
 
--- a/deckdrum/platform/tests/test_settings.py
+++ b/deckdrum/platform/tests/test_settings.py
@@ -26,6 +26,19 @@
     assert settings.grace == 6
 
 
+@pytest.mark.parametrize(
+    ('bounds', 'drain_time'),
+    [({}, 7), ({'drainMs': 10_000}, 10), ({'drainMs': 6500.0}, 6.5)],
+)
+def test_time_of_a_leaving_server_is_the_deployments(
+    bounds: dict[str, float],
+    drain_time: float,
+) -> None:
+    text = build_platform_settings(bounds=bounds)
+    settings = decode_settings(text, 'node.json')
+    assert settings.make_node_settings().drain_time == drain_time
+
+
 @pytest.mark.parametrize(
     ('replaced', 'told'),
     [
--- a/deckdrum/serving/execution.py
+++ b/deckdrum/serving/execution.py
@@ -202,10 +202,10 @@
         now = await curio.clock()
         remaining = search.deadline - now
         if remaining <= 0 or search.tries >= MAX_TRIES:
-            return self._retries.give_up(search)
+            return self._retries.give_up(search, now)
         target = await self._choose(search, route, remaining)
         if target is None:
-            return self._retries.give_up(search)
+            return self._retries.give_up(search, now)
         if search.running and target.handle.id in search.passed_over:
             # The only server that may run it works on it already.
             return None
@@ -213,7 +213,7 @@
             # Known at once: another node may reach it, and is asked for that.
             self.runtime.report_trouble(target.handle)
             if search.may_have_run:
-                return self._retries.give_up(search)
+                return self._retries.give_up(search, now)
             return refuse(Code.NO_PRIMARY, 'it does not answer this node')
         if target.handle.server.is_draining:
             self._note_leaving(search, target, now)
@@ -253,7 +253,7 @@
             server=target.handle.id,
             role='primary' if target.is_primary else 'replica',
             term=target.term,
-            known_for=round(now - target.handle.leaving_since, 3),
+            known_for=round(now - target.handle.departure.since, 3),
         )
 
     async def _choose(
--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -89,14 +89,15 @@
         if isinstance(end, Refusal):
             # The queue of this server is full.  Another replica may have room,
             # or the primary; nobody has if the primary has none.
-            return self.give_up(search) if ended.target.is_primary else None
+            is_last = ended.target.is_primary
+            return self.give_up(search, now) if is_last else None
         if not end.was_sent or search.is_repeatable:
             return await self._rest(search, ended.target)
         code = Code.TIMED_OUT if end.is_late else Code.CONNECTION_LOST
         return refuse(code, end.reason)
 
-    def give_up(self, search: Search) -> Refusal:
-        """Return the refusal for a statement that nobody has run."""
+    def give_up(self, search: Search, now: float) -> Refusal:
+        """Return the refusal for a statement that nobody has run by `now`."""
         last = search.last
         if search.may_have_run:
             # Only what leaves nothing behind is tried again after a loss.
@@ -105,8 +106,11 @@
             return last
         if isinstance(last, Rejection):
             return refuse(Code.PRIMARY_REFUSED, f'{last.cause}: {last.text}')
-        if self._runtime.primary is None:
+        primary = self._runtime.primary
+        if primary is None:
             return refuse(Code.NO_PRIMARY, f'service {self._runtime.name}')
+        if primary.departure.has_left(now):
+            return refuse(Code.NO_PRIMARY, 'it has left, and none follows')
         code = Code.QUEUE_TIMEOUT
         if search.is_read:
             code = Code.READ_NOT_POSSIBLE
@@ -152,8 +156,9 @@
             # The next replica, or the primary if there is none.
             return None
         search.passed_over.clear()
-        if await curio.clock() + search.pause >= search.deadline:
-            return self.give_up(search)
+        now = await curio.clock()
+        if now + search.pause >= search.deadline:
+            return self.give_up(search, now)
         await curio.sleep(search.pause)
         search.pause = min(search.pause * 2, LONGEST_PAUSE)
         return None
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -18,6 +18,7 @@
     ServerStatus,
 )
 from deckdrum.control import Member
+from deckdrum.control.departures import Departure
 from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.load.placement import BORROWED_CONNECTIONS, USEFUL_CONNECTIONS
@@ -109,8 +110,8 @@
         self.fault = ''
         #: What it last said of itself, unless the latest question failed.
         self.status: ServerStatus | None = None
-        #: Since when it is known that the server leaves, in kernel seconds.
-        self.leaving_since = math.inf
+        #: Its planned end, if there is one.
+        self.departure = Departure()
         #: When the server last answered anything, in kernel seconds.
         self.answered_at = float('-inf')
         #: When a question was last left without an answer.
@@ -146,12 +147,11 @@
         queues = (self.pool.queue, self.loans.queue)
         return sum(queue.held + queue.waiting for queue in queues)
 
-    def update(self, server: BackendServer, now: float) -> None:
-        """Take over a new entry of the same server at `now`."""
+    def update(self, server: BackendServer, departure: Departure) -> None:
+        """Take over a new entry of the same server."""
         self.own.server = server
         self._lending.server = server
-        since = min(self.leaving_since, now)
-        self.leaving_since = since if server.is_draining else math.inf
+        self.departure = departure
 
     async def adopt_deal(
         self,
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -16,6 +16,7 @@
 )
 from deckdrum.backends.history import History
 from deckdrum.control import ControlStore, Member, Route, ServiceDeclaration
+from deckdrum.control.departures import Departure
 from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
 from deckdrum.fleet.nodes import NodePeers
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
@@ -130,9 +131,15 @@
             if name != self.belief.primary
         ]
 
-    async def adopt_servers(self, listed: Mapping[str, BackendServer]) -> None:
-        """Take over the servers of this group from the directory."""
-        now = await curio.clock()
+    async def adopt_servers(
+        self,
+        listed: Mapping[str, BackendServer],
+        find_departure: Callable[[str], Departure],
+    ) -> None:
+        """Take over the servers of this group from the directory.
+
+        `find_departure` tells of a server's planned end.
+        """
         for name, server in listed.items():
             handle = self.servers.get(name)
             if handle is None:
@@ -145,7 +152,7 @@
                     self.policies,
                 )
                 self.servers[name] = handle
-            handle.update(server, now)
+            handle.update(server, find_departure(name))
         for name in self.servers.keys() - listed.keys():
             handle = self.servers.pop(name)
             self.former_connections.update(asdict(handle.pool.figures))
@@ -273,9 +280,16 @@
         if self.primary is None:
             await self._ask_each(others)
 
-    async def ensure_primary(self, limit: float) -> ServerHandle | None:
+    async def ensure_primary(
+        self,
+        limit: float,
+        *,
+        for_work: bool = True,
+    ) -> ServerHandle | None:
         """Return a primary with valid proof, within `limit` seconds.
 
+        One that has left gets no work, only questions.
+
         Returns
         -------
         ServerHandle or None
@@ -285,12 +299,17 @@
         while True:
             now = await curio.clock()
             primary = self.primary
-            if primary is not None and self.belief.is_valid(now):
+            is_barred = for_work and _has_left(primary, now)
+            if primary and not is_barred and self.belief.is_valid(now):
                 await self._proofs.renew_early(now)
                 return primary
-            if now >= deadline:
+            # Where all have left there is nothing to wait for.
+            is_hopeless = for_work and _have_all_left(self.servers, now)
+            if now >= deadline or is_hopeless:
                 return None
-            if primary is None:
+            if is_barred:
+                await self.belief.wait_changed(DISCOVERY_PAUSE)
+            elif primary is None:
                 await self._look_for_primary(deadline - now)
             elif not await self.prove():
                 await self.belief.wait_changed(
@@ -356,7 +375,7 @@
 
     async def _ask_primary(self) -> bool:
         """Ask the primary where its log stands; tell whether it said so."""
-        primary = await self.ensure_primary(SAMPLE_LIMIT)
+        primary = await self.ensure_primary(SAMPLE_LIMIT, for_work=False)
         if primary is None:
             return False
         started_at = await curio.clock()
@@ -390,3 +409,14 @@
             # Whoever changes the primary announces it.
             await self.belief.wait_changed(min(DISCOVERY_PAUSE, limit))
         await self.discover()
+
+
+def _has_left(handle: ServerHandle | None, now: float) -> bool:
+    return handle is not None and handle.departure.has_left(now)
+
+
+def _have_all_left(servers: Mapping[str, ServerHandle], now: float) -> bool:
+    """Tell whether a group has servers, and none that gets new work."""
+    return bool(servers) and all(
+        handle.departure.has_left(now) for handle in servers.values()
+    )
--- a/deckdrum/serving/tests/test_leaving_servers.py
+++ b/deckdrum/serving/tests/test_leaving_servers.py
@@ -22,6 +22,9 @@
 
 #: For how long a server that leaves serves on, in seconds, as users promise.
 DRAIN_TIME = 7.0
+#: Longest time until a group takes changes again, in seconds: what users ask
+#: of the slowest of a hundred changes of primary.
+GAP_AIM = 4.0
 #: How long the callers go on, in seconds.
 WATCHED = 12.0
 #: Longest time in which a request that cannot be served is refused, in s.
@@ -112,3 +115,18 @@
         assert len(deployment.group.ran) == ran_before
 
     play(scenario)
+
+
+def test_leaving_primary_is_replaced_in_the_end_without_consent() -> None:
+    """No node hears another, so that no planned change is agreed."""
+
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        for running in deployment.nodes:
+            running.node.peers.answer = None
+        await deployment.group.primary.drain()
+        await curio.sleep(DRAIN_TIME)
+        assert await client.write_until_done() < GAP_AIM
+
+    play(scenario)
