Let no older news bring back a server that was removed

Cause: the removal of a record was remembered for peers only. A peer's answer that was on its way when the store told of the removal put the record back, and since the kind was known beyond it, nothing took it away again: a server that has left stood in the list as ready until the next whole list.

Change: an entry is outdated if a later change of the record, or its removal at a later revision, is known.

Measured: test_older_news_does_not_bring_back_a_server_that_left failed before and passes; it also shows that a later entry is taken.

Conclusion: one more way in which nodes may use a server that has left; whether the fleet of the incident met it is not shown.

--- a/deckdrum/control/known.py
+++ b/deckdrum/control/known.py
@@ -54,6 +54,12 @@
         self.entries[entry.name] = entry
         self._removed.pop(entry.name, None)
 
+    def is_outdated(self, entry: Entry) -> bool:
+        """Tell whether a later change of a record, or its end, is known."""
+        known = self.entries.get(entry.name)
+        later = known.revision if known else self._removed.get(entry.name, 0)
+        return later > entry.revision
+
     def drop(self, name: str, revision: int) -> None:
         """Forget a record that was removed by `revision` at the latest."""
         self.entries.pop(name, None)
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -255,9 +255,9 @@
         has_changed = False
         joined: list[str] = []
         for entry in entries:
-            known = self._known[kind].entries.get(entry.name)
-            if known is not None and known.revision > entry.revision:
+            if self._known[kind].is_outdated(entry):
                 continue
+            known = self._known[kind].entries.get(entry.name)
             if known is not None and known.record == entry.record:
                 self._known[kind].keep(entry)
                 continue
