Take a record that came back in the answer that told of its removal

Change: of each record the last word of an answer counts.

Measured: the test fails on the code before.

--- a/deckdrum/control/tests/test_deaf_watches.py
+++ b/deckdrum/control/tests/test_deaf_watches.py
@@ -121,3 +121,27 @@
         assert name in {entry.name for entry in known}
 
     play(scenario)
+
+
+def test_server_that_went_and_came_back_in_one_answer_is_listed() -> None:
+    """Entries lapse while the store is away, and are back soon after.
+
+    A group had no servers for the rest of a day: the answer told that its
+    entries were removed and, later, that they were back, and the removal was
+    dated to the end of the answer.
+    """
+
+    async def scenario(deployment: Deployment) -> None:
+        view = deployment.nodes[0].node.view
+        name = _find_replica(deployment).name
+        server = view.servers[name]
+        revision = view.read_revision(Kind.SERVERS)
+        told = (
+            Entry(name, revision, None),
+            Entry(name, revision + 2, server),
+        )
+        await view.adopt_update(Kind.SERVERS, Changes(revision + 4, told))
+        known = view.read_update(Kind.SERVERS, 0).entries
+        assert name in {entry.name for entry in known}
+
+    play(scenario)
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -154,7 +154,10 @@
         known = self._known[kind]
         if isinstance(update, Changes):
             known.revision = max(known.revision, update.revision)
-            await self._adopt_entries(kind, update.entries, source)
+            # A removal has no revision of its own, only that of the answer: a
+            # record that came back in the same answer would look older.
+            latest = {entry.name: entry for entry in update.entries}
+            await self._adopt_entries(kind, latest.values(), source)
             return
         if update.revision < known.revision:
             return
