Entries of other writers name nothing, hide nothing and stop nobody

Cause: a change of a good entry that could not be read was left out, so that the entry of before stayed in use. An unknown state counted as ready, a missing role as replica. A list nested too deeply raised what nobody caught, and ended the watch of its kind again and again; one object without a name refused a whole page. An unreadable record of leadership could never be replaced (a conflict for ever), nor a registration; and it was taken as proof that no change had begun.

Change: objects of a page or an answer are decoded one by one; whoever wrote one that cannot be read, it names no record any more, and the others hold. A server's entry needs every field of the pages, with its type, a state and a role that they name, and an address by number. What lies under the name of a record of the product's own is replaced if it cannot be read. `unreadable_records` counts, and `store.unreadable_record` tells kind, name, revision and reason within its budget.

Conclusion: an answer that is no JSON at all as a whole stays an error of the store, and its kind is asked for again.

--- a/deckdrum/control/feed.py
+++ b/deckdrum/control/feed.py
@@ -228,7 +228,9 @@
         if not is_listed:
             asked_at = await curio.clock()
             listing = await self._store.list_records(kind)
-            self._view.listed_at[kind] = asked_at
+            if all(entry.record is not None for entry in listing.entries):
+                # Otherwise a record may be there that nobody knows.
+                self._view.listed_at[kind] = asked_at
             await self._view.adopt_update(kind, listing)
             self._listed.add(kind)
             return
--- a/deckdrum/control/store.py
+++ b/deckdrum/control/store.py
@@ -33,8 +33,8 @@
 class Entry:
     """A record under its name.
 
-    `record` is None if it was removed; `revision` is the store's counter at
-    its last change.
+    `record` is None if it was removed or cannot be read; `revision` is the
+    store's counter at its last change.
     """
 
     name: str
@@ -93,7 +93,10 @@
 
     @abstractmethod
     async def fetch(self, kind: Kind, name: str) -> Entry | None:
-        """Return a record as it is now, or None if there is none."""
+        """Return a record as it is now, or None if there is none.
+
+        The entry has no record if what lies there cannot be read.
+        """
 
     @abstractmethod
     async def put(
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -30,7 +30,7 @@
     Record,
 )
 from deckdrum.outcomes.errors import StoreError
-from deckdrum.store.objects import Stored
+from deckdrum.store.objects import Conflict, Stored
 from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
 
@@ -194,6 +194,8 @@
             If no answer came: the record may have been stored.
         """
         outcome = await self.store.put(kind, name, record, revision)
+        if not isinstance(outcome, Stored) and not revision:
+            outcome = await self._replace_unreadable(kind, name, record)
         if not isinstance(outcome, Stored):
             return None
         entry = Entry(name, outcome.version, record)
@@ -249,6 +251,22 @@
         if has_changed:
             await self._tell(Kind.SERVERS)
 
+    async def _replace_unreadable(
+        self,
+        kind: Kind,
+        name: str,
+        record: GroupRecord | Member,
+    ) -> Stored | Conflict:
+        """Store a record where one lies that cannot be read, if one does.
+
+        It is of another writer, and would keep a group from changing its
+        primary, or a node from registering, for ever.
+        """
+        entry = await self.store.fetch(kind, name)
+        if entry is None or entry.record is not None:
+            return Conflict()
+        return await self.store.put(kind, name, record, entry.revision)
+
     async def _adopt_entries(
         self,
         kind: Kind,
--- a/deckdrum/platform/store.py
+++ b/deckdrum/platform/store.py
@@ -24,8 +24,10 @@
     EventList,
     ObjectList,
     StoreObject,
-    decode_entry,
+    decode_answer,
     encode_record,
+    read_name,
+    read_object,
 )
 from deckdrum.store.objects import Conflict, Stored
 from deckdrum.store.records import GroupRecord
@@ -38,6 +40,8 @@
 CALL_LIMIT: Final = 1.0
 #: What a watch may take beyond its own wait, in seconds.
 WATCH_SLACK: Final = 1.5
+#: Characters of the reason why an object cannot be read that the log keeps.
+MOST_REASON: Final = 200
 _MS: Final = 1000
 _OK: Final = 200
 _CREATED: Final = 201
@@ -85,11 +89,12 @@
         while True:
             reply = await self._call('list', kind, Request('GET', path))
             page = _decode(_check(reply), ObjectList)
-            entries.extend(self._decode_all(kind, page.found))
+            found = [self._read(kind, each) for each in page.found]
+            entries.extend(entry for entry in found if entry is not None)
             revision = revision or page.current_rev
-            if not page.more_pages or not page.found:
+            last = _find_last_name(page)
+            if not page.more_pages or not last:
                 return Listing(revision, tuple(entries))
-            last = page.found[-1].meta.name
             path = f'{_locate(kind)}?{urlencode({"after": last})}'
 
     async def watch(self, kind: Kind, revision: int, wait: float) -> Changes:
@@ -110,11 +115,7 @@
         reply = await self._call('fetch', kind, request)
         if reply.status == _NOT_FOUND:
             return None
-        found = _decode(_check(reply), StoreObject)
-        try:
-            return decode_entry(kind, found)
-        except UNREADABLE as error:
-            raise StoreError(f'{kind}/{name}: {error}') from error
+        return self._read(kind, msgspec.Raw(_check(reply)))
 
     async def put(
         self,
@@ -172,9 +173,7 @@
             raise HistoryGoneError(f'no history since {revision}')
         found = _decode(_check(reply), EventList)
         entries = [
-            Entry(event.object.meta.name, event.object.meta.revision, None)
-            if event.removed
-            else self._decode_one(kind, event.object)
+            self._read(kind, event.object, is_removed=event.removed)
             for event in found.events
         ]
         known = tuple(entry for entry in entries if entry is not None)
@@ -199,26 +198,42 @@
             self._counters.count_store_call(call, kind, outcome)
         return reply
 
-    def _decode_all(self, kind: Kind, found: list[StoreObject]) -> list[Entry]:
-        entries = [self._decode_one(kind, each) for each in found]
-        return [entry for entry in entries if entry is not None]
-
-    def _decode_one(self, kind: Kind, found: StoreObject) -> Entry | None:
-        """Return an object as a record; what cannot be read is left out."""
-        name = found.meta.name
-        if kind is Kind.CONFIGURATION and name != CONFIGURATION_NAME:
+    def _read(
+        self,
+        kind: Kind,
+        encoded: msgspec.Raw,
+        *,
+        is_removed: bool = False,
+    ) -> Entry | None:
+        """Return an object as an entry; None if it has no name or is no use.
+
+        One that cannot be read names no record, like one that was removed:
+        what it said before does not hold any more.
+        """
+        found = read_object(kind, encoded)
+        if kind is Kind.CONFIGURATION and found.name != CONFIGURATION_NAME:
             return None
-        try:
-            return decode_entry(kind, found)
-        except UNREADABLE as error:
-            self._journal.record(
+        if is_removed:
+            return Entry(found.name, found.revision, None)
+        if found.fault:
+            self._counters.count('unreadable_records')
+            self._journal.record_often(
                 'store.unreadable_record',
                 kind=kind,
-                name=name,
-                revision=found.meta.revision,
-                reason=str(error),
+                name=found.name,
+                revision=found.revision,
+                reason=found.fault[:MOST_REASON],
             )
-            return None
+        return found.entry if found.name else None
+
+
+def _find_last_name(page: ObjectList) -> str:
+    """Return the name after which the next page begins; empty without any.
+
+    Lists are in the order of names.
+    """
+    names = [read_name(each) for each in page.found]
+    return max(names, default='')
 
 
 def _locate(kind: Kind, name: str = '') -> str:
@@ -234,7 +249,7 @@
 
 def _decode(body: bytes, expected: type[_Decoded]) -> _Decoded:
     try:
-        return msgspec.json.decode(body, type=expected)
-    except msgspec.DecodeError as error:
+        return decode_answer(body, expected)
+    except UNREADABLE as error:
         name = expected.__name__
         raise StoreError(f'the store sent no {name}: {error}') from error
--- /dev/null
+++ b/deckdrum/platform/tests/test_foreign_entries.py
@@ -0,0 +1,207 @@
+"""Objects in the store that another writer has written, or that are no objects.
+
+Anybody may write to the store.  What cannot be read must name nothing to use,
+must not hide what stands beside it, and must not stop a node.
+"""
+
+import json
+from functools import partial
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from deckdrum.control import Kind
+from deckdrum.platform.records import (
+    KIND_NAMES,
+    EventList,
+    ObjectList,
+    decode_answer,
+    read_object,
+)
+from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
+
+#: Drawn objects for each kind; four kinds make more than ten thousand.
+DRAWN = 2_600
+#: Longest time until a group takes changes again, in seconds: what users ask
+#: of the slowest of a hundred changes of primary.
+GAP_AIM = 4.0
+GOOD: dict[str, Any] = {
+    'service': SERVICE,
+    'address': '10.1.0.8:8080',
+    'zone': 'ba-hall',
+    'version': 'v1',
+    'slots': 3,
+    'state': 'ready',
+    'coldLeftMs': 0,
+    'dbRole': 'replica',
+    'seq': 1,
+}
+#: One field of an entry, and what another writer may put there.
+BAD_FIELDS = (
+    ('service', 7),
+    ('service', None),
+    ('address', 'no address'),
+    ('address', 'a.name.to.look.up:80'),
+    ('address', '10.1.0.8:0'),
+    ('address', '10.1.0.8:99999'),
+    ('address', f'10.1.0.8:{"9" * 5000}'),
+    ('zone', ['ba-hall']),
+    ('state', 'asleep'),
+    ('state', 1),
+    ('dbRole', 'witness'),
+    ('slots', '3'),
+    ('slots', 10**40),
+    ('slots', -1),
+    ('seq', -(10**40)),
+    ('born', -5),
+    ('coldLeftMs', 'soon'),
+    ('seq', 1.5),
+    ('born', 'today'),
+    ('born', 1.5),
+)
+
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(list(GOOD)), inner, max_size=4)
+    ),
+    max_leaves=6,
+)
+
+
+def encode_object(spec: Any, name: str = 'i-1', revision: int = 4) -> bytes:
+    """Return an object as the store sends it."""
+    meta = {'name': name, 'revision': revision}
+    return json.dumps({'meta': meta, 'spec': spec}).encode()
+
+
+def build_page(*listed: bytes) -> bytes:
+    """Return a page of a list."""
+    return b'{"items":[' + b','.join(listed) + b'],"currentRev":9}'
+
+
+def read_server(spec: Any) -> Any:
+    return read_object(Kind.SERVERS, msgspec.Raw(encode_object(spec))).record
+
+
+def test_good_entry_is_read() -> None:
+    assert read_server(GOOD) is not None
+    assert read_server(GOOD | {'born': 1764730000000, 'more': [1]}) is not None
+
+
+@pytest.mark.parametrize(('field', 'value'), BAD_FIELDS)
+def test_entry_with_a_bad_field_names_no_server(
+    field: str,
+    value: Any,
+) -> None:
+    assert read_server(GOOD | {field: value}) is None
+
+
+@pytest.mark.parametrize('field', GOOD)
+def test_entry_that_lacks_a_field_names_no_server(field: str) -> None:
+    lacking = {name: GOOD[name] for name in GOOD if name != field}
+    assert read_server(lacking) is None
+
+
+@pytest.mark.parametrize('kind', Kind)
+@settings(max_examples=DRAWN, deadline=None)
+@given(spec=json_values)
+def test_no_drawn_object_escapes_or_hides_its_neighbours(
+    kind: Kind,
+    spec: Any,
+) -> None:
+    good = encode_object(GOOD, 'i-0')
+    page = build_page(good, encode_object(spec), good)
+    found = decode_answer(page, ObjectList).found
+    read = [read_object(kind, each) for each in found]
+    assert [each.name for each in read] == ['i-0', 'i-1', 'i-0']
+    assert read[0] == read[2]
+    assert bool(read[1].fault) == (read[1].record is None)
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        b'"\xff\xfe\x00"',
+        b'[' * 100_000 + b']' * 100_000,
+        b'{"service":' * 2000 + b'1' + b'}' * 2000,
+        b'9' * 5000,
+        b'-1e999',
+        b'null',
+        b'""',
+    ],
+)
+def test_bytes_that_cannot_be_read_hide_no_neighbours(spec: bytes) -> None:
+    good = encode_object(GOOD, 'i-0')
+    bad = b'{"meta":{"name":"i-1","revision":4},"spec":' + spec + b'}'
+    found = decode_answer(build_page(good, bad, good), ObjectList).found
+    read = [read_object(Kind.SERVERS, each) for each in found]
+    assert [each.record is None for each in read] == [False, True, False]
+    event = b'{"events":[{"object":' + bad + b'}],"currentRev":9}'
+    told = decode_answer(event, EventList).events
+    assert read_object(Kind.SERVERS, told[0].object).record is None
+
+
+@pytest.mark.parametrize('bad', [b'1', b'{}', b'{"meta":{"name":7}}', b'[]'])
+def test_object_without_a_name_hides_no_neighbours(bad: bytes) -> None:
+    good = encode_object(GOOD, 'i-0')
+    found = decode_answer(build_page(good, bad, good), ObjectList).found
+    read = [read_object(Kind.SERVERS, each) for each in found]
+    assert [each.name for each in read] == ['i-0', '', 'i-0']
+
+
+def test_server_whose_entry_turns_bad_is_not_used_until_it_is_good() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        nodes = [running.node for running in deployment.nodes]
+        replica = next(
+            server
+            for server in deployment.group.servers.values()
+            if server.role == 'replica'
+        )
+        bad = GOOD | {'address': str(replica.address), 'state': 'asleep'}
+        await deployment.store.write('servers', replica.name, bad)
+        await deployment.wait_for(
+            lambda: not any(replica.name in node.view.servers for node in nodes)
+        )
+        assert all(node.counters.events['unreadable_records'] for node in nodes)
+        client = await deployment.connect(CURRENT)
+        assert (await client.ask('WRITE a 1')).is_done
+        await replica.publish()
+        await deployment.wait_for(
+            lambda: all(replica.name in node.view.servers for node in nodes)
+        )
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('spec', [{}, 'x', {'term': 'x'}, [[[]]]])
+def test_bad_records_of_all_kinds_keep_nobody_from_a_primary(spec: Any) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        write = deployment.store.write
+        await write(KIND_NAMES[Kind.LEADERSHIP], SERVICE, spec)
+        await write(KIND_NAMES[Kind.MEMBERS], 'n1', spec)
+        await write(KIND_NAMES[Kind.CONFIGURATION], 'main', spec)
+        await write(KIND_NAMES[Kind.SERVERS], 'i-foreign', spec)
+        await curio.sleep(0.5)
+        assert (await client.ask('WRITE a 1')).is_done
+        await deployment.group.primary.crash()
+        assert await client.write_until_done() < GAP_AIM
+        await deployment.wait_for(partial(_is_registered, deployment, 'n1'))
+
+    play(scenario)
+
+
+def _is_registered(deployment: Deployment, name: str) -> bool:
+    record = deployment.store.read(KIND_NAMES[Kind.MEMBERS], name)
+    return isinstance(record, dict) and record.get('name') == name
--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -186,10 +186,21 @@
                 reason=str(error),
             )
             return
-        record = None if entry is None else entry.record
-        if record is None or isinstance(record, GroupRecord):
-            revision = 0 if entry is None else entry.revision
-            await self._belief.note_store(revision, record, asked_at)
+        if entry is None:
+            await self._belief.note_store(0, None, asked_at)
+        elif isinstance(entry.record, GroupRecord):
+            await self._belief.note_store(
+                entry.revision,
+                entry.record,
+                asked_at,
+            )
+        else:
+            # What lies there may be a claim for all that is known.
+            self._journal.record(
+                'leadership.no_proof',
+                service=self._belief.service,
+                reason='the record cannot be read',
+            )
 
 
 def _pick_collector(
