Tell the lives of a server apart that starts again under its id

Cause: everything that a node remembers of a server was kept by its id. A primary that came back empty under its id was believed to lead its term, and took changes on an empty log; an empty replica could be made primary.

Change: a server's entry carries when it started (`born`). Another start ends what was known of the former one: connections, usual times, lag and avoidance (a new handle), its proof, and the belief that it leads. What it says of leading a term up to the one of its start is not believed, by a node nor by its peers; the record of leadership keeps the start of the primary, so that nodes that start later know too. It is made primary only once it has the log as far as the driver knows it; where nobody has, the change is given up and says so. A new connection to a primary tells where its log stands: below what it held in its term it is another life, also before the directory says so. Samples of the primary move to a module of their own (`serving/samples`), unchanged.

Conclusion: where no start is told (0) nothing of this acts.

--- a/deckdrum/backends/base.py
+++ b/deckdrum/backends/base.py
@@ -32,7 +32,10 @@
 
 
 class WrongServerError(ConnectionError):
-    """Another server than the expected one answers at the address."""
+    """Another server than the expected one answers at the address.
+
+    That may be a later life of it, which lacks what it had.
+    """
 
 
 class ServerRole(StrEnum):
@@ -49,7 +52,7 @@
     Attributes
     ----------
     id : str
-        Unique for ever; a server that comes back empty gets another.
+        Unique for ever; a server that starts again may keep it.
     service : str
         The database group that it belongs to.
     address : Address
@@ -61,6 +64,10 @@
     role : ServerRole
         Its role as it sees itself.  A primary that was cut off says
         primary too, so this is a hint.
+    started_at : int
+        When it started, in Unix milliseconds; 0 if that is not known.  Another
+        start under the same id is another life, which holds and knows nothing
+        of the one before.
     """
 
     id: str
@@ -69,6 +76,21 @@
     data_centre: str
     is_draining: bool = False
     role: ServerRole = ServerRole.REPLICA
+    started_at: int = 0
+
+    def is_life_of(self, other: 'BackendServer') -> bool:
+        """Tell whether this is the same start of a server, as far as is known.
+
+        Examples
+        --------
+        >>> address = Address('10.1.0.8', 8080)
+        >>> first = BackendServer('i-1', 's', address, 'a', started_at=5)
+        >>> again = BackendServer('i-1', 's', address, 'a', started_at=9)
+        >>> first.is_life_of(first), again.is_life_of(first)
+        (True, False)
+        """
+        starts = {self.started_at, other.started_at}
+        return len(starts) == 1 or 0 in starts
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +161,8 @@
         #: Returns the connection to the node that lent it, if one did.
         self.on_hand_back: Callable[[BackendLink], Awaitable[None]] | None
         self.on_hand_back = None
+        #: Where the server's log stood when it was opened, if it said so.
+        self.opened_at: Position | None = None
 
     async def hand_back(self) -> None:
         """Return a clean connection to its lender, or close it."""
--- a/deckdrum/control/descriptions.py
+++ b/deckdrum/control/descriptions.py
@@ -34,6 +34,7 @@
         'address': str(server.address),
         'role': server.role,
         'draining': server.is_draining,
+        'started_at': server.started_at,
         'revision': revision,
     }
 
--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -1,6 +1,6 @@
 """Borrowing connections to servers from the nodes that hold them."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from typing import Final
 
@@ -12,6 +12,7 @@
     ConnectionLimitError,
     LinkState,
     NoneFreeError,
+    WrongServerError,
 )
 from deckdrum.control import Member
 from deckdrum.fleet.channels import StreamChannel
@@ -25,6 +26,8 @@
     ReturnLink,
 )
 from deckdrum.outcomes.errors import BrokenInvariantError
+from deckdrum.sessions import Position
+from deckdrum.sessions.position import NOWHERE
 from deckdrum.utils import ByteStream
 from deckdrum.utils.ranks import weigh
 
@@ -114,6 +117,8 @@
         self.full_until = float('-inf')
         #: Usual time until a new connection can be used, in seconds.
         self.opening_time: float = 0
+        #: Returns what the server's log holds for sure while it lives.
+        self.read_end: Callable[[], Position] = lambda: NOWHERE
 
     async def connect(self, limit: float) -> BackendLink:
         """Open a connection, unless the server has just been found full."""
@@ -130,11 +135,19 @@
         if now < self.full_until:
             raise NoneFreeError(f'{self.name} was full a moment ago')
         self._direct.server = self.server
+        known_end = self.read_end()
         try:
             link = await self._direct.connect_for(group, limit, workspace)
         except ConnectionLimitError:
             self.full_until = now + FULL_PAUSE
             raise
+        if link.opened_at is not None and link.opened_at < known_end:
+            # It has started again, and the directory does not say so yet:
+            # what it answered would be of an empty log.
+            await link.close()
+            raise WrongServerError(
+                f'{self.name} stands at {link.opened_at}, expected {known_end}',
+            )
         taken = await curio.clock() - now
         self.opening_time += (taken - self.opening_time) * _LEARN_RATE
         return link
--- a/deckdrum/leadership/belief.py
+++ b/deckdrum/leadership/belief.py
@@ -8,7 +8,8 @@
 every node has confirmed that it has stopped or the old primary is known dead.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 import curio
@@ -23,6 +24,7 @@
 VALIDITY: Final = 1.2
 #: Remaining validity below which a used proof is renewed, in seconds.
 RENEW_BELOW: Final = 0.5
+_NO_STARTS: Final[Mapping[str, int]] = MappingProxyType({})
 
 
 class LeadershipBelief:
@@ -59,6 +61,11 @@
         #: later term.
         self._told_proof = float('-inf')
         self._servers: frozenset[str] = frozenset()
+        #: When the servers started, in Unix ms; 0 if that is not known.
+        self._starts: dict[str, int] = {}
+        #: Highest term at the latest start of each server that started again:
+        #: up to it, its word and others' that it leads are of a former life.
+        self._restarted: dict[str, int] = {}
 
     @property
     def has_primary(self) -> bool:
@@ -83,6 +90,14 @@
         """Replicas that must hold so that no other node finds proof."""
         return max(1, len(self._servers) - 1 - self.proofs_needed + 1)
 
+    def has_restarted(self, name: str) -> bool:
+        """Tell whether a server started again and has led no term since."""
+        return name in self._restarted and self.term <= self._restarted[name]
+
+    def find_start(self, name: str) -> int:
+        """Return when a server started, in Unix ms; 0 if not known."""
+        return self._starts.get(name, 0)
+
     def read_valid_until(self) -> float:
         """Return when the present proof ends, in kernel seconds."""
         needed = self.proofs_needed
@@ -116,9 +131,15 @@
         """Release no change of `term` and of earlier terms any more."""
         self.closed_term = max(self.closed_term, term)
 
-    async def adopt_servers(self, names: Iterable[str]) -> None:
-        """Take over the servers of the group."""
+    async def adopt_servers(
+        self,
+        names: Iterable[str],
+        starts: Mapping[str, int] = _NO_STARTS,
+    ) -> None:
+        """Take over the servers of the group, and when they started."""
         self._servers = frozenset(names)
+        for name, started_at in starts.items():
+            await self._note_start(name, started_at)
         for name in list(self._proofs):
             if name not in self._servers:
                 self._proofs.pop(name)
@@ -134,6 +155,8 @@
         """Take over what a server said of itself when asked at `asked_at`."""
         self.seen_term = max(self.seen_term, status.term)
         if status.role is ServerRole.PRIMARY:
+            if status.term <= self._restarted.get(name, 0):
+                return
             if status.term > max(self.term, self.ended_term):
                 await self._adopt(status.term, name, 'the server says so')
             elif status.term == self.term and not self.primary:
@@ -178,6 +201,10 @@
             return
         self._record_revision = revision
         self._record = record
+        started_at = self._starts.get(record.primary, 0)
+        if started_at and record.primary_started_at:
+            self._starts[record.primary] = record.primary_started_at
+            await self._note_start(record.primary, started_at)
         if record.phase is Phase.FENCING:
             reason = f'{record.driver} changes it'
             await self.end_term(record.term - 1, reason, revision)
@@ -252,9 +279,39 @@
         known = self._proofs.get(name, float('-inf'))
         self._proofs[name] = max(known, asked_at)
 
+    async def _note_start(self, name: str, started_at: int) -> None:
+        """Take over when a server started; a later life holds nothing."""
+        record = self._record
+        known = self._starts.get(name, 0)
+        if not known and record is not None and record.primary == name:
+            known = record.primary_started_at
+        self._starts[name] = started_at or known
+        if not known or not started_at or started_at == known:
+            return
+        recorded = 0 if record is None else record.term
+        self._restarted[name] = max(
+            self.term,
+            self.ended_term,
+            self.seen_term,
+            recorded,
+        )
+        self._proofs.pop(name, None)
+        self._journal.record(
+            'server.restarted',
+            service=self.service,
+            server=name,
+            started_at=started_at,
+            former=known,
+            term=self._restarted[name],
+        )
+        await self.lose_primary(name, 'it has started again, and is empty')
+
     async def _adopt(self, term: int, name: str, reason: str) -> None:
         if (term, name) == (self.term, self.primary):
             return
+        if term <= self._restarted.get(name, 0):
+            # The word is of a former life: this one holds no log.
+            return
         self._journal.record(
             'leadership.adopted',
             service=self.service,
--- a/deckdrum/leadership/claims.py
+++ b/deckdrum/leadership/claims.py
@@ -92,6 +92,7 @@
             operation=claim.record.operation,
             driver=self._tools.node,
             former=report.former,
+            primary_started_at=self._runtime.belief.find_start(primary),
         )
         await self._put(record, claim.fence)
 
@@ -109,6 +110,7 @@
             term=belief.term,
             primary=belief.primary,
             phase=Phase.SETTLED,
+            primary_started_at=belief.find_start(belief.primary),
         )
         await self._put(record, known[0])
 
@@ -127,18 +129,24 @@
             primary=belief.primary,
             phase=Phase.SETTLED,
             operation=str(uuid.UUID(int=number)),
+            primary_started_at=belief.find_start(belief.primary),
         )
         await self._put(record, 0)
 
     async def undo(self, report: ChangeReport, claim: Claim) -> None:
         """Record that the former term goes on."""
+        belief = self._runtime.belief
+        # A former primary that has started again does not go on.
+        is_gone = belief.has_restarted(report.former)
+        former = '' if is_gone else report.former
         record = GroupRecord(
             service=claim.record.service,
             term=claim.record.term - 1,
-            primary=report.former,
+            primary=former,
             phase=Phase.SETTLED,
             operation=claim.record.operation,
             driver=self._tools.node,
+            primary_started_at=belief.find_start(former),
         )
         await self._put(record, claim.fence)
 
--- a/deckdrum/leadership/holds.py
+++ b/deckdrum/leadership/holds.py
@@ -123,12 +123,17 @@
     The furthest log goes first, and of equals one that is to stay.  Others
     follow only in a group whose changes need no synchronous replica.
     """
-    end = max((each.received for each in held.values()), default=None)
+    fitting = {
+        name: status
+        for name, status in held.items()
+        if runtime.has_log(name, status.received)
+    }
+    end = max((each.received for each in fitting.values()), default=None)
     ranked = sorted(
         (
             handle
             for name, handle in runtime.servers.items()
-            if name in held and name != former
+            if name in fitting and name != former
         ),
         key=lambda handle: (
             -held[handle.id].received.term,
--- a/deckdrum/leadership/promotion.py
+++ b/deckdrum/leadership/promotion.py
@@ -171,7 +171,10 @@
             f'{len(held)} hold, all ended: {all_ended}, '
             f'{await curio.clock() - held_at:.3f} s waited',
         )
-        return rank_successors(self._runtime, held, report.former)
+        successors = rank_successors(self._runtime, held, report.former)
+        if not successors:
+            report.finding = f'none has the log: {self._holds.describe()}'
+        return successors or None
 
     async def _stop_term(
         self,
--- /dev/null
+++ b/deckdrum/leadership/tests/test_restarted_servers.py
@@ -0,0 +1,153 @@
+"""Servers that start again under their ids, and hold nothing of before.
+
+Such a server answers like any other.  Its log is empty and its term is the
+first one, so what a node remembers under its id is false: a primary that comes
+back so must not lead, and a replica must not be made one before it has the log.
+"""
+
+import curio
+import pytest
+
+from deckdrum.standins.users import DatabaseServer
+from deckdrum.testing.nodes import CURRENT, OWN, SERVICE, Deployment, play
+
+#: Longest time until a group takes changes again, in seconds: what users ask
+#: of the slowest of a hundred changes of primary.
+GAP_AIM = 4.0
+#: The same where a claim has to be taken over, in seconds: what users ask of
+#: every change.
+WORST_GAP = 16.0
+ROLES = ('primary', 'replica')
+
+
+def _list_replicas(deployment: Deployment) -> list[DatabaseServer]:
+    return [
+        server
+        for server in deployment.group.servers.values()
+        if server.role == 'replica'
+    ]
+
+
+@pytest.mark.parametrize('role', ROLES)
+@pytest.mark.parametrize('nodes', [3, 9])
+def test_primary_that_starts_again_empty_does_not_lead(
+    role: str,
+    nodes: int,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        done = 0
+        for _ in range(5):
+            done += (await client.ask('WRITE a 1')).is_done
+        await curio.sleep(0.2)
+        old = deployment.group.primary
+        await old.restart_empty(role)
+        assert await client.write_until_done(WORST_GAP) < GAP_AIM
+        leader = deployment.group.primary
+        assert leader is not old
+        # What the empty log took was not acknowledged, and nothing was lost.
+        assert len(leader.log) == done + 1
+
+    play(scenario, nodes=nodes)
+
+
+@pytest.mark.parametrize('role', ROLES)
+def test_nodes_that_start_later_know_of_the_former_life(role: str) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        await curio.sleep(0.2)
+        for running in deployment.nodes:
+            await deployment.stop_node(running)
+        old = deployment.group.primary
+        await old.restart_empty(role)
+        deployment.nodes.clear()
+        for number in range(3):
+            deployment.nodes.append(await deployment.start_node(number))
+        await deployment.wait_for(
+            lambda: all(running.node.is_ready for running in deployment.nodes),
+        )
+        client = await deployment.connect(CURRENT)
+        assert await client.write_until_done(WORST_GAP) < GAP_AIM
+        assert len(deployment.group.primary.log) == 2
+
+    play(scenario)
+
+
+def test_replica_that_starts_again_empty_is_not_made_primary() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        for _ in range(5):
+            await client.ask('WRITE a 1')
+        await curio.sleep(0.2)
+        empty, whole = _list_replicas(deployment)
+        empty.is_deaf = True
+        await empty.restart_empty()
+        await whole.crash()
+        await curio.sleep(0.2)
+        await deployment.group.primary.crash()
+        for _ in range(40):
+            assert not (await client.ask('WRITE a 1')).is_done
+            await curio.sleep(0.1)
+        assert not deployment.group.promotions
+        await whole.start()
+        assert await client.write_until_done(WORST_GAP) < WORST_GAP
+        assert deployment.group.promotions[0][0] == whole.name
+
+    play(scenario)
+
+
+def test_group_of_which_all_start_again_refuses_and_says_so() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        await curio.sleep(0.2)
+        for server in list(deployment.group.servers.values()):
+            await server.restart_empty()
+        for _ in range(30):
+            refused = await client.ask('WRITE a 1')
+            assert not refused.is_done
+            assert refused.end == 'ERROR'
+            await curio.sleep(0.1)
+        assert not deployment.group.promotions
+
+    play(scenario)
+
+
+def test_session_does_not_read_an_empty_log() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(OWN)
+        await client.ask('WRITE a 1')
+        await curio.sleep(0.2)
+        for server in _list_replicas(deployment):
+            server.is_deaf = True
+            await server.restart_empty()
+        for _ in range(20):
+            found = await client.ask('READ a')
+            assert found.rows in ([], ['a-1'])
+            await curio.sleep(0.05)
+
+    play(scenario)
+
+
+def test_connections_of_a_former_life_are_not_used() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(OWN)
+        await client.ask('PREPARE s READ q')
+        await client.ask('EXECUTE s a')
+        server = _list_replicas(deployment)[0]
+        before = [
+            running.node.services[SERVICE].servers[server.name]
+            for running in deployment.nodes
+        ]
+        await server.restart_empty()
+        await deployment.wait_for(
+            lambda: all(
+                running.node.services[SERVICE].servers[server.name] is not old
+                for running, old in zip(deployment.nodes, before, strict=True)
+            ),
+        )
+        assert not any(handle.pool.idle for handle in before)
+        assert (await client.ask('EXECUTE s a')).is_done
+
+    play(scenario)
--- a/deckdrum/node/answering.py
+++ b/deckdrum/node/answering.py
@@ -59,6 +59,9 @@
         handle = runtime.servers.get(question.server) if runtime else None
         if runtime is None or handle is None:
             return _NOT_REACHED
+        if runtime.belief.has_restarted(question.server):
+            # Its word that it leads is of no use: its log is empty.
+            return _NOT_REACHED
         now = await curio.clock()
         if _has_answered_as_primary(runtime, handle, now - FRESH_ANSWER):
             return ServerAnswer(reached=True, leads_term=runtime.belief.term)
@@ -82,7 +85,7 @@
         runtime = self._services.get(question.service)
         if runtime is None:
             return SampleAnswer(0, 0, -1)
-        return await runtime.tell_sample()
+        return await runtime.samples.tell()
 
     async def _count_operation(self, question: AskLimit) -> Message:
         return await self._limits.answer(question)
--- a/deckdrum/platform/backends.py
+++ b/deckdrum/platform/backends.py
@@ -172,7 +172,11 @@
         reader = LineReader(stream)
         try:
             async with curio.timeout_after(limit):
-                await self._start(stream, reader, workspace or self._node)
+                opened_at = await self._start(
+                    stream,
+                    reader,
+                    workspace or self._node,
+                )
         except curio.TaskTimeout as error:
             await stream.close()
             raise ConnectionAbortedError(
@@ -183,6 +187,7 @@
             raise
         link = self.wrap(stream)
         link.workspace = workspace or ''
+        link.opened_at = opened_at
         return link
 
     def wrap(self, stream: ByteStream) -> BackendLink:
@@ -194,7 +199,8 @@
         stream: Stream,
         reader: LineReader,
         who: str,
-    ) -> None:
+    ) -> Position | None:
+        """Start a session; return where the log of the database stands."""
         # The id makes sure that no other server has taken the address.
         await stream.send(
             encode_line('STARTUP', self.server.service, who, self.name),
@@ -205,7 +211,7 @@
             raise ConnectionAbortedError(str(error)) from error
         word, _, rest = line.partition(' ')
         if word == 'READY':
-            return
+            return _decode_start(line)
         cause, text = decode_error(rest)
         if cause is RejectionCause.TOO_MANY_CONNECTIONS:
             raise ConnectionLimitError(f'{self.name}: {text}')
@@ -242,6 +248,13 @@
     )
 
 
+def _decode_start(line: str) -> Position | None:
+    try:
+        return decode_ready(line)[1]
+    except LineError as error:
+        raise ConnectionAbortedError(str(error)) from error
+
+
 async def read_line(reader: LineReader) -> str:
     """Return the next message.
 
--- a/deckdrum/platform/records.py
+++ b/deckdrum/platform/records.py
@@ -236,6 +236,7 @@
         data_centre=raw.zone,
         is_draining=raw.state == _DRAINING,
         role=ServerRole.PRIMARY if is_primary else ServerRole.REPLICA,
+        started_at=raw.born,
     )
 
 
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -105,7 +105,7 @@
         if floor is None and Policy.SAMPLE_WAIT in self._runtime.policies:
             # A sample costs the primary less than the read would.
             async with curio.ignore_after(min(limit, SAMPLE_WAIT)):
-                await self._runtime.sample_primary()
+                await self._runtime.samples.take()
             floor = await self._find_floor(route, state)
         if floor is not None:
             replica = await self._pick_replica(
@@ -122,7 +122,7 @@
         """Sample the primary if bounded reads will need it soon."""
         wanted = route.max_age * SAMPLE_PART
         if await self._runtime.find_floor(wanted) is None:
-            await self._runtime.sample_primary()
+            await self._runtime.samples.take()
 
     async def _find_floor(
         self,
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -20,17 +20,17 @@
 from deckdrum.fleet.borrowing import LoanBackend, OwnBackend
 from deckdrum.fleet.nodes import NodePeers
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
-from deckdrum.fleet.questions import AskSample, SampleAnswer
-from deckdrum.leadership.belief import VALIDITY, LeadershipBelief
+from deckdrum.leadership.belief import LeadershipBelief
 from deckdrum.load.placement import USEFUL_CONNECTIONS
 from deckdrum.members import GroupShare
 from deckdrum.serving.holding import Holding, Terms, list_staying
-from deckdrum.serving.proofs import SHARED_AGE, ProofSources, Source
+from deckdrum.serving.proofs import ProofSources, Source
+from deckdrum.serving.samples import SAMPLE_LIMIT, PrimarySampler
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.sessions import Position
+from deckdrum.sessions.position import NOWHERE
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
-from deckdrum.utils.tasks import SharedCall
 
 #: Weight of a group of callers by the priority of its route; 0 is the most
 #: urgent.  Twice the weight gets twice the connections when all wait.
@@ -42,8 +42,6 @@
 #: Longest wait for statements under way when a term ends, in seconds; most
 #: statements take 6 to 60 ms.
 FINISH_LIMIT: Final = 0.12
-#: Longest wait for a peer's sample of the primary, in seconds.
-SAMPLE_LIMIT: Final = 0.25
 _FINISH_POLL: Final = 0.005
 
 
@@ -107,8 +105,15 @@
         #: What became of connections to servers that are gone.
         self.former_connections: Counter[str] = Counter()
         self._discovered_at = float('-inf')
-        self._sampling = SharedCall(self._sample)
-        self._asking_primary = SharedCall(self._ask_primary)
+        #: Samples of the primary, taken once for many callers.
+        self.samples = PrimarySampler(
+            self.belief,
+            self.history,
+            peers,
+            counters,
+            self._pick_collector,
+            self._ask_primary,
+        )
 
     @property
     def name(self) -> str:
@@ -131,6 +136,17 @@
             if name != self.belief.primary
         ]
 
+    def has_log(self, name: str, end: Position) -> bool:
+        """Tell whether a server with a log up to `end` may lead.
+
+        One that has started again, empty, may do so only once it has the log
+        as far as it is known here: all that was acknowledged would be lost.
+        """
+        if not self.belief.has_restarted(name):
+            return True
+        known = Position(self.history.term, self.history.latest[0])
+        return known > NOWHERE and end >= known
+
     async def adopt_servers(
         self,
         listed: Mapping[str, BackendServer],
@@ -142,8 +158,13 @@
         """
         for name, server in listed.items():
             handle = self.servers.get(name)
+            if handle is not None and not server.is_life_of(handle.server):
+                # Its connections, positions and times are of a former life.
+                await self._drop(handle)
+                handle = None
             if handle is None:
                 own = OwnBackend(self._make_backend(server))
+                own.read_end = partial(self._read_end, name)
                 handle = ServerHandle(
                     own,
                     LoanBackend(own, self._peers.loans, self._peers.health),
@@ -153,11 +174,13 @@
                 )
                 self.servers[name] = handle
             handle.update(server, find_departure(name))
-        for name in self.servers.keys() - listed.keys():
-            handle = self.servers.pop(name)
-            self.former_connections.update(asdict(handle.pool.figures))
-            await handle.pool.close_idle()
-        await self.belief.adopt_servers(self.servers)
+        for gone in self.servers.keys() - listed.keys():
+            await self._drop(self.servers[gone])
+        starts = {
+            handle.id: handle.server.started_at
+            for handle in self.servers.values()
+        }
+        await self.belief.adopt_servers(self.servers, starts)
 
     async def deal(
         self,
@@ -215,25 +238,6 @@
         offset = self.history.find_floor(max_age, now)
         return None if offset is None else Position(self.history.term, offset)
 
-    async def sample_primary(self) -> bool:
-        """Learn where the primary's log stands; tell whether that is known.
-
-        Callers that come meanwhile wait for the same sample.  Where a data
-        centre has many nodes, one of them samples for all: each question
-        takes a place at a server that may be loaded already.
-        """
-        return bool(await self._sampling.get())
-
-    async def tell_sample(self) -> SampleAnswer:
-        """Return the latest sample for a peer, a new one if it is old."""
-        asked_at = await curio.clock()
-        if asked_at - self.history.latest[1] > SHARED_AGE:
-            await self._asking_primary.get()
-        offset, sampled_at = self.history.latest
-        age = await curio.clock() - sampled_at
-        is_known = age < VALIDITY
-        return SampleAnswer(self.history.term, offset, age if is_known else -1)
-
     async def ask(self, handle: ServerHandle) -> ServerStatus | None:
         """Ask a server about itself and take over what it says."""
         asked_at = await curio.clock()
@@ -348,30 +352,27 @@
         for handle in self.servers.values():
             await handle.pool.close_idle()
 
-    async def _sample(self) -> bool:
-        collector = self._proofs.collector
-        if Policy.SHARED_SAMPLES not in self.policies:
-            collector = None
-        if collector is not None and await self._sample_by(collector):
-            return True
-        return bool(await self._asking_primary.get())
+    async def _drop(self, handle: ServerHandle) -> None:
+        """Use a server, or a former life of it, no more."""
+        self.servers.pop(handle.id)
+        self.former_connections.update(asdict(handle.pool.figures))
+        handle.is_holder = False
+        await handle.pool.close_idle()
 
-    async def _sample_by(self, collector: Member) -> bool:
-        """Take over a peer's sample; tell whether it has one."""
-        asked_at = await curio.clock()
-        answer = await self._peers.ask(
-            collector.endpoint,
-            AskSample(self.name),
-            SAMPLE_LIMIT,
-        )
-        if not isinstance(answer, SampleAnswer) or answer.age < 0:
-            return False
-        if answer.term != self.belief.term:
-            return False
-        # The peer's sample is at most this much older than the question.
-        self.history.note(answer.term, answer.offset, asked_at - answer.age)
-        self.counters.count('samples_by_collector')
-        return True
+    def _read_end(self, name: str) -> Position:
+        """Return what the log of a server holds for sure while it lives.
+
+        That of a primary never shrinks in its term.
+        """
+        is_known = self.history.term == self.belief.term
+        if name != self.belief.primary or not is_known:
+            return NOWHERE
+        return Position(self.history.term, self.history.latest[0])
+
+    def _pick_collector(self) -> Member | None:
+        """Return the node of this data centre that samples for all, if any."""
+        is_shared = Policy.SHARED_SAMPLES in self.policies
+        return self._proofs.collector if is_shared else None
 
     async def _ask_primary(self) -> bool:
         """Ask the primary where its log stands; tell whether it said so."""
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -15,6 +15,9 @@
 
 PRIMARY: Final = 'primary'
 REPLICA: Final = 'replica'
+#: When a database first started, and how much later it starts again, in ms.
+FIRST_START: Final = 1_764_730_000_000
+RESTART_TIME: Final = 60_000
 #: Statements that take the database's time, so that a fault can hit them.
 _WORK_WORDS: Final = frozenset(('READ', 'WRITE', 'EXECUTE', 'COMMIT', 'AFTER'))
 #: Statements that ask for or change the state of the database itself.
@@ -123,6 +126,8 @@
         self.listed_address: Address | None = None
         #: Whether it keeps its entry in the directory.
         self.is_listed = True
+        #: When it started, in Unix milliseconds.
+        self._born = FIRST_START
         self._connections: set[Stream] = set()
         self._listener: Listener | None = None
         self._address = Address('127.0.0.1', 0)
@@ -157,6 +162,18 @@
             self._listener = None
             await listener.close()
 
+    async def restart_empty(self, role: str = REPLICA) -> None:
+        """Start again under the same id and address, knowing nothing.
+
+        It says that it has a `role`, in the first term.
+        """
+        await self.crash()
+        self._born += RESTART_TIME
+        self.role = role
+        self.term = 1
+        self.log = []
+        await self.start()
+
     async def publish(self) -> None:
         """Write the entry in the directory."""
         if not self.is_listed:
@@ -174,6 +191,7 @@
                 'coldLeftMs': 0,
                 'dbRole': self.role,
                 'seq': 1,
+                'born': self._born,
             },
         )
 
--- a/deckdrum/store/records.py
+++ b/deckdrum/store/records.py
@@ -47,7 +47,9 @@
 
     `operation` names the change that wrote the record, so that a writer
     whose answer was lost can tell whether it was its own.  `former` is the
-    database that led before a change that is under way.
+    database that led before a change that is under way.  `primary_started_at`
+    is the start of the primary, in Unix ms; 0 if that is not known.  Another
+    start of it holds nothing.
     """
 
     service: str
@@ -57,6 +59,7 @@
     operation: str
     driver: str = ''
     former: str = ''
+    primary_started_at: int = 0
 
     @property
     def path(self) -> str:
