--- a/deckdrum/leadership/holds.py
+++ b/deckdrum/leadership/holds.py
@@ -33,7 +33,7 @@
     def describe(self) -> str:
         """Return what each server last said of itself, for the log."""
         return '; '.join(
-            f'{name}: {handle.status or handle.fault}'
+            f'{name}: {_describe_state(handle)}'
             for name, handle in self._runtime.servers.items()
         )
 
@@ -147,6 +147,17 @@
     return [handle for handle in ranked if held[handle.id].received == end]
 
 
+def _describe_state(handle: ServerHandle) -> str:
+    status = handle.status
+    if status is None:
+        return handle.fault
+    end = status.received
+    return (
+        f'{status.role} of term {status.term} up to {end.term}.{end.offset}, '
+        f'holds for {status.held_term}'
+    )
+
+
 async def _answers(handle: ServerHandle) -> bool:
     """Tell whether a server says anything; one without room says so."""
     asked_at = await curio.clock()
