Take only an empty log of a primary for another life's

Cause: the check of a new connection compared where the log stands with the furthest sample.

Change: a connection is refused only if the log is empty though the primary of this term has been seen to hold something.

Conclusion: an empty server that has taken a change from a node without samples is told by its start in the directory only.

--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -26,8 +26,6 @@
     ReturnLink,
 )
 from deckdrum.outcomes.errors import BrokenInvariantError
-from deckdrum.sessions import Position
-from deckdrum.sessions.position import NOWHERE
 from deckdrum.utils import ByteStream
 from deckdrum.utils.ranks import weigh
 
@@ -117,8 +115,8 @@
         self.full_until = float('-inf')
         #: Usual time until a new connection can be used, in seconds.
         self.opening_time: float = 0
-        #: Returns what the server's log holds for sure while it lives.
-        self.read_end: Callable[[], Position] = lambda: NOWHERE
+        #: Tells whether the server's log holds something while it lives.
+        self.is_known_to_hold: Callable[[], bool] = bool
 
     async def connect(self, limit: float) -> BackendLink:
         """Open a connection, unless the server has just been found full."""
@@ -135,19 +133,18 @@
         if now < self.full_until:
             raise NoneFreeError(f'{self.name} was full a moment ago')
         self._direct.server = self.server
-        known_end = self.read_end()
+        has_log = self.is_known_to_hold()
         try:
             link = await self._direct.connect_for(group, limit, workspace)
         except ConnectionLimitError:
             self.full_until = now + FULL_PAUSE
             raise
-        if link.opened_at is not None and link.opened_at < known_end:
+        if has_log and link.opened_at and not link.opened_at.offset:
             # It has started again, and the directory does not say so yet:
-            # what it answered would be of an empty log.
+            # what it answered would be of an empty log.  One that still
+            # applies what it has received stands behind, not at nothing.
             await link.close()
-            raise WrongServerError(
-                f'{self.name} stands at {link.opened_at}, expected {known_end}',
-            )
+            raise WrongServerError(f'the log of {self.name} is empty')
         taken = await curio.clock() - now
         self.opening_time += (taken - self.opening_time) * _LEARN_RATE
         return link
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -164,7 +164,7 @@
                 handle = None
             if handle is None:
                 own = OwnBackend(self._make_backend(server))
-                own.read_end = partial(self._read_end, name)
+                own.is_known_to_hold = partial(self._is_known_to_hold, name)
                 handle = ServerHandle(
                     own,
                     LoanBackend(own, self._peers.loans, self._peers.health),
@@ -359,15 +359,11 @@
         handle.is_holder = False
         await handle.pool.close_idle()
 
-    def _read_end(self, name: str) -> Position:
-        """Return what the log of a server holds for sure while it lives.
-
-        That of a primary never shrinks in its term.
-        """
-        is_known = self.history.term == self.belief.term
-        if name != self.belief.primary or not is_known:
-            return NOWHERE
-        return Position(self.history.term, self.history.latest[0])
+    def _is_known_to_hold(self, name: str) -> bool:
+        """Tell whether a server leads with a log that is not empty."""
+        is_sampled = self.history.term == self.belief.term
+        is_primary = name == self.belief.primary
+        return is_primary and is_sampled and self.history.latest[0] > 0
 
     def _pick_collector(self) -> Member | None:
         """Return the node of this data centre that samples for all, if any."""
