The stand-in of a server that is back waits until somebody leads

A server was brought back in the 0.33 s between the step down of a primary and the lead of its successor (logs of five nodes: prepared at 01.458, adopted at 01.798), and the stand-in took the highest of no leaders.

Change: it waits for one. Nothing of the product, and no check, is changed.

--- a/deckdrum/standins/users/databases.py
+++ b/deckdrum/standins/users/databases.py
@@ -136,7 +136,9 @@
             await self._send(primary, server)
 
     async def rejoin(self, server: DatabaseServer) -> None:
-        """Have a database that is back follow the present primary."""
+        """Have a database that is back follow whoever leads, or will lead."""
+        while not any(each.role == PRIMARY for each in self.servers.values()):
+            await curio.sleep(_RECEIVED_POLL)
         if self.primary is not server:
             await server.follow(self.primary.term, self.primary.log)
 
