Found by reading: connections of a new life, later claims, nameless objects

Cause: (1) connections are dealt anew when the ids of a group's servers change; a new life has the same id, so its handle kept what every handle begins with: on 30 nodes of which few hold connections, each thought that it holds two. (2) Whoever settles a won change used the record as known by then, which may be a later claim whose driver is at work. (3) A record whose very name cannot be read was told as none, which is proof of a term. (4) A page's last name was the greatest, not the last. (5) The question to end a term could not be read from a node without `fence`.

Change: the deal goes by id and start; only the claim that was looked at is settled; such a record is told as one that cannot be read; the last readable name counts; `fence` may be missing.

(3) to (5) by reading alone.

--- a/deckdrum/fleet/questions.py
+++ b/deckdrum/fleet/questions.py
@@ -76,7 +76,7 @@
     service: str
     term: int
     may_finish: bool
-    fence: int
+    fence: int = 0
 
 
 class TermEnded(Message, frozen=True):
--- a/deckdrum/leadership/claims.py
+++ b/deckdrum/leadership/claims.py
@@ -96,17 +96,18 @@
         )
         await self._put(record, claim.fence)
 
-    async def settle_won(self) -> None:
+    async def settle_won(self, claimed: GroupRecord) -> None:
         """Record the primary of a change that its driver did not settle.
 
-        Every later change would find the record claimed, and be outdated.
+        Every later change would find the record claimed, and be outdated.  A
+        later claim stays: its driver is at work.
         """
         known = self._tools.view.find_leadership(self._runtime.name)
-        if known is None:
+        if known is None or known[1] != claimed:
             return
         belief = self._runtime.belief
         record = replace(
-            known[1],
+            claimed,
             term=belief.term,
             primary=belief.primary,
             phase=Phase.SETTLED,
--- a/deckdrum/leadership/supervision.py
+++ b/deckdrum/leadership/supervision.py
@@ -163,7 +163,7 @@
             return LOOK_PAUSE
         await self._runtime.discover()
         if self._claims.is_won(record):
-            await self._claims.settle_won()
+            await self._claims.settle_won(record)
             return RETRY_PAUSE
         return await self._change(
             record.former,
--- a/deckdrum/leadership/tests/test_restarted_servers.py
+++ b/deckdrum/leadership/tests/test_restarted_servers.py
@@ -151,3 +151,31 @@
         assert (await client.ask('EXECUTE s a')).is_done
 
     play(scenario)
+
+
+def test_new_life_gets_no_more_connections_than_are_dealt() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        server = _list_replicas(deployment)[0]
+        runtimes = [
+            running.node.services[SERVICE] for running in deployment.nodes
+        ]
+        handles = [runtime.servers[server.name] for runtime in runtimes]
+        before = [
+            (handle.is_holder, handle.pool.queue.slots) for handle in handles
+        ]
+        await server.restart_empty()
+        await deployment.wait_for(
+            lambda: (
+                not any(
+                    runtime.servers[server.name] in handles
+                    for runtime in runtimes
+                )
+            ),
+        )
+        await curio.sleep(0.1)
+        handles = [runtime.servers[server.name] for runtime in runtimes]
+        assert before == [
+            (handle.is_holder, handle.pool.queue.slots) for handle in handles
+        ]
+
+    play(scenario, nodes=30, max_connections=12)
--- a/deckdrum/leadership/tests/test_unfinished_changes.py
+++ b/deckdrum/leadership/tests/test_unfinished_changes.py
@@ -21,6 +21,7 @@
 import curio
 import pytest
 
+from deckdrum.leadership.claims import ClaimBook
 from deckdrum.standins.users import DatabaseServer, StoreFault
 from deckdrum.store.records import Phase
 from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
@@ -178,3 +179,20 @@
         assert await client.write_until_done(WORST_GAP) < GAP_AIM
 
     play(scenario)
+
+
+def test_later_claim_is_not_settled_for_the_one_before() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await _record(deployment, phase=Phase.FENCING.value, operation='first')
+        await curio.sleep(0.2)
+        node = deployment.nodes[0].node
+        known = node.view.find_leadership(SERVICE)
+        assert known is not None
+        claims = ClaimBook(node.services[SERVICE], node.tools)
+        await _record(deployment, term=2, phase='fencing', operation='second')
+        await curio.sleep(0.05)
+        await claims.settle_won(known[1])
+        assert _read_record(deployment)['operation'] == 'second'
+        assert _read_record(deployment)['phase'] == Phase.FENCING.value
+
+    play(scenario)
--- a/deckdrum/platform/store.py
+++ b/deckdrum/platform/store.py
@@ -115,7 +115,9 @@
         reply = await self._call('fetch', kind, request)
         if reply.status == _NOT_FOUND:
             return None
-        return self._read(kind, msgspec.Raw(_check(reply)))
+        found = self._read(kind, msgspec.Raw(_check(reply)))
+        # Something lies there, though not even its name can be read.
+        return found or Entry(name, 0, None)
 
     async def put(
         self,
@@ -228,12 +230,9 @@
 
 
 def _find_last_name(page: ObjectList) -> str:
-    """Return the name after which the next page begins; empty without any.
-
-    Lists are in the order of names.
-    """
+    """Return the name after which the next page begins; empty without any."""
     names = [read_name(each) for each in page.found]
-    return max(names, default='')
+    return next((name for name in reversed(names) if name), '')
 
 
 def _locate(kind: Kind, name: str = '') -> str:
--- a/deckdrum/serving/holding.py
+++ b/deckdrum/serving/holding.py
@@ -30,14 +30,15 @@
         Workspaces to which connections belong; 0 where they are nobody's.
     members : mapping of str to Member
         Every registered node.
-    servers : frozenset of str
-        Ids of the group's servers.
+    servers : frozenset of tuple
+        Ids of the group's servers, and when they started: a new life begins
+        without connections, so they are dealt anew.
     """
 
     max_connections: int
     workspaces: int
     members: Mapping[str, Member]
-    servers: frozenset[str]
+    servers: frozenset[tuple[str, int]]
 
 
 class Holding:
--- a/deckdrum/serving/service.py
+++ b/deckdrum/serving/service.py
@@ -198,7 +198,10 @@
             declaration.max_connections,
             workspaces,
             dict(members),
-            frozenset(self.servers),
+            frozenset(
+                (handle.id, handle.server.started_at)
+                for handle in self.servers.values()
+            ),
         )
         if self.holding.is_dealt(terms):
             return
