One place for what users ask, as tests check it; nodes stopped and started

Cause: five test modules repeated the same aims, and two the same steps to stop and start a fleet.

No bound and no assertion is changed.

Conclusion: bounds of new tests are told to be aims where they are written.

--- a/deckdrum/control/tests/test_deaf_watches.py
+++ b/deckdrum/control/tests/test_deaf_watches.py
@@ -14,11 +14,9 @@
 from deckdrum.control import Changes, Entry, Kind
 from deckdrum.platform.records import KIND_NAMES
 from deckdrum.standins.users import DatabaseServer, StoreFault
+from deckdrum.testing.aims import CONTACT_TIME
 from deckdrum.testing.nodes import Deployment, build_config, play
 
-#: Time after a disruption in which all is well again, in seconds: what the
-#: users promise not to count (``contactMs``).
-CONTACT = 4.0
 #: Longest time until every node knows what the store tells then, in seconds:
 #: half of the 7 s in which a leaving server may be used.
 NEWS_LIMIT = 3.5
@@ -66,7 +64,7 @@
         deployment.store.fault = StoreFault.SILENT
         await curio.sleep(2.5)
         deployment.store.fault = StoreFault.NONE
-        await curio.sleep(CONTACT)
+        await curio.sleep(CONTACT_TIME)
         assert await _drain_one(deployment) < NEWS_LIMIT
 
     play(scenario, nodes=nodes, centres=centres, settle=3.0)
@@ -79,7 +77,7 @@
 ) -> None:
     async def scenario(deployment: Deployment) -> None:
         deployment.store.mute_watches()
-        await curio.sleep(CONTACT)
+        await curio.sleep(CONTACT_TIME)
         assert await _drain_one(deployment) < NEWS_LIMIT
 
     play(scenario, nodes=nodes, centres=centres, settle=3.0)
@@ -88,7 +86,7 @@
 def test_configuration_comes_though_its_watch_is_silent() -> None:
     async def scenario(deployment: Deployment) -> None:
         deployment.store.mute_watches()
-        await curio.sleep(CONTACT)
+        await curio.sleep(CONTACT_TIME)
         await deployment.store.write('config', 'main', build_config(9))
         took = await deployment.wait_for(
             lambda: all(
--- a/deckdrum/leadership/tests/test_restarted_servers.py
+++ b/deckdrum/leadership/tests/test_restarted_servers.py
@@ -9,14 +9,9 @@
 import pytest
 
 from deckdrum.standins.users import DatabaseServer
+from deckdrum.testing.aims import GAP_AIM, WORST_GAP
 from deckdrum.testing.nodes import CURRENT, OWN, SERVICE, Deployment, play
 
-#: Longest time until a group takes changes again, in seconds: what users ask
-#: of the slowest of a hundred changes of primary.
-GAP_AIM = 4.0
-#: The same where a claim has to be taken over, in seconds: what users ask of
-#: every change.
-WORST_GAP = 16.0
 ROLES = ('primary', 'replica')
 
 
@@ -57,16 +52,10 @@
         client = await deployment.connect(CURRENT)
         await client.ask('WRITE a 1')
         await curio.sleep(0.2)
-        for running in deployment.nodes:
-            await deployment.stop_node(running)
+        await deployment.stop_nodes()
         old = deployment.group.primary
         await old.restart_empty(role)
-        deployment.nodes.clear()
-        for number in range(3):
-            deployment.nodes.append(await deployment.start_node(number))
-        await deployment.wait_for(
-            lambda: all(running.node.is_ready for running in deployment.nodes),
-        )
+        await deployment.start_nodes()
         client = await deployment.connect(CURRENT)
         assert await client.write_until_done(WORST_GAP) < GAP_AIM
         assert len(deployment.group.primary.log) == 2
--- a/deckdrum/leadership/tests/test_unfinished_changes.py
+++ b/deckdrum/leadership/tests/test_unfinished_changes.py
@@ -24,17 +24,9 @@
 from deckdrum.leadership.claims import ClaimBook
 from deckdrum.standins.users import DatabaseServer, StoreFault
 from deckdrum.store.records import Phase
+from deckdrum.testing.aims import DRAIN_TIME, GAP_AIM, WORST_GAP
 from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
 
-#: Longest time until a group takes changes again, in seconds: what users ask
-#: of the slowest of a hundred changes of primary.
-GAP_AIM = 4.0
-#: The same where first a claim has to be given up or taken over, in seconds:
-#: what users ask of every change.
-WORST_GAP = 16.0
-#: For how long a server that leaves serves on, in seconds, as users promise.
-DRAIN_TIME = 7.0
-
 
 async def _record(deployment: Deployment, **fields: Any) -> None:
     """Write the group's record."""
@@ -160,8 +152,7 @@
 def test_nodes_that_start_without_a_record_find_a_primary() -> None:
     async def scenario(deployment: Deployment) -> None:
         """What the servers follow began before the nodes did."""
-        for running in deployment.nodes:
-            await deployment.stop_node(running)
+        await deployment.stop_nodes()
         old = deployment.group.primary
         for server in deployment.group.servers.values():
             if server is not old:
@@ -169,12 +160,7 @@
         await old.crash()
         await deployment.store.drop('servers', old.name)
         await deployment.store.drop('deckdrum-leadership', SERVICE)
-        deployment.nodes.clear()
-        for number in range(3):
-            deployment.nodes.append(await deployment.start_node(number))
-        await deployment.wait_for(
-            lambda: all(running.node.is_ready for running in deployment.nodes),
-        )
+        await deployment.start_nodes()
         client = await deployment.connect(CURRENT)
         assert await client.write_until_done(WORST_GAP) < GAP_AIM
 
--- a/deckdrum/platform/tests/test_foreign_entries.py
+++ b/deckdrum/platform/tests/test_foreign_entries.py
@@ -22,13 +22,11 @@
     decode_answer,
     read_object,
 )
+from deckdrum.testing.aims import GAP_AIM
 from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, play
 
 #: Drawn objects for each kind; four kinds make more than ten thousand.
 DRAWN = 2_600
-#: Longest time until a group takes changes again, in seconds: what users ask
-#: of the slowest of a hundred changes of primary.
-GAP_AIM = 4.0
 GOOD: dict[str, Any] = {
     'service': SERVICE,
     'address': '10.1.0.8:8080',
--- a/deckdrum/serving/tests/test_leaving_servers.py
+++ b/deckdrum/serving/tests/test_leaving_servers.py
@@ -11,6 +11,7 @@
 import curio
 import pytest
 
+from deckdrum.testing.aims import DRAIN_TIME, GAP_AIM
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
@@ -20,11 +21,6 @@
     play,
 )
 
-#: For how long a server that leaves serves on, in seconds, as users promise.
-DRAIN_TIME = 7.0
-#: Longest time until a group takes changes again, in seconds: what users ask
-#: of the slowest of a hundred changes of primary.
-GAP_AIM = 4.0
 #: How long the callers go on, in seconds.
 WATCHED = 12.0
 #: Longest time in which a request that cannot be served is refused, in s.
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -235,8 +235,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        for running in self.nodes:
-            await self.stop_node(running)
+        await self.stop_nodes()
         await self.group.close()
         await self.store.close()
 
@@ -280,6 +279,20 @@
         await running.frontend.close()
         await running.store.close()
 
+    async def stop_nodes(self) -> None:
+        """Stop every node."""
+        for running in self.nodes:
+            await self.stop_node(running)
+        self.nodes.clear()
+
+    async def start_nodes(self) -> None:
+        """Start as many nodes as at first, and wait until they are ready."""
+        for number in range(self._count):
+            self.nodes.append(await self.start_node(number))
+        await self.wait_for(
+            lambda: all(running.node.is_ready for running in self.nodes),
+        )
+
     async def configure(self, version: int, **fields: Any) -> None:
         """Have a configuration come into force on every node."""
         config = build_config(version, **fields)
