Check the product's own records for sense, not for types alone

Cause: a registration or record of leadership with the right types and no sense (an address by name or none, another name, a term without bounds) was taken. An address that cannot be parsed raised in every round of news; a term without bounds would have ended every real one.

Change: names have to be the object's, addresses be by number with a port, terms lie between 0 and 2**53.

Found by reading.

Conclusion: a foreign record of leadership with a plausible high term still ends the terms below it; nothing can tell it from the product's own.

--- a/deckdrum/platform/records.py
+++ b/deckdrum/platform/records.py
@@ -223,16 +223,11 @@
 
 def _decode_server(name: str, spec: msgspec.Raw) -> BackendServer:
     raw = msgspec.json.decode(spec, type=_Server)
-    address = Address.parse(raw.address)
-    # A name would be looked up, which stops the process for seconds.
-    ip_address(address.host)
-    if not 0 < address.port <= _MOST_PORT:
-        raise ValueError(f'port {address.port}, expected 1 to {_MOST_PORT}')
     is_primary = raw.db_role == _PRIMARY
     return BackendServer(
         id=name,
         service=raw.service,
-        address=address,
+        address=_parse_address(raw.address),
         data_centre=raw.zone,
         is_draining=raw.state == _DRAINING,
         role=ServerRole.PRIMARY if is_primary else ServerRole.REPLICA,
@@ -240,12 +235,33 @@
     )
 
 
-def _decode_group(_: str, spec: msgspec.Raw) -> GroupRecord:
-    return msgspec.json.decode(spec, type=GroupRecord)
+def _decode_group(name: str, spec: msgspec.Raw) -> GroupRecord:
+    record = msgspec.json.decode(spec, type=GroupRecord)
+    _check_name(name, record.service)
+    if not 0 <= record.term <= MOST_COUNT:
+        raise ValueError(f'term {record.term}, expected 0 to {MOST_COUNT}')
+    return record
+
+
+def _decode_member(name: str, spec: msgspec.Raw) -> Member:
+    member = msgspec.json.decode(spec, type=Member)
+    _check_name(name, member.name)
+    _parse_address(member.peer_address)
+    return member
 
 
-def _decode_member(_: str, spec: msgspec.Raw) -> Member:
-    return msgspec.json.decode(spec, type=Member)
+def _check_name(name: str, told: str) -> None:
+    if told != name:
+        raise ValueError(f'it is of {told!r}, expected {name!r}')
+
+
+def _parse_address(text: str) -> Address:
+    """Return an address by number: a name would be looked up for seconds."""
+    address = Address.parse(text)
+    ip_address(address.host)
+    if not 0 < address.port <= _MOST_PORT:
+        raise ValueError(f'port {address.port}, expected 1 to {_MOST_PORT}')
+    return address
 
 
 _Decoder = Callable[[str, msgspec.Raw], Record]
--- a/deckdrum/platform/tests/test_foreign_entries.py
+++ b/deckdrum/platform/tests/test_foreign_entries.py
@@ -110,6 +110,44 @@
     assert read_server(lacking) is None
 
 
+MEMBER: dict[str, Any] = {
+    'name': 'i-1',
+    'peer_address': '10.1.0.8:7440',
+    'data_centre': 'ba-hall',
+    'run': 'x',
+}
+RECORD: dict[str, Any] = {
+    'service': 'i-1',
+    'term': 3,
+    'primary': 'i-9',
+    'phase': 'settled',
+    'operation': 'x',
+}
+
+
+@pytest.mark.parametrize(
+    ('kind', 'good', 'bad'),
+    [
+        (Kind.MEMBERS, MEMBER, {'name': 'n2'}),
+        (Kind.MEMBERS, MEMBER, {'peer_address': 'nowhere'}),
+        (Kind.MEMBERS, MEMBER, {'peer_address': 'a.name:7440'}),
+        (Kind.LEADERSHIP, RECORD, {'service': 'payouts'}),
+        (Kind.LEADERSHIP, RECORD, {'term': -1}),
+        (Kind.LEADERSHIP, RECORD, {'term': 10**30}),
+        (Kind.LEADERSHIP, RECORD, {'phase': 'asleep'}),
+    ],
+)
+def test_record_of_the_products_own_kinds_is_checked(
+    kind: Kind,
+    good: dict[str, Any],
+    bad: dict[str, Any],
+) -> None:
+    read = read_object(kind, msgspec.Raw(encode_object(good)))
+    assert read.record is not None
+    read = read_object(kind, msgspec.Raw(encode_object(good | bad)))
+    assert read.record is None
+
+
 @pytest.mark.parametrize('kind', Kind)
 @settings(max_examples=DRAWN, deadline=None)
 @given(spec=json_values)
