Log the positions of a failover, and confirmations in another term

Needed to tell three hypotheses apart for acknowledged writes that a single partition loses: (a) an answer of one term confirmed in the next, (b) a replica that drops confirmed entries when it follows the new primary, (c) a stand-in that breaks its contract. failover.fenced and failover.promoted name the log positions, which decides (b); confirmation.term_mismatch, counted and logged beside it, decides (a).

1.5834 partition; writes 65 to 68 are sent to stalls-1 and not answered 2.958 failover.claimed term 2 by p2, 'the primary does not answer' 2.974 failover.fenced stalls-2 (1, 66), stalls-3 (1, 66) 2.985 failover.promoted stalls-2, from (1, 66) 2.987 failover.settled 3.003 database.follows stalls-3 3.083 partition heals 3.0932 stalls-1 commits write 65 as (1, 67), and answers 3.0964 confirmation.term_mismatch stalls-1, route_term 1, confirmed_term 2 3.0964 write 65 is acknowledged 3.101 stalls-1 follows stalls-2 in term 2 and discards (1, 67)

So (a); both fenced logs had all that was confirmed in term 1, against (b).

No change of behaviour.

--- a/deckdrum/failover/driver.py
+++ b/deckdrum/failover/driver.py
@@ -158,12 +158,20 @@
         leaving_names = handover.leaving_names if handover else frozenset()
         fenced = await self._fence_majority(report, leaving_names)
         report.phases['fence'] = await curio.clock()
+        self._log_fenced(report, fenced)
         candidate = choose_promotion_candidate(fenced, leaving_names)
         primary = await self._promote(candidate, report.term)
         if primary is None:
             return False
         report.promoted = primary.name
         report.phases['promote'] = await curio.clock()
+        self._journal.record(
+            'failover.promoted',
+            service=report.service,
+            term=report.term,
+            primary=primary.name,
+            log_position=candidate.log_position,
+        )
         await self._repoint_replicas(primary.name, report.term)
         is_settled = await self._settle(claim, primary.name)
         report.phases['settle'] = await curio.clock()
@@ -283,6 +291,18 @@
             except StoreError:
                 await curio.sleep(STEP_RETRY_DELAY_S)
 
+    def _log_fenced(
+        self, report: FailoverReport, fenced: Iterable[FencedDatabase]
+    ) -> None:
+        self._journal.record(
+            'failover.fenced',
+            service=report.service,
+            term=report.term,
+            log_positions={
+                each.database.name: each.log_position for each in fenced
+            },
+        )
+
     def _make_operation(self) -> str:
         number = self._randomness.getrandbits(_OPERATION_BITS)
         return str(uuid.UUID(int=number))
--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -358,6 +358,8 @@
                 code = Code.READ_NOT_POSSIBLE
             await self._refuse(refuse(code))
             return
+        if route.is_primary and end.status == _IDLE:
+            self._log_term_mismatch(route, position)
         if end.held:
             await self._send_rows(end.held)
         await self._send(
@@ -387,6 +389,20 @@
             return await watch.confirm(service.confirm_limit)
         return await self._keeper.confirm_read(route, end.trailer)
 
+    def _log_term_mismatch(self, route: Route, position: Position) -> None:
+        """Log an answer of one term that was confirmed in another."""
+        if position.term == route.term:
+            return
+        self._keeper.count('confirmation.term_mismatch')
+        self._keeper.context.journal.record_rate_limited(
+            'confirmation.term_mismatch',
+            service=self._keeper.service.name,
+            database=route.pool.database.name,
+            route_term=route.term,
+            confirmed_term=position.term,
+            offset=position.offset,
+        )
+
     async def _release_if_idle(self, end: RelayResult) -> None:
         """Release the connection if no transaction is open."""
         if end.status != _IDLE or self._connection is None:
