Confirm an answer only in the term in which it was given

What callers saw: after a single partition of a primary, writes that were reported as done were in no database; each caller missed its own writes.

Cause: a keeper that has the primary's answer asks for a position that a majority holds in one term, and took the term of that moment instead of the term of the batch. A batch under way to a primary that is cut off is given up within 0.5 s of a change of primary; if the partition healed in that time, the old primary, which no fence had reached, committed the write, and the new primary and its replica confirmed their own log, which lacks it.

Why the change works: ServiceWatch.confirm takes the term of the route. Its majority must hold the position in that term, which no majority can once a later term has fenced one, and it fails at once when the keeper knows a later term. The outcome is then unknown (DD100).

--- a/deckdrum/databases/watch.py
+++ b/deckdrum/databases/watch.py
@@ -213,21 +213,30 @@
                 return await self._wait_until_found(check)
         return None
 
-    async def confirm(self, timeout: float) -> Position | None:
-        """Return a log position that a majority has made durable.
+    async def confirm(self, term: int, timeout: float) -> Position | None:
+        """Return a log position of `term` that a majority has made durable.
 
         Only probes sent after the call count.  The position is the primary's,
-        so it includes every change that the primary answered before the call.
-        A majority must then report that it holds this position in the current
-        term, which fails for a partitioned or replaced primary.
+        so it includes every change that the primary of `term` answered before
+        the call.  A majority must then report that it holds this position in
+        `term`, which fails for a partitioned or replaced primary.
+
+        Parameters
+        ----------
+        term : int
+            Term in which the answer to confirm was given.  The log of a later
+            term may lack the change.
+        timeout : float
+            Longest wait in seconds.
 
         Returns
         -------
         Position or None
-            None if the term changed, or no majority reported in time.
+            None if `term` is not the current term, or no majority reported in
+            time.
         """
         started_at = await curio.clock()
-        majority_check = _MajorityCheck(self, started_at)
+        majority_check = _MajorityCheck(self, term, started_at)
         outcome = await self.probe_until(majority_check.check, timeout)
         return None if outcome is None else outcome.position
 
@@ -317,10 +326,12 @@
 class _MajorityCheck:
     """Checks for a majority that holds the primary's position."""
 
-    def __init__(self, watch: ServiceWatch, started_at: float) -> None:
+    def __init__(
+        self, watch: ServiceWatch, term: int, started_at: float
+    ) -> None:
         self._watch = watch
         self._started_at = started_at
-        self._term = watch.term
+        self._term = term
         self._target: int | None = None
 
     def check(self) -> _ConfirmationResult | None:
--- a/deckdrum/invariants/combinations.py
+++ b/deckdrum/invariants/combinations.py
@@ -104,8 +104,13 @@
 )
 
 
-async def run_faults(faults: Sequence[Fault]) -> list[str]:
-    """Inject faults under load; return the violated invariants."""
+async def run_faults(
+    faults: Sequence[Fault], recovery_time: float = _RECOVERY_TIME_S
+) -> list[str]:
+    """Inject faults under load; return the violated invariants.
+
+    The load goes on for `recovery_time` seconds after the last fault.
+    """
     layout = Layout(services=(_SERVICE,), proxies=_PROXIES)
     deployment = Deployment(layout)
     await deployment.start()
@@ -115,7 +120,7 @@
     async with curio.TaskGroup() as tasks:
         for fault in faults:
             await tasks.spawn(_inject_later, deployment, fault)
-    await curio.sleep(_RECOVERY_TIME_S)
+    await curio.sleep(recovery_time)
     history = await load.finish()
     violations = history.check_rows(read_rows(deployment, _SERVICE))
     await deployment.close()
--- a/deckdrum/invariants/tests/test_combinations.py
+++ b/deckdrum/invariants/tests/test_combinations.py
@@ -32,6 +32,36 @@
     assert not run_virtual(run_faults, faults)
 
 
+#: Durations of partitions that heal while the primary is being changed.
+DURATIONS_S = [round(1.35 + step * 0.05, 2) for step in range(11)]
+#: Pairs of the first primary and each proxy that may reach it.
+PRIMARY_TARGETS = range(0, 12, 3)
+#: Pairs of a replica and each proxy that may reach it.
+REPLICA_TARGETS = [target for target in range(12) if target % 3]
+
+
+def find_violations(target: int, durations: list[float]) -> list[str]:
+    """Run each partition on its own; return what was violated in any."""
+    cuts = [Fault('cut', 0.3, duration, target) for duration in durations]
+    return [
+        f'{cut}: {violation}'
+        for cut in cuts
+        for violation in run_virtual(run_faults, [cut], 0.5)
+    ]
+
+
+@pytest.mark.parametrize('target', PRIMARY_TARGETS)
+def test_primary_that_heals_during_a_change_loses_no_write(target: int) -> None:
+    """Its late answer must not be confirmed in the next term."""
+    assert not find_violations(target, DURATIONS_S)
+
+
+@pytest.mark.parametrize('target', REPLICA_TARGETS)
+def test_replica_that_heals_loses_no_write(target: int) -> None:
+    """Its late answer must not be confirmed in the next term."""
+    assert not find_violations(target, DURATIONS_S[1::4])
+
+
 def test_disabled_rule_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
     acknowledge_without_replicas(monkeypatch)
     # Partitions the first database with each of the proxies in turn.
--- a/deckdrum/keepers/core.py
+++ b/deckdrum/keepers/core.py
@@ -268,7 +268,7 @@
             or len(self.databases) <= _MAX_DATABASES_FOR_PAIR_MAJORITY
         ):
             return read_position
-        confirmed = await self.watch.confirm(timeout)
+        confirmed = await self.watch.confirm(self.watch.term, timeout)
         return None if confirmed is None else max(read_position, confirmed)
 
     def record_answered_batch(self, group: str, route: Route) -> None:
--- a/deckdrum/keepers/routing.py
+++ b/deckdrum/keepers/routing.py
@@ -143,7 +143,7 @@
         """Return a confirmed position; retry if the term changes."""
         async with curio.ignore_after(timeout):
             while True:
-                confirmed = await self.watch.confirm(timeout)
+                confirmed = await self.watch.confirm(self.watch.term, timeout)
                 if confirmed is not None:
                     return confirmed
                 # The read has not run yet, so it can be confirmed in the next
--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -386,7 +386,7 @@
                     route.pool.database.name,
                     service.confirm_limit,
                 )
-            return await watch.confirm(service.confirm_limit)
+            return await watch.confirm(route.term, service.confirm_limit)
         return await self._keeper.confirm_read(route, end.trailer)
 
     def _log_term_mismatch(self, route: Route, position: Position) -> None:
