--- a/deckdrum/standins/users/__init__.py
+++ b/deckdrum/standins/users/__init__.py
@@ -6,10 +6,11 @@
 
 from deckdrum.standins.users.databases import DatabaseGroup
 from deckdrum.standins.users.lines import read_line
-from deckdrum.standins.users.servers import DatabaseServer
+from deckdrum.standins.users.servers import Connectivity, DatabaseServer
 from deckdrum.standins.users.store import StandinStore, StoreFault
 
 __all__ = [
+    'Connectivity',
     'DatabaseGroup',
     'DatabaseServer',
     'StandinStore',
--- a/deckdrum/standins/users/databases.py
+++ b/deckdrum/standins/users/databases.py
@@ -158,7 +158,7 @@
         server: DatabaseServer,
     ) -> None:
         await curio.sleep(self.lag)
-        can_send = primary.is_running and not primary.is_unresponsive
+        can_send = primary.can_be_reached
         can_receive = server.is_running and not server.is_replication_blocked
         is_fenced = server.fenced_term > primary.term
         if not can_send or not can_receive or is_fenced:
@@ -172,7 +172,7 @@
         server = self.servers.get(body['id'])
         holder = request.headers.get('x-deckdrum-holder', '')
         fencing_token = int(request.headers.get('x-deckdrum-fence', '0'))
-        if server is None or not server.is_running or server.is_unresponsive:
+        if server is None or not server.can_be_reached:
             return Reply.from_text('not running', _CONFLICT)
         self.promotions.append((server.name, holder, fencing_token))
         if server.role != PRIMARY:
@@ -187,7 +187,8 @@
         term = max(each.term for each in self.servers.values()) + 1
         await server.lead(term)
         for other in self.servers.values():
-            is_reachable = other.is_running and not other.is_unresponsive
-            if other is server or not is_reachable or other.fenced_term:
+            if other is server or not other.can_be_reached:
+                continue
+            if other.fenced_term:
                 continue
             await other.follow(term, server.log)
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Final
 
 import curio
@@ -21,6 +22,7 @@
 #: Start time of a new database, and by how much a restart advances it.
 FIRST_START_UNIX_MS: Final = 1_764_730_000_000
 RESTART_DELAY_MS: Final = 60_000
+_CONNECTIVITY_POLL_INTERVAL_S: Final = 0.005
 #: Commands with an execution time; rejections and lost answers apply to them.
 _TIMED_COMMANDS: Final = frozenset(
     ('READ', 'WRITE', 'EXECUTE', 'COMMIT', 'AFTER')
@@ -33,6 +35,19 @@
 _SESSION_COMMANDS: Final = frozenset(('SET', 'PREPARE', 'DEALLOCATE'))
 
 
+class Connectivity(Enum):
+    """How a partition treats a database's messages; it sends no log in any.
+
+    Messages that wait are handled once the partition heals.
+    """
+
+    OPEN = 'open'
+    #: Requests arrive, and answers wait.
+    ONE_WAY = 'one way'
+    #: Requests and answers wait.
+    CUT_OFF = 'cut off'
+
+
 class ServerGroup(ABC):
     """Interface of a server to its group.
 
@@ -119,6 +134,7 @@
         self.fenced_term = 0
         #: Whether nothing is answered, as after a loss of power.
         self.is_unresponsive = False
+        self.connectivity = Connectivity.OPEN
         #: Whether replication from the primary is blocked.
         self.is_replication_blocked = False
         self.load = ServerLoad()
@@ -152,6 +168,12 @@
         """Whether the server accepts connections."""
         return self._listener is not None
 
+    @property
+    def can_be_reached(self) -> bool:
+        """Whether it runs, answers and is not partitioned."""
+        is_connected = self.connectivity is Connectivity.OPEN
+        return self.is_running and is_connected and not self.is_unresponsive
+
     async def start(self) -> None:
         """Start listening and publish the directory entry."""
         self._listener = Listener(self._address, self._serve)
@@ -240,6 +262,8 @@
     async def _hang_if_unresponsive(self) -> None:
         if self.is_unresponsive:
             await curio.sleep(HANG_DURATION_S)
+        while self.connectivity is Connectivity.CUT_OFF:
+            await curio.sleep(_CONNECTIVITY_POLL_INTERVAL_S)
 
     async def _accept_connection(self, stream: Stream, line: str) -> bool:
         await self._hang_if_unresponsive()
@@ -273,6 +297,8 @@
         if is_timed and self.lost_answers:
             self.lost_answers -= 1
             await curio.sleep(HANG_DURATION_S)
+        while self.connectivity is not Connectivity.OPEN:
+            await curio.sleep(_CONNECTIVITY_POLL_INTERVAL_S)
         ready = f'READY {connection.state} {self.log_end}\r\n'
         await connection.stream.send((answer + ready).encode())
 
