--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -118,6 +118,9 @@
         ``primary`` or ``replica``.
     """
 
+    #: How a partition treats its messages; set by tests.
+    connectivity = Connectivity.OPEN
+
     def __init__(
         self,
         group: ServerGroup,
@@ -134,7 +137,6 @@
         self.fenced_term = 0
         #: Whether nothing is answered, as after a loss of power.
         self.is_unresponsive = False
-        self.connectivity = Connectivity.OPEN
         #: Whether replication from the primary is blocked.
         self.is_replication_blocked = False
         self.load = ServerLoad()
