--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from deckdrum.load.keeping import DecayingUseCounts
+from deckdrum.load.eviction import DecayingUseCounts
 from deckdrum.members import FairQueue, GroupShare, Permit
 from deckdrum.outcomes import Refusal
 
--- a/deckdrum/bench/experiments/fair_share.py
+++ b/deckdrum/bench/experiments/fair_share.py
@@ -12,8 +12,8 @@
     Experiment,
     Findings,
 )
+from deckdrum.bench.group_load import GroupLoad, LoadStatistics
 from deckdrum.bench.layouts import MARKET
-from deckdrum.bench.loads import GroupLoad, LoadStatistics
 from deckdrum.bench.workload import create_table
 from deckdrum.members import FairQueue, Permit
 from deckdrum.outcomes import Refusal
--- a/deckdrum/bench/experiments/retry_storm.py
+++ b/deckdrum/bench/experiments/retry_storm.py
@@ -7,8 +7,8 @@
 
 from deckdrum.bench.deployment import Deployment
 from deckdrum.bench.experiments.base import Experiment, Findings
+from deckdrum.bench.group_load import GroupLoad
 from deckdrum.bench.layouts import MARKET
-from deckdrum.bench.loads import GroupLoad
 
 _SERVICE: Final = 'stalls'
 _STATEMENT_TIME_S: Final = 0.02
--- a/deckdrum/bench/runner.py
+++ b/deckdrum/bench/runner.py
@@ -10,12 +10,12 @@
 from deckdrum.bench.experiments import Experiment, Figure
 from deckdrum.bench.experiments.base import format_figures
 from deckdrum.bench.experiments.failover import FailoverGap
+from deckdrum.bench.experiments.fair_share import FairShare
 from deckdrum.bench.experiments.outages import ConfigRaces, StoreOutage
 from deckdrum.bench.experiments.outcomes import Outcomes
-from deckdrum.bench.experiments.reads import ReplicaReads
+from deckdrum.bench.experiments.replica_reads import ReplicaReads
+from deckdrum.bench.experiments.retry_storm import RetryStorm
 from deckdrum.bench.experiments.rolling import RollingReplacement
-from deckdrum.bench.experiments.shares import FairShare
-from deckdrum.bench.experiments.storms import RetryStorm
 from deckdrum.utils.virtualtime import run_virtual
 
 #: Allowed regression relative to the baseline.
--- a/deckdrum/callers/connection.py
+++ b/deckdrum/callers/connection.py
@@ -10,8 +10,8 @@
 from deckdrum.callers.batches import Batch, BatchReader, Handling
 from deckdrum.callers.execution import Execution
 from deckdrum.callers.host import CallerHost, CancelKey
-from deckdrum.callers.local import execute_locally
 from deckdrum.callers.login import Login, LoginTask
+from deckdrum.callers.session_statements import execute_locally
 from deckdrum.callers.state import SESSION, CallerState, read_options
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.utils import Stream
--- a/deckdrum/control/tests/test_stalled_watches.py
+++ b/deckdrum/control/tests/test_stalled_watches.py
@@ -10,8 +10,8 @@
 from deckdrum.control import Changes, Entry, Kind
 from deckdrum.platform.records import KIND_NAMES
 from deckdrum.standins.users import DatabaseServer, StoreFault
-from deckdrum.testing.aims import MAX_RECOVERY_TIME_S
 from deckdrum.testing.nodes import Deployment, build_config, run_scenario
+from deckdrum.testing.objectives import MAX_RECOVERY_TIME_S
 
 #: Time limit for a change to reach every node, in seconds: half of the drain
 #: time of a server (7 s).
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -13,13 +13,13 @@
 import curio
 
 from deckdrum.backends.base import BackendServer
-from deckdrum.control.departures import (
+from deckdrum.control.draining import (
     DEFAULT_DRAIN_TIME_S,
     DrainStatus,
     DrainTracker,
 )
-from deckdrum.control.known import RecordCache
 from deckdrum.control.log_events import build_log_event
+from deckdrum.control.record_cache import RecordCache
 from deckdrum.control.records import Configuration, Member
 from deckdrum.control.store import (
     Changes,
--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -10,7 +10,7 @@
 
 import msgpack
 
-from deckdrum.fleet import limits, node_messages
+from deckdrum.fleet import limit_messages, node_messages
 from deckdrum.fleet.base import Message
 
 #: Largest message accepted from a peer.
@@ -171,8 +171,8 @@
     node_messages.Forward,
     node_messages.ForwardNext,
     node_messages.ForwardAnswer,
-    limits.AskLimit,
-    limits.LimitAnswer,
+    limit_messages.AskLimit,
+    limit_messages.LimitAnswer,
 )
 _TYPE_NUMBERS: Final = MappingProxyType(
     {
--- a/deckdrum/fleet/settings.py
+++ b/deckdrum/fleet/settings.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from deckdrum.control.departures import DEFAULT_DRAIN_TIME_S
+from deckdrum.control.draining import DEFAULT_DRAIN_TIME_S
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
-from deckdrum.load.limits import DEFAULT_TOLERANCE, Tolerance
+from deckdrum.load.rate_limits import DEFAULT_TOLERANCE, Tolerance
 from deckdrum.utils import Address
 
 
--- a/deckdrum/fleet/tests/test_following.py
+++ b/deckdrum/fleet/tests/test_following.py
@@ -2,8 +2,8 @@
 
 import curio
 
-from deckdrum.fleet.following import MIN_FEEDERS
 from deckdrum.fleet.node_messages import StateUpdates
+from deckdrum.fleet.update_following import MIN_FEEDERS
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import (
     Deployment,
--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -19,11 +19,11 @@
 from deckdrum.forwarding.transactions import RemoteTransaction
 from deckdrum.operations import Answer, Begin, Effect, Request
 from deckdrum.outcomes import Code, Refusal, refuse
-from deckdrum.serving.execution import UNRESPONSIVE_AFTER_S, StatementExecutor
+from deckdrum.serving.executor import UNRESPONSIVE_AFTER_S, StatementExecutor
 from deckdrum.serving.host import Outcome
 from deckdrum.serving.retries import RetryBudget
 from deckdrum.serving.runners import StartedTransaction, StatementRunner
-from deckdrum.serving.service import ServiceRuntime
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.state import SessionState
 
 #: Part of a statement's timeout reserved for the response to arrive; less than
--- a/deckdrum/keepers/core.py
+++ b/deckdrum/keepers/core.py
@@ -18,7 +18,7 @@
 from deckdrum.configuration import Document, Service
 from deckdrum.databases import Database, QueryResult
 from deckdrum.databases.base import DatabasePool
-from deckdrum.databases.watch import (
+from deckdrum.databases.monitor import (
     IDLE_PROBE_INTERVAL_S,
     STANDBY_PROBE_INTERVAL_S,
     ServiceWatch,
--- a/deckdrum/keepers/routing.py
+++ b/deckdrum/keepers/routing.py
@@ -10,7 +10,7 @@
 
 from deckdrum.configuration.models import Service
 from deckdrum.databases.base import DatabasePool, DatabaseState, Role
-from deckdrum.databases.watch import ServiceWatch
+from deckdrum.databases.monitor import ServiceWatch
 from deckdrum.fleet.messages import RunBatch
 from deckdrum.keepers.access import Access
 from deckdrum.outcomes import Code, Refusal, refuse
--- a/deckdrum/leadership/__init__.py
+++ b/deckdrum/leadership/__init__.py
@@ -1,6 +1,6 @@
 """Leadership of database groups: current primary, proof of it, and failover."""
 
-from deckdrum.leadership.duty import (
+from deckdrum.leadership.promotion_client import (
     PromotionClient,
     PromotionOutcome,
 )
--- a/deckdrum/leadership/context.py
+++ b/deckdrum/leadership/context.py
@@ -10,7 +10,7 @@
 from deckdrum.fleet.detours import DetourDialer
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
-from deckdrum.leadership.duty import PromotionClient
+from deckdrum.leadership.promotion_client import PromotionClient
 from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
 
--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -10,8 +10,8 @@
 
 from deckdrum.backends import ServerStatus
 from deckdrum.leadership.context import POLL_INTERVAL_S
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
-from deckdrum.serving.service import ServiceRuntime
 
 #: Longest wait for enough fenced replicas; after it a group without synchronous
 #: replicas continues with those that are fenced.
--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -17,13 +17,13 @@
 )
 from deckdrum.fleet.policies import Policy
 from deckdrum.leadership.context import LeadershipContext, PrimaryChangeReport
-from deckdrum.leadership.promotion import PrimaryChanger
+from deckdrum.leadership.primary_change import PrimaryChanger
 from deckdrum.leadership.record_store import (
     CLAIM_TAKEOVER_DELAY_S,
     LeadershipRecordStore,
 )
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
-from deckdrum.serving.service import ServiceRuntime
 from deckdrum.store.records import GroupRecord, Phase
 from deckdrum.utils.ranks import compute_rendezvous_rank
 
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -41,12 +41,12 @@
     ReplicaFencing,
     rank_promotion_candidates,
 )
-from deckdrum.leadership.orders import ServerPromoter
 from deckdrum.leadership.record_store import LeadershipRecordStore
+from deckdrum.leadership.server_promotion import ServerPromoter
 from deckdrum.leadership.state import PROOF_LIFETIME_S
 from deckdrum.outcomes.errors import StoreError
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
-from deckdrum.serving.service import ServiceRuntime
 from deckdrum.sessions import Position
 
 #: Longest wait for nodes to confirm the end of a term; more than a round trip
--- a/deckdrum/leadership/record_store.py
+++ b/deckdrum/leadership/record_store.py
@@ -13,7 +13,7 @@
     PrimaryChangeReport,
 )
 from deckdrum.outcomes.errors import StoreError
-from deckdrum.serving.service import ServiceRuntime
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.store.records import GroupRecord, Phase
 
 #: Time after a claim within which its driver may promote.  It is shorter than
--- a/deckdrum/leadership/server_promotion.py
+++ b/deckdrum/leadership/server_promotion.py
@@ -11,7 +11,7 @@
     LeadershipContext,
     PrimaryChangeReport,
 )
-from deckdrum.leadership.duty import (
+from deckdrum.leadership.promotion_client import (
     PromotionOutcome,
     PromotionRequest,
 )
@@ -19,8 +19,8 @@
     CLAIM_LIFETIME_S,
     LeadershipRecordStore,
 )
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
-from deckdrum.serving.service import ServiceRuntime
 
 #: Longest wait for the platform's answer to a promotion request.
 PROMOTION_CALL_TIMEOUT_S: Final = 0.6
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -7,7 +7,7 @@
 
 from deckdrum.control import Kind
 from deckdrum.leadership.context import PrimaryChangeReport
-from deckdrum.leadership.promotion import PrimaryChanger
+from deckdrum.leadership.primary_change import PrimaryChanger
 from deckdrum.leadership.state import PROOF_LIFETIME_S
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import (
--- a/deckdrum/leadership/tests/test_proof.py
+++ b/deckdrum/leadership/tests/test_proof.py
@@ -7,7 +7,7 @@
 
 from deckdrum.backends import ServerRole, ServerStatus
 from deckdrum.leadership.context import PrimaryChangeReport
-from deckdrum.leadership.promotion import PrimaryChanger
+from deckdrum.leadership.primary_change import PrimaryChanger
 from deckdrum.leadership.state import PROOF_LIFETIME_S, LeadershipState
 from deckdrum.sessions import Position
 from deckdrum.standins.users import StoreFault
--- a/deckdrum/leadership/tests/test_restarted_servers.py
+++ b/deckdrum/leadership/tests/test_restarted_servers.py
@@ -9,7 +9,6 @@
 import pytest
 
 from deckdrum.standins.users import DatabaseServer
-from deckdrum.testing.aims import WRITE_GAP_MAX_S, WRITE_GAP_P99_S
 from deckdrum.testing.nodes import (
     CURRENT,
     OWN_WRITES,
@@ -17,6 +16,7 @@
     Deployment,
     run_scenario,
 )
+from deckdrum.testing.objectives import WRITE_GAP_MAX_S, WRITE_GAP_P99_S
 
 ROLES = ('primary', 'replica')
 
--- a/deckdrum/leadership/tests/test_unfinished_changes.py
+++ b/deckdrum/leadership/tests/test_unfinished_changes.py
@@ -14,8 +14,12 @@
 from deckdrum.leadership.record_store import LeadershipRecordStore
 from deckdrum.standins.users import DatabaseServer, StoreFault
 from deckdrum.store.records import Phase
-from deckdrum.testing.aims import DRAIN_TIME_S, WRITE_GAP_MAX_S, WRITE_GAP_P99_S
 from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, run_scenario
+from deckdrum.testing.objectives import (
+    DRAIN_TIME_S,
+    WRITE_GAP_MAX_S,
+    WRITE_GAP_P99_S,
+)
 
 
 async def _record(deployment: Deployment, **fields: Any) -> None:
--- a/deckdrum/limits/__init__.py
+++ b/deckdrum/limits/__init__.py
@@ -4,6 +4,6 @@
 """
 
 from deckdrum.limits.client import LimitClient
-from deckdrum.limits.counting import LimitCounter
+from deckdrum.limits.counter import LimitCounter
 
 __all__ = ['LimitClient', 'LimitCounter']
--- a/deckdrum/limits/client.py
+++ b/deckdrum/limits/client.py
@@ -5,11 +5,11 @@
 import curio
 
 from deckdrum.control import ControlView
-from deckdrum.fleet.limits import AskLimit, LimitAnswer, LimitRole
+from deckdrum.fleet.limit_messages import AskLimit, LimitAnswer, LimitRole
 from deckdrum.fleet.node_peers import NodePeers
-from deckdrum.limits.counting import LimitCounter
-from deckdrum.load.limits import TokenBucket, compute_isolated_allowance
-from deckdrum.load.waiting import compute_retry_after
+from deckdrum.limits.counter import LimitCounter
+from deckdrum.load.queueing import compute_retry_after
+from deckdrum.load.rate_limits import TokenBucket, compute_isolated_allowance
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
--- a/deckdrum/limits/counter.py
+++ b/deckdrum/limits/counter.py
@@ -6,9 +6,9 @@
 import curio
 
 from deckdrum.control import ControlView, Member
-from deckdrum.fleet.limits import AskLimit, LimitAnswer, LimitRole
+from deckdrum.fleet.limit_messages import AskLimit, LimitAnswer, LimitRole
 from deckdrum.fleet.node_peers import NodePeers
-from deckdrum.load.limits import (
+from deckdrum.load.rate_limits import (
     INITIAL_TOKENS,
     TokenBucket,
     Tolerance,
--- a/deckdrum/limits/tests/test_limits.py
+++ b/deckdrum/limits/tests/test_limits.py
@@ -6,7 +6,7 @@
 import curio
 import pytest
 
-from deckdrum.load.limits import DEFAULT_TOLERANCE
+from deckdrum.load.rate_limits import DEFAULT_TOLERANCE
 from deckdrum.outcomes import Code, Fate
 from deckdrum.testing.limits import LimitFleet, find_worst_window
 from deckdrum.testing.nodes import (
--- a/deckdrum/load/__init__.py
+++ b/deckdrum/load/__init__.py
@@ -4,7 +4,7 @@
 only on its arguments.
 """
 
-from deckdrum.load.placement import (
+from deckdrum.load.allocation import (
     ConnectionAllocation,
     allocate_connections,
     select_holders,
--- a/deckdrum/load/tests/test_allocation.py
+++ b/deckdrum/load/tests/test_allocation.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from deckdrum.load.placement import (
+from deckdrum.load.allocation import (
     MAX_HOLDERS_PER_DATA_CENTRE,
     allocate_connections,
     select_holders,
--- a/deckdrum/load/tests/test_workspaces.py
+++ b/deckdrum/load/tests/test_workspaces.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Final
 
-from deckdrum.load.placement import rank_holders, rank_replicas
+from deckdrum.load.allocation import rank_holders, rank_replicas
 from deckdrum.outcomes import Refusal
 from deckdrum.testing.pools import StubPool, build_pool
 from deckdrum.utils.ranks import compute_rendezvous_rank
--- a/deckdrum/members/queue.py
+++ b/deckdrum/members/queue.py
@@ -20,7 +20,7 @@
 
 import curio
 
-from deckdrum.load.waiting import (
+from deckdrum.load.queueing import (
     can_queue_late,
     compute_retry_after,
     count_ahead,
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -10,15 +10,15 @@
 from deckdrum.backends import Backend
 from deckdrum.control import ControlStore, ControlView, Kind, StoreFeed
 from deckdrum.fleet.detours import DetourDialer, Dial
-from deckdrum.fleet.following import UpdateFollower
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.fleet.settings import NodeSettings
+from deckdrum.fleet.update_following import UpdateFollower
 from deckdrum.forwarding import ForwardedStatementHandler
 from deckdrum.leadership.context import LeadershipContext
-from deckdrum.leadership.duty import PromotionClient
-from deckdrum.node.answering import PeerRequestHandler
+from deckdrum.leadership.promotion_client import PromotionClient
 from deckdrum.node.failure_detection import FailureDetector
 from deckdrum.node.lending import ConnectionLender
+from deckdrum.node.peer_requests import PeerRequestHandler
 from deckdrum.node.registration import NodeRegistration
 from deckdrum.node.services import ServiceManager
 from deckdrum.node.session_host import NodeHost
--- a/deckdrum/node/lending.py
+++ b/deckdrum/node/lending.py
@@ -18,8 +18,8 @@
     ReturnLink,
 )
 from deckdrum.outcomes import Refusal
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle, ServerLease
-from deckdrum.serving.service import ServiceRuntime
 from deckdrum.utils import ByteStream
 from deckdrum.utils.counters import Counters
 
--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -8,7 +8,7 @@
 
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
-from deckdrum.fleet.limits import AskLimit
+from deckdrum.fleet.limit_messages import AskLimit
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import (
     AskProof,
@@ -21,8 +21,8 @@
     TermEnded,
 )
 from deckdrum.limits import LimitCounter
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import RECENT_ANSWER_WINDOW_S, ServerHandle
-from deckdrum.serving.service import ServiceRuntime
 
 _NOT_REACHED_AS_PRIMARY: Final = ServerAnswer(reached=False, leads_term=0)
 
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -9,12 +9,12 @@
 from deckdrum.control import Kind, Member, ServiceDeclaration
 from deckdrum.forwarding import Forwarder
 from deckdrum.leadership.context import LeadershipContext
-from deckdrum.leadership.supervision import PrimaryMonitor
+from deckdrum.leadership.monitoring import PrimaryMonitor
 from deckdrum.node.statistics_logger import StatisticsLogger
-from deckdrum.serving.execution import StatementExecutor
+from deckdrum.serving.executor import StatementExecutor
 from deckdrum.serving.routing import Router
 from deckdrum.serving.runners import StatementRunner
-from deckdrum.serving.service import ServiceRuntime
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.tasks import keep_running
--- a/deckdrum/node/tests/test_lifecycle.py
+++ b/deckdrum/node/tests/test_lifecycle.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from deckdrum.node.stopping import GracefulShutdown
+from deckdrum.node.shutdown import GracefulShutdown
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import (
     CURRENT,
--- a/deckdrum/platform/frontend.py
+++ b/deckdrum/platform/frontend.py
@@ -6,7 +6,7 @@
 import curio
 
 from deckdrum.node import Node
-from deckdrum.node.stopping import ClientListener
+from deckdrum.node.shutdown import ClientListener
 from deckdrum.operations import TransactionState
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.platform.framing import LineError, LineReader
--- a/deckdrum/platform/promotion_client.py
+++ b/deckdrum/platform/promotion_client.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from deckdrum.leadership.duty import (
+from deckdrum.leadership.promotion_client import (
     PromotionClient,
     PromotionOutcome,
     PromotionRequest,
--- a/deckdrum/platform/service.py
+++ b/deckdrum/platform/service.py
@@ -11,7 +11,7 @@
 from deckdrum.commands.signals import STOP_SIGNALS, catch_signals
 from deckdrum.fleet.policies import ALL_POLICIES, Policy, exclude_policies
 from deckdrum.node import Node
-from deckdrum.node.stopping import GracefulShutdown
+from deckdrum.node.shutdown import GracefulShutdown
 from deckdrum.outcomes.errors import SettingsError
 from deckdrum.platform.backends import PlatformBackend
 from deckdrum.platform.frontend import Frontend
--- a/deckdrum/platform/settings.py
+++ b/deckdrum/platform/settings.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from deckdrum.control.departures import DEFAULT_DRAIN_TIME_S
+from deckdrum.control.draining import DEFAULT_DRAIN_TIME_S
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.fleet.settings import NodeSettings
-from deckdrum.load.limits import Tolerance
+from deckdrum.load.rate_limits import Tolerance
 from deckdrum.outcomes.errors import SettingsError
 from deckdrum.utils import Address
 
--- a/deckdrum/platform/tests/test_foreign_entries.py
+++ b/deckdrum/platform/tests/test_foreign_entries.py
@@ -22,8 +22,8 @@
     decode_answer,
     read_object,
 )
-from deckdrum.testing.aims import WRITE_GAP_P99_S
 from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, run_scenario
+from deckdrum.testing.objectives import WRITE_GAP_P99_S
 
 #: Random objects per kind.
 MAX_EXAMPLES = 2_600
--- a/deckdrum/proxy/peer_server.py
+++ b/deckdrum/proxy/peer_server.py
@@ -7,7 +7,7 @@
 import curio
 
 from deckdrum.callers.host import CancelKey
-from deckdrum.databases.watch import STATE_PROBE_TIMEOUT_S, Watcher
+from deckdrum.databases.monitor import STATE_PROBE_TIMEOUT_S, Watcher
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.messages import (
--- a/deckdrum/serving/__init__.py
+++ b/deckdrum/serving/__init__.py
@@ -1,9 +1,9 @@
 """Sessions, routing, retries and transactions for callers' operations."""
 
-from deckdrum.serving.execution import StatementExecutor
+from deckdrum.serving.executor import StatementExecutor
 from deckdrum.serving.host import Outcome, SessionHost
 from deckdrum.serving.runners import StatementRunner
-from deckdrum.serving.service import ServiceRuntime
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.session import CallerSession
 
 __all__ = [
--- a/deckdrum/serving/allocation.py
+++ b/deckdrum/serving/allocation.py
@@ -8,7 +8,7 @@
 from deckdrum.fleet.borrowing import rank_lender
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.fleet.policies import Policy
-from deckdrum.load.placement import (
+from deckdrum.load.allocation import (
     ConnectionAllocation,
     allocate_connections,
     rank_holders,
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -16,6 +16,11 @@
     Attempt,
     NoAnswer,
 )
+from deckdrum.serving.dispatches import (
+    Dispatch,
+    FinishedAttempt,
+    release_late_attempt,
+)
 from deckdrum.serving.retries import (
     RETRY_BUDGET_CAPACITY,
     RetryBudget,
@@ -23,12 +28,7 @@
 )
 from deckdrum.serving.routing import Router, Target
 from deckdrum.serving.runners import StartedTransaction, StatementRunner
-from deckdrum.serving.searches import (
-    Dispatch,
-    FinishedAttempt,
-    release_late_attempt,
-)
-from deckdrum.serving.service import ServiceRuntime
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.state import PinnedConnection, SessionState
 from deckdrum.sessions import Position
 
--- a/deckdrum/serving/host.py
+++ b/deckdrum/serving/host.py
@@ -7,7 +7,7 @@
 from deckdrum.fleet.policies import Policy
 from deckdrum.operations import Answer, Request
 from deckdrum.outcomes import Refusal
-from deckdrum.serving.execution import StatementExecutor
+from deckdrum.serving.executor import StatementExecutor
 from deckdrum.serving.runners import StatementRunner
 from deckdrum.serving.state import SessionState
 
--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -9,9 +9,9 @@
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
 from deckdrum.serving.attempts import NoAnswer
+from deckdrum.serving.dispatches import Dispatch, FinishedAttempt
 from deckdrum.serving.routing import Target
-from deckdrum.serving.searches import Dispatch, FinishedAttempt
-from deckdrum.serving.service import ServiceRuntime
+from deckdrum.serving.runtime import ServiceRuntime
 
 #: Upper bound for the backoff between attempts on the primary.
 MAX_RETRY_BACKOFF_S: Final = 0.08
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -9,9 +9,9 @@
 
 from deckdrum.control import ConsistencyGuarantee, Route
 from deckdrum.fleet.policies import Policy
-from deckdrum.load.placement import rank_replicas
+from deckdrum.load.allocation import rank_replicas
+from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
-from deckdrum.serving.service import ServiceRuntime
 from deckdrum.serving.state import SessionState
 from deckdrum.sessions import Position
 from deckdrum.sessions.position import LOG_START
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -16,12 +16,12 @@
 )
 from deckdrum.backends.position_history import PositionHistory
 from deckdrum.control import ControlStore, Member, Route, ServiceDeclaration
-from deckdrum.control.departures import DrainStatus
+from deckdrum.control.draining import DrainStatus
 from deckdrum.fleet.borrowing import BorrowingBackend, DirectBackend
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.leadership.state import LeadershipState
-from deckdrum.load.placement import MIN_LOCAL_CONNECTIONS
+from deckdrum.load.allocation import MIN_LOCAL_CONNECTIONS
 from deckdrum.members import GroupShare
 from deckdrum.serving.allocation import (
     AllocationInputs,
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -18,18 +18,18 @@
     ServerStatus,
 )
 from deckdrum.control import Member
-from deckdrum.control.departures import DrainStatus
+from deckdrum.control.draining import DrainStatus
 from deckdrum.fleet.borrowing import BorrowingBackend, DirectBackend
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
-from deckdrum.load.placement import (
+from deckdrum.load.allocation import (
     MAX_BORROWED_CONNECTIONS,
     MIN_LOCAL_CONNECTIONS,
 )
 from deckdrum.members import GroupShare
 from deckdrum.operations import Rejection
 from deckdrum.outcomes import Refusal
-from deckdrum.serving.lags import ReplicaLag
-from deckdrum.serving.times import ResponseTimes
+from deckdrum.serving.replica_lag import ReplicaLag
+from deckdrum.serving.response_times import ResponseTimes
 from deckdrum.sessions import Position
 from deckdrum.utils.tasks import SharedCall
 
--- a/deckdrum/serving/tests/test_leaving_servers.py
+++ b/deckdrum/serving/tests/test_leaving_servers.py
@@ -7,7 +7,6 @@
 import curio
 import pytest
 
-from deckdrum.testing.aims import DRAIN_TIME_S, WRITE_GAP_P99_S
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
@@ -16,6 +15,7 @@
     LineClient,
     run_scenario,
 )
+from deckdrum.testing.objectives import DRAIN_TIME_S, WRITE_GAP_P99_S
 
 #: Duration of the callers' requests.
 REQUESTS_DURATION_S = 12.0
--- a/deckdrum/serving/tests/test_lending.py
+++ b/deckdrum/serving/tests/test_lending.py
@@ -9,7 +9,7 @@
 import pytest
 
 from deckdrum.fleet.policies import exclude_policies
-from deckdrum.load.placement import (
+from deckdrum.load.allocation import (
     MAX_CONNECTIONS_PER_NODE,
     RESERVED_CONNECTIONS,
     allocate_connections,
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -17,7 +17,7 @@
 )
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving.attempts import prepare_link, release_link, run_on_link
-from deckdrum.serving.execution import ANSWER_MARGIN_S
+from deckdrum.serving.executor import ANSWER_MARGIN_S
 from deckdrum.serving.host import Outcome, SessionHost
 from deckdrum.serving.state import (
     ForwardedTransaction,
--- a/deckdrum/soak/__init__.py
+++ b/deckdrum/soak/__init__.py
@@ -4,7 +4,7 @@
 in the process of the soak test.  Faults are signals, loopback links that delay
 or drop traffic, and stand-ins that reject requests, lag or crash.  Afterwards
 the answers that callers received are checked against the statements that the
-databases executed (`promises`).
+databases executed (`checks`).
 """
 
 from deckdrum.soak.runner import SoakPlan, SoakReport, run_soak
--- a/deckdrum/soak/faults.py
+++ b/deckdrum/soak/faults.py
@@ -6,8 +6,8 @@
 
 import curio
 
+from deckdrum.soak.environment import SoakEnvironment
 from deckdrum.soak.links import LinkState
-from deckdrum.soak.world import SoakEnvironment
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import build_config, build_route
 
--- a/deckdrum/soak/runner.py
+++ b/deckdrum/soak/runner.py
@@ -9,6 +9,8 @@
 import curio
 
 from deckdrum.soak.callers import Caller
+from deckdrum.soak.checks import SoakHistory, find_violations
+from deckdrum.soak.environment import SoakEnvironment
 from deckdrum.soak.faults import (
     FAULTS,
     MAX_FAULT_DURATION_S,
@@ -16,9 +18,7 @@
 )
 from deckdrum.soak.links import LinkState
 from deckdrum.soak.processes import NodeProcess
-from deckdrum.soak.promises import SoakHistory, find_violations
 from deckdrum.soak.records import Attempt
-from deckdrum.soak.world import SoakEnvironment
 from deckdrum.standins.users import StoreFault
 
 #: Longest wait until every node serves, at the start and after the faults.
--- a/deckdrum/soak/tests/test_promises.py
+++ b/deckdrum/soak/tests/test_promises.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from deckdrum.soak.promises import SoakHistory, find_violations
+from deckdrum.soak.checks import SoakHistory, find_violations
 from deckdrum.soak.records import Attempt, AttemptOutcome
 from deckdrum.standins.users.records import Entry, ExecutedStatement
 from deckdrum.testing.nodes import BOUNDED, CURRENT, OWN_WRITES
--- a/deckdrum/testing/limits.py
+++ b/deckdrum/testing/limits.py
@@ -5,11 +5,11 @@
 from deckdrum.control import Configuration, ControlView, Entry, Kind, Member
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.health import PeerHealth
-from deckdrum.fleet.limits import AskLimit
+from deckdrum.fleet.limit_messages import AskLimit
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_peers import NodePeers, PeerAnswer
 from deckdrum.limits import LimitClient, LimitCounter
-from deckdrum.load.limits import DEFAULT_TOLERANCE
+from deckdrum.load.rate_limits import DEFAULT_TOLERANCE
 from deckdrum.outcomes import Refusal
 from deckdrum.utils import Address
 from deckdrum.utils.counters import Counters
