--- a/deckdrum/leadership/tests/test_healing.py
+++ b/deckdrum/leadership/tests/test_healing.py
@@ -90,9 +90,10 @@
     cut: Connectivity, duration: float, synchronous: int = 0
 ) -> set[int]:
     """Return the writes that a partition of the primary loses."""
-    return run_scenario(
+    lost: set[int] = run_scenario(
         partial(find_lost, cut, duration), synchronous=synchronous
     )
+    return lost
 
 
 @pytest.mark.parametrize('synchronous', [0, 1])
