Promote by the term of the last log entry, not by the term that is followed

What callers saw: nothing yet reported. Two primaries that fail in turn while one replica receives no log lose all writes acknowledged since that replica fell behind.

Cause: FencedDatabase.log_position ranked candidates by DatabaseState.term, the term that a database leads or follows. A replica is in the new term as soon as it follows, before it has received any of its log, and so won over a database of the term before whose log was longer.

Why the change works: deckdrum_state has a seventh column, log_term, the term of the last durable entry. A primary writes an entry of its term when promoted, and a confirmation includes it, so a log that ends in a later term holds all that was confirmed before; within one term logs are prefixes of each other.

--- a/deckdrum/databases/base.py
+++ b/deckdrum/databases/base.py
@@ -8,6 +8,8 @@
 * The log of a replica that follows a term is a prefix of the log of that
   term's primary.
 * ``received`` includes only durable log entries.
+* ``log_term`` is the term in which the last of them was written, and a primary
+  writes an entry of its own when it is promoted.
 """
 
 from abc import abstractmethod
@@ -46,6 +48,9 @@
         Lowest term that it still accepts.
     leaving : bool
         Whether its server is about to be removed.
+    log_term : int
+        Term of the last durable log entry, 0 if there is none.  It is lower
+        than `term` until a replica has received the log of that term's primary.
     """
 
     role: Role
@@ -54,6 +59,7 @@
     applied: int
     fenced: int
     leaving: bool
+    log_term: int
 
     def is_in_term(self, term: int) -> bool:
         """Whether it leads or follows `term`, not fenced at a later one."""
--- a/deckdrum/databases/postgres.py
+++ b/deckdrum/databases/postgres.py
@@ -244,7 +244,7 @@
         """Decode the state from a result; None if it has no state."""
         if answer.sqlstate or not answer.rows:
             return None
-        role, *numbers, leaving = answer.rows[0]
+        role, *numbers, leaving, log_term = answer.rows[0]
         term, received, applied, fenced = (
             int(number or 0) for number in numbers
         )
@@ -255,6 +255,7 @@
             applied,
             fenced,
             leaving in _TRUE_VALUES,
+            int(log_term or 0),
         )
 
     async def connect(self, timeout: float) -> DatabaseLink:
--- a/deckdrum/failover/driver.py
+++ b/deckdrum/failover/driver.py
@@ -65,8 +65,12 @@
 
     @property
     def log_position(self) -> tuple[int, int]:
-        """Term and offset of the end of its log."""
-        return (self.state.term, self.state.received)
+        """Term of the last entry of its log, and the offset of its end.
+
+        The term that it follows does not count: a replica that has just turned
+        to a new primary may still lack most of its log.
+        """
+        return (self.state.log_term, self.state.received)
 
 
 @dataclass(frozen=True, slots=True)
--- a/deckdrum/failover/tests/test_driver.py
+++ b/deckdrum/failover/tests/test_driver.py
@@ -42,3 +42,11 @@
     states = [build_state(received=7), build_state(received=7)]
     candidate = choose_promotion_candidate(make_fenced(list(states)), {'d0'})
     assert candidate.database.name == 'd1'
+
+
+def test_lagging_replica_of_a_later_term_is_not_promoted() -> None:
+    """Its log lacks writes that the other one's log holds."""
+    lagging = build_state(term=2, received=7, log_term=1)
+    complete = build_state(term=1, received=9, log_term=1)
+    candidate = choose_promotion_candidate(make_fenced([lagging, complete]), ())
+    assert candidate.database.name == 'd1'
--- a/deckdrum/invariants/changes.py
+++ b/deckdrum/invariants/changes.py
@@ -21,6 +21,8 @@
 _WRITE_INTERVAL_S: Final = 0.02
 #: Times after the start of the writes at which the primary is crashed.
 _CRASH_TIMES_S: Final = tuple(step / 1000 for step in range(_CRASH_COUNT))
+_CHANGE_TIMEOUT_S: Final = 5.0
+_POLL_INTERVAL_S: Final = 0.005
 _PACE: Final = LoadProfile(pause=_WRITE_INTERVAL_S, reads_each=0)
 
 
@@ -49,6 +51,47 @@
     return violations
 
 
+async def check_lagging_follower() -> list[str]:
+    """Crash two primaries in turn while one replica receives no log.
+
+    The replica follows the second primary, but lacks writes that the first one,
+    which is back by then, holds.
+    """
+    deployment = Deployment(Layout(services=(_SERVICE,)))
+    await deployment.start()
+    await create_table(deployment, _SERVICE)
+    first, second, lagging = deployment.list_databases(_SERVICE)
+    await curio.sleep(1)
+    lagging.faults.receives_no_log = True
+    load = Load(deployment, _PACE, Random(4))
+    await load.start(_WRITERS)
+    await curio.sleep(1)
+    await first.crash()
+    await _wait_for_primary(deployment, second, lagging)
+    await second.crash()
+    await first.start()
+    lagging.faults.receives_no_log = False
+    await curio.sleep(3)
+    history = await load.finish()
+    violations = history.check_rows(read_rows(deployment, _SERVICE))
+    if deployment.find_primary(_SERVICE) is second:
+        violations.append('the second primary was not replaced')
+    await deployment.close()
+    return violations
+
+
+async def _wait_for_primary(
+    deployment: Deployment, primary: StandinDatabase, follower: StandinDatabase
+) -> None:
+    """Wait until a database leads and another one follows it."""
+    async with curio.timeout_after(_CHANGE_TIMEOUT_S):
+        while not (
+            deployment.find_primary(_SERVICE) is primary
+            and follower.term == primary.term
+        ):
+            await curio.sleep(_POLL_INTERVAL_S)
+
+
 def _partition_with_keeper(
     deployment: Deployment, primary: StandinDatabase
 ) -> None:
--- a/deckdrum/invariants/tests/test_invariants.py
+++ b/deckdrum/invariants/tests/test_invariants.py
@@ -7,6 +7,7 @@
 
 from deckdrum.backends.pool import Pool
 from deckdrum.databases.base import DatabasePool
+from deckdrum.failover.driver import FencedDatabase
 from deckdrum.invariants import changes, operations, sessions
 from deckdrum.keepers.relay import RelayResult
 from deckdrum.keepers.routing import Router
@@ -25,6 +26,7 @@
     sessions.check_transaction_isolation,
     sessions.check_answer_isolation,
     changes.check_acknowledged_writes,
+    changes.check_lagging_follower,
     changes.check_reported_outcomes,
     changes.check_at_most_once,
     operations.check_leaving_servers,
@@ -81,6 +83,15 @@
     patch.setattr(KeeperSession, '_confirm', confirm_from_primary)
 
 
+def rank_by_followed_term(patch: pytest.MonkeyPatch) -> None:
+    """Disable: the log itself decides which database is promoted."""
+    patch.setattr(
+        FencedDatabase,
+        'log_position',
+        property(lambda fenced: (fenced.state.term, fenced.state.received)),
+    )
+
+
 def report_unknown_as_not_run(patch: pytest.MonkeyPatch) -> None:
     """Disable: an unknown outcome is reported as unknown."""
     for code in (Code.CONNECTION_LOST, Code.UNCONFIRMED):
@@ -150,6 +161,7 @@
     (sessions.check_transaction_isolation, release_inside_transactions),
     (sessions.check_answer_isolation, reuse_unclean_connections),
     (changes.check_acknowledged_writes, acknowledge_without_replicas),
+    (changes.check_lagging_follower, rank_by_followed_term),
     (changes.check_reported_outcomes, report_unknown_as_not_run),
     (changes.check_at_most_once, retry_changes),
     (operations.check_leaving_servers, read_from_leaving),
--- a/deckdrum/standins/engine.py
+++ b/deckdrum/standins/engine.py
@@ -87,6 +87,11 @@
         """Number of entries in the durable log."""
         return len(self.log)
 
+    @property
+    def log_term(self) -> int:
+        """Term of the last entry of the durable log, 0 without entries."""
+        return self.log[-1].term if self.log else 0
+
     @property
     def writer(self) -> sqlite3.Connection:
         """Connection that applies replicated changes."""
--- a/deckdrum/standins/replication.py
+++ b/deckdrum/standins/replication.py
@@ -44,6 +44,8 @@
     ----------
     paused : bool
         Whether requests stay unanswered on open connections.
+    receives_no_log : bool
+        Whether a replica receives nothing of the log that it follows.
     cut_from : set of str
         Names of proxies and databases whose traffic is dropped.
     accepts_old_terms : bool
@@ -52,6 +54,7 @@
     """
 
     paused: bool = False
+    receives_no_log: bool = False
     cut_from: set[str] = field(default_factory=set)
     accepts_old_terms: bool = False
 
@@ -231,7 +234,7 @@
         return other.running and not is_paused and not are_partitioned
 
     def _can_receive_log(self) -> bool:
-        if self._source is None:
+        if self._source is None or self.faults.receives_no_log:
             return False
         source = self.peers[self._source]
         return self._can_reach(source) and source.term == self.term
--- a/deckdrum/standins/transactions.py
+++ b/deckdrum/standins/transactions.py
@@ -45,6 +45,7 @@
     'applied',
     'fenced',
     'leaving',
+    'log_term',
 )
 
 
@@ -256,6 +257,7 @@
             database.engine.applied,
             database.fenced_term,
             int(database.leaving),
+            database.engine.log_term,
         )
         return Answer('SELECT 1', _STATE_COLUMNS, row, rows=[row])
 
--- a/deckdrum/testing/builders.py
+++ b/deckdrum/testing/builders.py
@@ -26,7 +26,8 @@
         'fenced': 1,
         'leaving': False,
     }
-    return DatabaseState(**(defaults | fields))
+    log_term = {'log_term': fields.get('term', defaults['term'])}
+    return DatabaseState(**(defaults | log_term | fields))
 
 
 def build_document(**replaced: Any) -> dict[str, Any]:
