Confirm reads, and writes by the primary's word, in the term of their route

- a read on a replica of more than three databases was confirmed in the term of the moment.
A replica cut off with the old primary may return a change that the next term has discarded (a dirty read).
- with 'acknowledgement: primary' the position of a database that had turned to another term was taken, and handed to the session as its own write.

Both take the term of the route now.

--- a/deckdrum/keepers/core.py
+++ b/deckdrum/keepers/core.py
@@ -252,7 +252,8 @@
         if there was one.
 
         With up to three databases, a replica and the primary form a majority.
-        In larger groups a majority must confirm what the replica returned.
+        In larger groups a majority must confirm, in the term of the route, what
+        the replica returned: a later term may have discarded it.
         """
         timeout = self.service.confirm_limit
         database = route.pool.database
@@ -268,7 +269,7 @@
             or len(self.databases) <= _MAX_DATABASES_FOR_PAIR_MAJORITY
         ):
             return read_position
-        confirmed = await self.watch.confirm(self.watch.term, timeout)
+        confirmed = await self.watch.confirm(route.term, timeout)
         return None if confirmed is None else max(read_position, confirmed)
 
     def record_answered_batch(self, group: str, route: Route) -> None:
--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -353,13 +353,8 @@
         if end.status == _IDLE:
             position = await self._confirm(route, end)
         if position is None:
-            code = Code.UNCONFIRMED
-            if not route.is_primary:
-                code = Code.READ_NOT_POSSIBLE
-            await self._refuse(refuse(code))
+            await self._refuse_unconfirmed(route)
             return
-        if route.is_primary and end.status == _IDLE:
-            self._log_term_mismatch(route, position)
         if end.held:
             await self._send_rows(end.held)
         await self._send(
@@ -382,26 +377,31 @@
         watch = self._keeper.watch
         if route.is_primary:
             if service.acknowledgement is Acknowledgement.PRIMARY:
-                return await watch.fetch_applied(
+                position = await watch.fetch_applied(
                     route.pool.database.name,
                     service.confirm_limit,
                 )
+                # In another term it may have discarded the change.
+                is_same_term = position and position.term == route.term
+                return position if is_same_term else None
             return await watch.confirm(route.term, service.confirm_limit)
         return await self._keeper.confirm_read(route, end.trailer)
 
-    def _log_term_mismatch(self, route: Route, position: Position) -> None:
-        """Log an answer of one term that was confirmed in another."""
-        if position.term == route.term:
+    async def _refuse_unconfirmed(self, route: Route) -> None:
+        """Refuse a batch whose answer has not been confirmed."""
+        if not route.is_primary:
+            await self._refuse(refuse(Code.READ_NOT_POSSIBLE))
             return
-        self._keeper.count('confirmation.term_mismatch')
-        self._keeper.context.journal.record_rate_limited(
-            'confirmation.term_mismatch',
-            service=self._keeper.service.name,
+        keeper = self._keeper
+        keeper.count('answer.unconfirmed')
+        keeper.context.journal.record_rate_limited(
+            'answer.unconfirmed',
+            service=keeper.service.name,
             database=route.pool.database.name,
             route_term=route.term,
-            confirmed_term=position.term,
-            offset=position.offset,
+            known_term=keeper.watch.term,
         )
+        await self._refuse(refuse(Code.UNCONFIRMED))
 
     async def _release_if_idle(self, end: RelayResult) -> None:
         """Release the connection if no transaction is open."""
