Keepers: attempts and the guard of a running batch in modules of their own

Names lose their underscore where modules share them, and test_guard calls the function instead of a session that was never built. No behaviour.

--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -1,13 +1,10 @@
 """Keeper side of a channel, which runs one caller's batches in one task."""
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import curio
 
-from deckdrum.backends.pool import Lease
 from deckdrum.configuration.models import Acknowledgement
-from deckdrum.databases.base import Database, DatabaseLink
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import Channel
 from deckdrum.fleet.messages import (
@@ -18,6 +15,12 @@
     RunBatch,
 )
 from deckdrum.keepers.access import Access
+from deckdrum.keepers.attempts import (
+    RETRY_DELAY_S,
+    Attempt,
+    HeldConnection,
+)
+from deckdrum.keepers.guard import CallerDisconnectedError, run_guarded
 from deckdrum.keepers.relay import (
     AnswerTooLargeError,
     Relay,
@@ -33,9 +36,6 @@
 if TYPE_CHECKING:
     from deckdrum.keepers.core import Keeper
 
-#: Interval at which a running batch checks that its route is still valid.
-_LIVENESS_CHECK_INTERVAL_S = 0.5
-_RETRY_DELAY_S = 0.05
 #: Interval at which an idle transaction is checked.
 _IDLE_CHECK_INTERVAL_S = 0.25
 #: Idle timeout of a transaction on a lent connection for which a request of
@@ -49,37 +49,6 @@
 _FLUSH = Frame.build(tags.FLUSH).raw
 
 
-class CallerDisconnectedError(Exception):
-    """The channel to the caller's proxy is closed."""
-
-
-@dataclass(slots=True)
-class _HeldConnection:
-    """Connection held by the channel, and its route."""
-
-    lease: Lease[Database, DatabaseLink]
-    route: Route
-
-
-@dataclass(slots=True)
-class _Attempt:
-    """Batch and the deadline for it to get a connection."""
-
-    batch: RunBatch
-    access: Access
-    deadline: float
-
-    async def remaining(self) -> float:
-        """Return the seconds left, at least `_RETRY_DELAY_S`."""
-        now: float = await curio.clock()
-        return max(self.deadline - now, _RETRY_DELAY_S)
-
-    async def is_over(self) -> bool:
-        """Whether the deadline has passed."""
-        now: float = await curio.clock()
-        return now >= self.deadline
-
-
 class KeeperSession:
     """Runs the batches of one channel.
 
@@ -102,7 +71,7 @@
         self._keeper = keeper
         self._channel = channel
         self._group = opened.group
-        self._connection: _HeldConnection | None = None
+        self._connection: HeldConnection | None = None
         self._is_cancelled = False
 
     @property
@@ -170,18 +139,18 @@
             return
         timeout = self._keeper.service.wait_limit
         deadline = await curio.clock() + timeout
-        attempt: _Attempt | None = _Attempt(batch, access, deadline)
+        attempt: Attempt | None = Attempt(batch, access, deadline)
         while attempt is not None:
             attempt = await self._try_once(attempt)
 
-    async def _try_once(self, attempt: _Attempt) -> _Attempt | None:
+    async def _try_once(self, attempt: Attempt) -> Attempt | None:
         """Attempt a batch once; return the next attempt, if any."""
         connection = await self._acquire(attempt)
         if isinstance(connection, Refusal):
             await self._refuse(connection)
             return None
         if connection is None:
-            await curio.sleep(_RETRY_DELAY_S)
+            await curio.sleep(RETRY_DELAY_S)
             return attempt
         self._connection = connection
         link = connection.lease.link
@@ -200,7 +169,7 @@
             return None if await self._refuse_if_expired(attempt) else attempt
         return await self._execute(attempt)
 
-    async def _refuse_if_expired(self, attempt: _Attempt) -> bool:
+    async def _refuse_if_expired(self, attempt: Attempt) -> bool:
         """Refuse a batch, not yet sent, if its deadline has passed."""
         is_over = await attempt.is_over()
         if is_over:
@@ -209,8 +178,8 @@
 
     async def _acquire(
         self,
-        attempt: _Attempt,
-    ) -> _HeldConnection | Refusal | None:
+        attempt: Attempt,
+    ) -> HeldConnection | Refusal | None:
         """Route a batch and acquire a connection; None means retry."""
         route = await self._keeper.router.choose(
             attempt.batch,
@@ -231,9 +200,9 @@
             return None
         if isinstance(lease, Refusal):
             return lease
-        return _HeldConnection(lease, route)
+        return HeldConnection(lease, route)
 
-    async def _execute(self, attempt: _Attempt) -> _Attempt | None:
+    async def _execute(self, attempt: Attempt) -> Attempt | None:
         """Run a batch on the connection that the channel holds."""
         connection = self._require_connection()
         relay = Relay(
@@ -243,7 +212,7 @@
             _choose_trailer(connection.route, attempt.batch),
         )
         try:
-            end = await self._run_guarded(relay, connection.route)
+            end = await run_guarded(self._keeper, relay, connection.route)
         except ConnectionError as error:
             await self._discard_connection()
             return await self._handle_loss(attempt, relay, error)
@@ -258,10 +227,10 @@
 
     async def _handle_loss(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         relay: Relay,
         error: ConnectionError,
-    ) -> _Attempt | None:
+    ) -> Attempt | None:
         """Retry or refuse a batch whose connection broke while it ran."""
         if not relay.is_sent:
             await self._refuse(refuse(Code.PROTOCOL_VIOLATION, str(error)))
@@ -279,9 +248,9 @@
 
     async def _handle_rejection(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         end: RelayResult,
-    ) -> _Attempt | None:
+    ) -> Attempt | None:
         """Retry or refuse a batch that the database did not execute."""
         await self._release_if_idle(end)
         self._keeper.count('backend.rejected')
@@ -290,12 +259,12 @@
             detail = f'SQLSTATE {end.rejected}'
             await self._refuse(refuse(Code.PRIMARY_REFUSED, detail))
             return None
-        await curio.sleep(_RETRY_DELAY_S)
+        await curio.sleep(RETRY_DELAY_S)
         access = attempt.access
         if end.rejected == _READ_ONLY:
             # The batch was classified as a read but writes.
             access = Access.WRITE
-        return _Attempt(attempt.batch, access, attempt.deadline)
+        return Attempt(attempt.batch, access, attempt.deadline)
 
     async def _run_pinned(self, batch: RunBatch) -> None:
         connection = self._require_connection()
@@ -307,7 +276,7 @@
             return
         relay = Relay(connection.lease.link, batch, self._send_rows)
         try:
-            end = await self._run_guarded(relay, connection.route)
+            end = await run_guarded(self._keeper, relay, connection.route)
         except ConnectionError as error:
             await self._discard_connection()
             await self._refuse(
@@ -329,32 +298,6 @@
             return
         await self._finish(end, connection.route)
 
-    async def _run_guarded(self, relay: Relay, route: Route) -> RelayResult:
-        """Run a relay; abort it if its route is lost.
-
-        Raises `ConnectionError` if the connection breaks or the route is lost.
-        """
-        task = await curio.spawn(_run_relay, relay)
-        try:
-            while not task.terminated:
-                frames_before = relay.frames
-                async with curio.ignore_after(_LIVENESS_CHECK_INTERVAL_S):
-                    await task.wait()
-                if task.terminated:
-                    break
-                is_receiving = relay.frames > frames_before
-                if await self._keeper.is_route_lost(
-                    route, is_receiving=is_receiving
-                ):
-                    raise ConnectionResetError('the database is gone')
-        finally:
-            if not task.terminated:
-                await task.cancel()
-        end: RelayResult | Exception = task.result
-        if isinstance(end, Exception):
-            raise end
-        return end
-
     async def _finish(self, end: RelayResult, route: Route) -> None:
         """Release the connection, confirm, and send the held-back answer."""
         await self._release_if_idle(end)
@@ -453,24 +396,12 @@
         except ConnectionError as error:
             raise CallerDisconnectedError from error
 
-    def _require_connection(self) -> _HeldConnection:
+    def _require_connection(self) -> HeldConnection:
         if self._connection is None:
             raise BrokenInvariantError('the channel holds no connection')
         return self._connection
 
 
-async def _run_relay(relay: Relay) -> RelayResult | Exception:
-    """Run a relay; return its exception instead of raising it."""
-    try:
-        return await relay.run()
-    except (
-        ConnectionError,
-        AnswerTooLargeError,
-        CallerDisconnectedError,
-    ) as error:
-        return error
-
-
 def _choose_trailer(route: Route, batch: RunBatch) -> bytes:
     """Return the state query to pipeline after a replica read, if any."""
     if route.is_primary or batch.payload.endswith(_FLUSH):
--- a/deckdrum/keepers/tests/test_ended_terms.py
+++ b/deckdrum/keepers/tests/test_ended_terms.py
@@ -9,8 +9,9 @@
 from deckdrum.databases.monitor import ServiceWatch
 from deckdrum.fleet.messages import RunBatch
 from deckdrum.keepers.access import Access
+from deckdrum.keepers.attempts import Attempt, HeldConnection
 from deckdrum.keepers.core import Keeper
-from deckdrum.keepers.sessions import KeeperSession, _Attempt, _HeldConnection
+from deckdrum.keepers.sessions import KeeperSession
 from deckdrum.outcomes import Code, Fate, Refusal
 from deckdrum.store.records import GroupRecord, Phase
 from deckdrum.utils.virtualtime import run_virtual
@@ -84,7 +85,7 @@
 
     session: Any = KeeperSession.__new__(KeeperSession)
     session._keeper = make_keeper(term=2)
-    session._connection = _HeldConnection(lease, make_route(pool))
+    session._connection = HeldConnection(lease, make_route(pool))
     session._refuse = record_refusal
     batch = RunBatch(b'', Access.WRITE.value)
     run_virtual(session._run_batch, batch)
@@ -99,11 +100,11 @@
     session: Any = KeeperSession.__new__(KeeperSession)
     session._keeper = make_keeper(term=2)
     batch = RunBatch(b'', Access.WRITE.value)
-    attempt = _Attempt(batch, Access.WRITE, DEADLINE_S)
+    attempt = Attempt(batch, Access.WRITE, DEADLINE_S)
 
-    async def acquire(attempt: _Attempt) -> _HeldConnection:
+    async def acquire(attempt: Attempt) -> HeldConnection:
         await curio.sleep(0.1)
-        return _HeldConnection(lease, make_route(pool))
+        return HeldConnection(lease, make_route(pool))
 
     session._acquire = acquire
     assert run_virtual(session._try_once, attempt) is attempt
--- a/deckdrum/keepers/tests/test_guard.py
+++ b/deckdrum/keepers/tests/test_guard.py
@@ -5,8 +5,8 @@
 import curio
 import pytest
 
+from deckdrum.keepers.guard import run_guarded
 from deckdrum.keepers.relay import RelayResult
-from deckdrum.keepers.sessions import KeeperSession
 from deckdrum.utils.virtualtime import run_virtual
 
 
@@ -33,20 +33,18 @@
         return RelayResult('I')
 
 
-def run_guarded(interval: float) -> Any:
-    """Run a relay with `KeeperSession._run_guarded`."""
-    session = KeeperSession.__new__(KeeperSession)
+def run_steadily(interval: float) -> Any:
+    """Run a relay that receives a frame every `interval` seconds."""
     keeper: Any = UnresponsiveKeeper()
     relay: Any = SteadyRelay(interval)
-    session._keeper = keeper
     route: Any = None
-    return run_virtual(session._run_guarded, relay, route)
+    return run_virtual(run_guarded, keeper, relay, route)
 
 
 def test_answer_that_goes_on_is_not_given_up() -> None:
-    assert run_guarded(0.2).status == 'I'
+    assert run_steadily(0.2).status == 'I'
 
 
 def test_batch_on_unresponsive_database_is_abandoned() -> None:
     with pytest.raises(ConnectionResetError):
-        run_guarded(2.5)
+        run_steadily(2.5)
