Do not count a probe as failed when this process was late itself

What callers saw: beside busy processes a healthy primary was replaced, which ends running batches with an unknown outcome (DD101).

Cause: the probe's timeout of 0.4 s fired 0.06 to 0.13 s late, so the keeper's own process was late; it counted the unread answer as a failure of the database.

Why the change works: such a probe is counted as late_probes, shown in the status of a keeper, and not among the failures that the supervisor acts upon. In virtual time no timeout is late, so nothing else changes there.

--- a/deckdrum/databases/monitor.py
+++ b/deckdrum/databases/monitor.py
@@ -26,6 +26,9 @@
 #: Probe interval on a standby, which only detects failures.
 STANDBY_PROBE_INTERVAL_S: Final = 0.3
 STATE_PROBE_TIMEOUT_S: Final = 0.4
+#: A timeout that fires later than this beyond its time shows that this process
+#: was late itself: the answer may be waiting to be read.
+MAX_OWN_DELAY_S: Final = 0.05
 #: Probe interval of an unresponsive database.
 PROBE_RETRY_INTERVAL_S: Final = 0.1
 #: Exponential backoff between probes that return an unchanged state while a
@@ -58,6 +61,8 @@
         self.sample: Sample | None = None
         self.failures = 0
         self.probes = 0
+        #: Unanswered probes that this process was too late to judge.
+        self.late_probes = 0
         #: Consecutive probes that returned the same state.
         self.unchanged_probes = 0
         #: Number of requests waiting for a fresh state.
@@ -85,10 +90,14 @@
         try:
             async with curio.timeout_after(STATE_PROBE_TIMEOUT_S):
                 state = await self._fetch_state()
-        except (ConnectionError, curio.TaskTimeout):
+        except ConnectionError:
             self.failures += 1
             await self.close()
             return False
+        except curio.TaskTimeout:
+            await self._record_timeout(started_at)
+            await self.close()
+            return False
         self.failures = 0
         is_new = self.sample is None or self.sample.state != state
         self.unchanged_probes = 0 if is_new else self.unchanged_probes + 1
@@ -110,6 +119,14 @@
             await self._link.close()
             self._link = None
 
+    async def _record_timeout(self, started_at: float) -> None:
+        """Count an unanswered probe, unless this process was late itself."""
+        elapsed = await curio.clock() - started_at
+        if elapsed - STATE_PROBE_TIMEOUT_S > MAX_OWN_DELAY_S:
+            self.late_probes += 1
+        else:
+            self.failures += 1
+
     async def _fetch_state(self) -> DatabaseState:
         if self._link is None:
             self._link = await self.database.connect(STATE_PROBE_TIMEOUT_S)
--- a/deckdrum/proxy/admin.py
+++ b/deckdrum/proxy/admin.py
@@ -160,13 +160,15 @@
 def _describe_database(keeper: Keeper, name: str) -> dict[str, Any]:
     state = keeper.watch.get_state(name)
     pool = keeper.pools[name]
+    watcher = keeper.watch.watchers[name]
     return {
         'answers': state is not None,
         'state': _describe_state(state),
         'held': pool.queue.held,
         'waiting': pool.queue.waiting,
         'idle': pool.idle,
-        'probes': keeper.watch.watchers[name].probes,
+        'probes': watcher.probes,
+        'late_probes': watcher.late_probes,
     }
 
 
