Names of stand-ins, token buckets and transaction states

become_primary, is_down and synchronous_replicas of the stand-ins, try_spend of TokenBucket, and transaction_state in place of standing (the log field stays), from the list in docs/contributing.rst. No behaviour.

--- a/deckdrum/bench/deployment.py
+++ b/deckdrum/bench/deployment.py
@@ -206,7 +206,7 @@
         peers = {each.name: each for each in started}
         for database in started:
             database.peers = peers
-        started[0].lead(1)
+        started[0].become_primary(1)
         for database in started[1:]:
             database.follow(started[0].name, 1)
 
--- a/deckdrum/bench/experiments/outages.py
+++ b/deckdrum/bench/experiments/outages.py
@@ -92,7 +92,7 @@
         platform = deployment.platform
         store = HttpObjectStore(platform.address)
         base = await fetch_snapshot(store)
-        platform.faults.down = True
+        platform.faults.is_down = True
         violations = await _run_load(deployment, seed)
         findings.at_most('down: refused or broken', len(violations), 0)
         peer = deployment.proxies['p1'].membership.own
@@ -112,7 +112,7 @@
         await curio.sleep(_OUTAGE_S)
         calls = (sum(platform.calls.values()) - before) / _OUTAGE_S
         findings.record('down: calls a second of the fleet', calls)
-        platform.faults.down = False
+        platform.faults.is_down = False
         await self._measure_recovery(deployment, findings)
 
     async def _apply_during_outage(
--- a/deckdrum/configuration/tests/test_documents.py
+++ b/deckdrum/configuration/tests/test_documents.py
@@ -138,9 +138,9 @@
 def test_update_can_be_repeated_after_an_outage() -> None:
     async def check(platform: Any, store: Any) -> list[ApplyOutcome]:
         base = await fetch_snapshot(store)
-        platform.faults.down = True
+        platform.faults.is_down = True
         first = await apply_document(store, build_text(), base, 'x', 'op1')
-        platform.faults.down = False
+        platform.faults.is_down = False
         again = await apply_document(store, build_text(), base, 'x', 'op1')
         third = await apply_document(store, build_text(), base, 'x', 'op1')
         return [first.outcome, again.outcome, third.outcome]
--- a/deckdrum/forwarding/encoding.py
+++ b/deckdrum/forwarding/encoding.py
@@ -192,13 +192,13 @@
         If its code is unknown.
     """
     if not message.code:
-        standing = (
+        transaction_state = (
             TransactionState.OPEN if message.is_open else TransactionState.IDLE
         )
         return Answer(
             tuple(message.rows),
             message.text,
-            standing,
+            transaction_state,
             decode_position(message.position),
         )
     try:
--- a/deckdrum/invariants/combinations.py
+++ b/deckdrum/invariants/combinations.py
@@ -69,9 +69,9 @@
 
 async def lose_platform(deployment: Deployment, fault: Fault) -> None:
     """Make the platform unavailable for some time."""
-    deployment.platform.faults.down = True
+    deployment.platform.faults.is_down = True
     await curio.sleep(fault.duration)
-    deployment.platform.faults.down = False
+    deployment.platform.faults.is_down = False
 
 
 async def lose_answers(deployment: Deployment, fault: Fault) -> None:
--- a/deckdrum/invariants/operations.py
+++ b/deckdrum/invariants/operations.py
@@ -156,14 +156,14 @@
 async def _apply_during_outage(deployment: Deployment, text: str) -> list[str]:
     """Replay an old configuration and start a proxy during an outage."""
     faults = deployment.platform.faults
-    faults.down = True
+    faults.is_down = True
     await curio.sleep(1)
     await _apply_old_configuration(deployment, text)
     # The new proxy must fetch the configuration from a peer.
     membership = deployment.proxies['p1'].membership
     await deployment.start_proxy(9, peers=(membership.own.address,))
     violations = await _check_in_force_everywhere(deployment, 2)
-    faults.down = False
+    faults.is_down = False
     return violations
 
 
--- a/deckdrum/leadership/tests/test_changes.py
+++ b/deckdrum/leadership/tests/test_changes.py
@@ -109,7 +109,7 @@
         await client.write_until_done()
         assert len(deployment.group.primary.log) > done
 
-    run_scenario(scenario, synchronous=synchronous, lag=0.01)
+    run_scenario(scenario, synchronous_replicas=synchronous, lag=0.01)
 
 
 def test_promotion_with_a_lost_answer_is_resolved() -> None:
--- a/deckdrum/leadership/tests/test_healing.py
+++ b/deckdrum/leadership/tests/test_healing.py
@@ -77,7 +77,7 @@
         await curio.sleep(RECOVERY_S)
         await tasks.cancel_remaining()
     kept = list_writes(deployment.group.primary)
-    is_synchronous = deployment.group.synchronous > 0
+    is_synchronous = deployment.group.synchronous_replicas > 0
     return {
         number
         for writer in writers
@@ -91,7 +91,7 @@
 ) -> set[int]:
     """Return the writes that a partition of the primary loses."""
     lost: set[int] = run_scenario(
-        partial(find_lost, cut, duration), synchronous=synchronous
+        partial(find_lost, cut, duration), synchronous_replicas=synchronous
     )
     return lost
 
--- a/deckdrum/limits/client.py
+++ b/deckdrum/limits/client.py
@@ -134,7 +134,7 @@
         if allowance is None:
             allowance = TokenBucket(isolated_burst, now)
             self._isolated_allowances[workspace.name] = allowance
-        if not allowance.take(isolated_rate, isolated_burst, now):
+        if not allowance.try_spend(isolated_rate, isolated_burst, now):
             self._counters.count('limits_alone')
             return None
         return self._refuse(Code.LIMIT_UNKNOWN, workspace, 0)
--- a/deckdrum/limits/counter.py
+++ b/deckdrum/limits/counter.py
@@ -126,13 +126,13 @@
             burst = compute_coordinator_burst(
                 rate, workspace.burst, self.tolerance
             )
-            return allowance.take(rate, burst, now)
+            return allowance.try_spend(rate, burst, now)
         deputy_allowance = self._deputy_allowances.get(workspace.name)
         if deputy_allowance is None:
             deputy_allowance = TokenBucket(INITIAL_TOKENS, now)
             self._deputy_allowances[workspace.name] = deputy_allowance
         deputy_rate = compute_deputy_rate(rate, workspace.burst, self.tolerance)
-        return deputy_allowance.take(deputy_rate, INITIAL_TOKENS, now)
+        return deputy_allowance.try_spend(deputy_rate, INITIAL_TOKENS, now)
 
     def _get_allowance(
         self,
--- a/deckdrum/load/rate_limits.py
+++ b/deckdrum/load/rate_limits.py
@@ -82,13 +82,13 @@
     Examples
     --------
     >>> bucket = TokenBucket(level=1, since=0)
-    >>> bucket.take(rate=2, burst=4, now=0)
+    >>> bucket.try_spend(rate=2, burst=4, now=0)
     0
-    >>> bucket.take(rate=2, burst=4, now=0)
+    >>> bucket.try_spend(rate=2, burst=4, now=0)
     0.5
-    >>> bucket.take(rate=2, burst=4, now=0.5)
+    >>> bucket.try_spend(rate=2, burst=4, now=0.5)
     0
-    >>> bucket.take(rate=0, burst=0, now=0.5)
+    >>> bucket.try_spend(rate=0, burst=0, now=0.5)
     60.0
     """
 
@@ -97,7 +97,7 @@
         #: When a token was last requested, in kernel seconds.
         self.asked_at = since
 
-    def take(self, rate: float, burst: float, now: float) -> float:
+    def try_spend(self, rate: float, burst: float, now: float) -> float:
         """Take a token; return 0, or the seconds until one is available.
 
         A lower rate or burst takes effect with this call.
--- a/deckdrum/platform/backends.py
+++ b/deckdrum/platform/backends.py
@@ -125,12 +125,14 @@
                 rows.append(rest)
             elif word == 'COMPLETE':
                 completion = '' if rest == NO_VALUE else rest
-                standing, position = await self._read_ready()
-                return Answer(tuple(rows), completion, standing, position)
+                transaction_state, position = await self._read_ready()
+                return Answer(
+                    tuple(rows), completion, transaction_state, position
+                )
             elif word == 'ERROR':
                 cause, text = decode_error(rest)
-                standing, position = await self._read_ready()
-                return Rejection(cause, text, standing, position)
+                transaction_state, position = await self._read_ready()
+                return Rejection(cause, text, transaction_state, position)
             else:
                 raise LineError(f'{word!r}, expected ROW, COMPLETE or ERROR')
 
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -224,23 +224,25 @@
             await self.handle.release(lease, is_clean=False)
         return NoAnswer(self.was_sent, is_late, reason)
 
-    async def _release_lease(self, standing: TransactionState) -> None:
+    async def _release_lease(self, transaction_state: TransactionState) -> None:
         lease = self.lease
         self.lease = None
         if lease is not None:
-            await release_link(self.handle, lease, standing)
+            await release_link(self.handle, lease, transaction_state)
 
 
 async def release_link(
     handle: ServerHandle,
     lease: ServerLease,
-    standing: TransactionState,
+    transaction_state: TransactionState,
 ) -> None:
     """Release a connection after a complete answer.
 
     A transaction that is still open is rolled back.
     """
-    is_clean = standing is TransactionState.IDLE or await _roll_back(lease.link)
+    is_clean = transaction_state is TransactionState.IDLE or await _roll_back(
+        lease.link
+    )
     await handle.release(lease, is_clean)
 
 
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -67,20 +67,20 @@
     async def fail(
         self,
         reason: str,
-        standing: TransactionState = TransactionState.OPEN,
+        transaction_state: TransactionState = TransactionState.OPEN,
         code: Code = Code.TRANSACTION_LOST,
     ) -> Outcome:
         """Mark the transaction as failed and roll it back on its server."""
         transaction = self._state.transaction
         if transaction is not None:
             transaction.is_failed = True
-            await self.release_connection(transaction, standing)
+            await self.release_connection(transaction, transaction_state)
         return refuse(code, reason)
 
     async def release_connection(
         self,
         transaction: Transaction,
-        standing: TransactionState,
+        transaction_state: TransactionState,
     ) -> None:
         """Release the transaction's connection and roll back if it is open."""
         pin = transaction.pin
@@ -88,7 +88,7 @@
         transaction.pin = None
         transaction.forwarded = None
         if pin is not None:
-            await release_link(pin.handle, pin.lease, standing)
+            await release_link(pin.handle, pin.lease, transaction_state)
         if forwarded is not None:
             await forwarded.release()
 
--- a/deckdrum/soak/environment.py
+++ b/deckdrum/soak/environment.py
@@ -45,7 +45,7 @@
     faulty_servers: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
-        self.group = DatabaseGroup(SERVICE, self.store, synchronous=1)
+        self.group = DatabaseGroup(SERVICE, self.store, synchronous_replicas=1)
 
     async def start(self, nodes: int) -> None:
         """Start databases, links, store and node processes."""
--- a/deckdrum/standins/platform.py
+++ b/deckdrum/standins/platform.py
@@ -31,7 +31,7 @@
 
     Attributes
     ----------
-    down : bool
+    is_down : bool
         Whether connections are closed without an answer.
     delay : float
         Delay of each answer in seconds.
@@ -39,7 +39,7 @@
         Number of upcoming updates that are applied without an answer.
     """
 
-    down: bool = False
+    is_down: bool = False
     delay: float = 0.002
     lost_answers: int = 0
 
@@ -140,7 +140,7 @@
     async def _handle_request(self, request: Request) -> Reply | None:
         kind = 'watch' if request.path == '/watch' else request.method
         self.calls[kind] += 1
-        if self.faults.down:
+        if self.faults.is_down:
             return None
         await curio.sleep(self.faults.delay)
         if kind == 'watch':
@@ -184,7 +184,7 @@
             async with self._changed:
                 while self._revision <= since:
                     await self._changed.wait()
-        if self.faults.down:
+        if self.faults.is_down:
             return None
         is_listing_newer = self._listing.revision > since
         listed = self._listing.instances.values()
--- a/deckdrum/standins/replication.py
+++ b/deckdrum/standins/replication.py
@@ -99,7 +99,7 @@
         """Name of the database."""
         return self.profile.name
 
-    def lead(self, term: int) -> None:
+    def become_primary(self, term: int) -> None:
         """Make this the first primary of a new group."""
         self.role = Role.PRIMARY
         self.term = term
--- a/deckdrum/standins/users/databases.py
+++ b/deckdrum/standins/users/databases.py
@@ -38,7 +38,7 @@
         Execution time of a statement, in seconds.
     promotion_time : float
         Time from the promotion call to the new term, in seconds.
-    synchronous : int
+    synchronous_replicas : int
         Number of replicas that must receive a change before it is
         acknowledged.
     max_connections : int
@@ -58,7 +58,7 @@
     lag: float = 0.02
     statement_time: float = 0.005
     promotion_time: float = 0.3
-    synchronous: int = 0
+    synchronous_replicas: int = 0
     max_connections: int = 23
     servers: dict[str, DatabaseServer] = field(default_factory=dict)
     executed_statements: list[ExecutedStatement] = field(default_factory=list)
@@ -123,7 +123,7 @@
         for server in self.servers.values():
             if server is not primary:
                 await curio.spawn(self._replicate, primary, server, daemon=True)
-        while self._count_received(primary, entry) < self.synchronous:
+        while self._count_received(primary, entry) < self.synchronous_replicas:
             await curio.sleep(_REPLICATION_POLL_INTERVAL_S)
 
     async def catch_up(self, server: DatabaseServer) -> None:
@@ -185,7 +185,7 @@
     async def _complete_promotion(self, server: DatabaseServer) -> None:
         await curio.sleep(self.promotion_time)
         term = max(each.term for each in self.servers.values()) + 1
-        await server.lead(term)
+        await server.become_primary(term)
         for other in self.servers.values():
             if other is server or not other.can_be_reached:
                 continue
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -234,7 +234,7 @@
         """Position of the end of the log."""
         return f'{self.term}.{len(self.log)}'
 
-    async def lead(self, term: int) -> None:
+    async def become_primary(self, term: int) -> None:
         """Become the primary of `term`."""
         self.role = PRIMARY
         self.term = term
--- a/deckdrum/standins/users/tests/test_databases.py
+++ b/deckdrum/standins/users/tests/test_databases.py
@@ -17,7 +17,7 @@
         await curio.sleep(0.1)
         assert not rejoining.terminated
         new.log = list(old.log)
-        await new.lead(2)
+        await new.become_primary(2)
         await rejoining.join()
         assert back.term == 2
 
