Refuse the state of a database that does not report log_term

An extension without the seventh column would have stopped the task that probes the database by a ValueError. Its row is no state now: the probe fails with the number of columns expected, and the database is neither fenced nor promoted.

Test: test_row_without_the_term_of_the_log_is_no_state, which raised before.

--- a/deckdrum/databases/postgres.py
+++ b/deckdrum/databases/postgres.py
@@ -25,6 +25,8 @@
 _CANCEL_TIMEOUT_S: Final = 1.0
 _TRUE_VALUES: Final = frozenset(('1', 't', 'true'))
 _STATE_QUERY: Final = 'SELECT * FROM deckdrum_state'
+#: Columns of the view; an extension that lacks some is not used.
+_STATE_COLUMN_COUNT: Final = 7
 _STATE_REQUEST: Final = codec.Query(query_string=_STATE_QUERY).to_wire()
 
 
@@ -244,6 +246,8 @@
         """Decode the state from a result; None if it has no state."""
         if answer.sqlstate or not answer.rows:
             return None
+        if len(answer.rows[0]) != _STATE_COLUMN_COUNT:
+            return None
         role, *numbers, leaving, log_term = answer.rows[0]
         term, received, applied, fenced = (
             int(number or 0) for number in numbers
@@ -277,7 +281,10 @@
         """Query the database for its state."""
         state = await self._query_state(link, _STATE_QUERY)
         if state is None:
-            raise WireError(f'{self.name} did not return its state')
+            raise WireError(
+                f'{self.name} did not return its state'
+                f' in {_STATE_COLUMN_COUNT} columns',
+            )
         return state
 
     async def fence(
