--- a/deckdrum/keepers/relay.py
+++ b/deckdrum/keepers/relay.py
@@ -13,6 +13,7 @@
 from deckdrum.fleet.messages import RunBatch
 from deckdrum.keepers.access import Access
 from deckdrum.keepers.rewriting import ExpectedReply, Rewriter
+from deckdrum.keepers.routing import Route
 from deckdrum.wire import Frame, WireError, tags
 from deckdrum.wire.messages import decode_backend
 
@@ -36,6 +37,7 @@
         tags.CLOSE_COMPLETE,
     )
 )
+_FLUSH: Final = Frame.build(tags.FLUSH).raw
 #: Read-only transaction, admin shutdown, crash shutdown, cannot connect now,
 #: too many connections: the database did not execute the request.
 _NOT_EXECUTED_SQLSTATES: Final = frozenset(
@@ -253,3 +255,10 @@
 def _quote_literal(text: str) -> str:
     doubled = text.replace("'", "''")
     return f"'{doubled}'"
+
+
+def choose_trailer(route: Route, batch: RunBatch) -> bytes:
+    """Return the state query to pipeline after a replica read, if any."""
+    if route.is_primary or batch.payload.endswith(_FLUSH):
+        return b''
+    return route.pool.database.state_request
--- a/deckdrum/keepers/sessions.py
+++ b/deckdrum/keepers/sessions.py
@@ -25,13 +25,13 @@
     AnswerTooLargeError,
     Relay,
     RelayResult,
+    choose_trailer,
     replay_settings,
 )
 from deckdrum.keepers.routing import Route
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
 from deckdrum.sessions import Position
-from deckdrum.wire import Frame, tags
 
 if TYPE_CHECKING:
     from deckdrum.keepers.core import Keeper
@@ -46,7 +46,6 @@
 #: SQLSTATE read_only_sql_transaction.
 _READ_ONLY = '25006'
 _IDLE = 'I'
-_FLUSH = Frame.build(tags.FLUSH).raw
 
 
 class KeeperSession:
@@ -209,7 +208,7 @@
             connection.lease.link,
             attempt.batch,
             self._send_rows,
-            _choose_trailer(connection.route, attempt.batch),
+            choose_trailer(connection.route, attempt.batch),
         )
         try:
             end = await run_guarded(self._keeper, relay, connection.route)
@@ -400,10 +399,3 @@
         if self._connection is None:
             raise BrokenInvariantError('the channel holds no connection')
         return self._connection
-
-
-def _choose_trailer(route: Route, batch: RunBatch) -> bytes:
-    """Return the state query to pipeline after a replica read, if any."""
-    if route.is_primary or batch.payload.endswith(_FLUSH):
-        return b''
-    return route.pool.database.state_request
