Close a channel whose message was sent in part

What callers saw (PostgreSQL path): a caller that reads a large answer slowly while the primary is changed waits for ever, without rest, end or error; so test_large_answer_is_streamed had not ended after 95 s in 2 loaded runs.

Cause: the keeper cancels the relay of a batch whose term has ended. If the relay is sending, a part of its message is on the stream; the refusal sent next is taken for the rest of that message, whose length the proxy knows, and the proxy waits on.

Why the change works: StreamChannel.send closes the stream unless the whole message was sent, as ask() does already. The proxy reads the end of the stream at once and tells its caller.

The same elsewhere: nodes of the platform's path use the same channel.

--- a/deckdrum/fleet/channels.py
+++ b/deckdrum/fleet/channels.py
@@ -62,8 +62,18 @@
         return self._stream.is_idle()
 
     async def send(self, message: Message) -> None:
-        """Send a message."""
-        await self._stream.send(encode_message(message))
+        """Send a message.
+
+        The stream is closed if sending is cancelled or fails: the peer may have
+        got a part of the message, and would take a later one for its rest.
+        """
+        is_sent = False
+        try:
+            await self._stream.send(encode_message(message))
+            is_sent = True
+        finally:
+            if not is_sent:
+                await self.close()
 
     async def receive(self) -> Message:
         """Return the next message."""
