Records and messages for urgent routes, capacity and slots

Cause: nodes did not know the slots of a server, the capacity of other machines or whether a configuration has routes of priority 0, and had no messages to share slots, limits or load.

Change: the fields and messages that the parts of this work share. Trailing fields with their default are not sent, so nodes of an earlier version decode messages as before while no new field is in use.

--- a/deckdrum/backends/base.py
+++ b/deckdrum/backends/base.py
@@ -65,6 +65,9 @@
     started_at : int
         Start time in Unix milliseconds; 0 if unknown.  Each start under the
         same id is a new incarnation, without data or state of the earlier ones.
+    slots : int
+        Statements that it runs at once; others wait in its own queue, in order
+        of arrival.  0 if unknown.
     """
 
     id: str
@@ -74,6 +77,7 @@
     is_draining: bool = False
     role: ServerRole = ServerRole.REPLICA
     started_at: int = 0
+    slots: int = 0
 
     def is_same_incarnation_as(self, other: 'BackendServer') -> bool:
         """Return whether this may be the same incarnation of a server.
--- a/deckdrum/control/__init__.py
+++ b/deckdrum/control/__init__.py
@@ -3,6 +3,7 @@
 from deckdrum.control.access import Access, authorize
 from deckdrum.control.feed import StoreFeed
 from deckdrum.control.records import (
+    HIGHEST_PRIORITY,
     Configuration,
     ConsistencyGuarantee,
     Member,
@@ -20,6 +21,7 @@
 from deckdrum.control.view import ControlView
 
 __all__ = [
+    'HIGHEST_PRIORITY',
     'Access',
     'Changes',
     'Configuration',
--- a/deckdrum/control/records.py
+++ b/deckdrum/control/records.py
@@ -3,12 +3,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
 
 import msgspec
 
 from deckdrum.utils import Address
 from deckdrum.workspaces import WorkspaceDirectory
 
+#: Priority of the most urgent routes.
+HIGHEST_PRIORITY: Final = 0
+
 
 class ConsistencyGuarantee(StrEnum):
     """Consistency of the reads of a route."""
@@ -67,11 +71,15 @@
         Connections that each of its servers accepts, from all nodes together.
     synchronous_replicas : int
         Replicas that must receive a change before it is acknowledged.
+    has_urgent_routes : bool
+        Whether a route of the group has priority 0.  Only then do urgent
+        statements go before others, instead of getting a larger share.
     """
 
     name: str
     max_connections: int
     synchronous_replicas: int
+    has_urgent_routes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +110,11 @@
     encoded: bytes
     workspaces: WorkspaceDirectory | None = None
 
+    @property
+    def has_urgent_routes(self) -> bool:
+        """Whether a route has priority 0."""
+        return any(each.has_urgent_routes for each in self.services.values())
+
 
 class Member(msgspec.Struct, frozen=True):
     """The registration of one node.
@@ -110,7 +123,8 @@
     and so tells restarts of a node apart.  A node with `is_leaving` is shutting
     down but still serves.  A node with `is_gone` has not answered its peers for
     long; it may still be running behind a network partition, so this does not
-    prove that it has stopped.
+    prove that it has stopped.  `capacity` is the processing capacity of its
+    machine in cores, 0 if the node has not published it.
     """
 
     name: str
@@ -119,6 +133,7 @@
     run: str
     is_leaving: bool = False
     is_gone: bool = False
+    capacity: float = 0
 
     @property
     def endpoint(self) -> Address:
--- a/deckdrum/fleet/limit_messages.py
+++ b/deckdrum/fleet/limit_messages.py
@@ -1,5 +1,6 @@
 """Messages between nodes about the operation limits of workspaces."""
 
+from collections.abc import Sequence
 from enum import StrEnum
 
 from deckdrum.fleet.base import Message
@@ -19,11 +20,13 @@
 class AskLimit(Message, frozen=True):
     """Asks a peer whether a workspace may begin another operation.
 
-    `asked_as` is a value of `LimitRole`.
+    `asked_as` is a value of `LimitRole`.  `priority` is that of the route; with
+    0, the default, the last token may be taken.
     """
 
     workspace: str
     asked_as: str
+    priority: int = 0
 
 
 class LimitAnswer(Message, frozen=True):
@@ -35,3 +38,34 @@
 
     is_kept: bool
     wait: float
+
+
+class AskLimitShare(Message, frozen=True):
+    """Asks a coordinator to lend its share of the limits to the sender.
+
+    It concerns the workspaces for which the sender ranks higher.
+    """
+
+    borrower: str
+
+
+class LimitShareAnswer(Message, frozen=True):
+    """Whether the share is lent, and to whom else it may still be lent.
+
+    Attributes
+    ----------
+    is_lent : bool
+        Whether the sender lends its share.
+    usable_after : float
+        Seconds until the borrower may use it, counted from the arrival of the
+        answer.
+    lifetime : float
+        Seconds for which it is lent, counted from when the borrower asked.
+    lent_to : sequence of str
+        Other nodes to which it is lent or may still be lent.
+    """
+
+    is_lent: bool
+    usable_after: float = 0
+    lifetime: float = 0
+    lent_to: Sequence[str] = ()
--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -1,7 +1,9 @@
 """Typed messages between proxies or nodes, encoded as MessagePack arrays.
 
 A message is ``[type number, field, field, ...]``.  Streams need no framing,
-because `msgpack.Unpacker` finds the end of each message.
+because `msgpack.Unpacker` finds the end of each message.  Trailing fields that
+have their default are left out, so that a node of an earlier version can decode
+a message as long as no new field is in use.
 """
 
 from collections.abc import Sequence
@@ -10,7 +12,7 @@
 
 import msgpack
 
-from deckdrum.fleet import limit_messages, node_messages
+from deckdrum.fleet import limit_messages, load_messages, node_messages
 from deckdrum.fleet.base import Message
 
 #: Largest message accepted from a peer.
@@ -173,6 +175,12 @@
     node_messages.ForwardAnswer,
     limit_messages.AskLimit,
     limit_messages.LimitAnswer,
+    limit_messages.AskLimitShare,
+    limit_messages.LimitShareAnswer,
+    load_messages.AskSlots,
+    load_messages.SlotsAnswer,
+    load_messages.AskLoad,
+    load_messages.LoadAnswer,
 )
 _TYPE_NUMBERS: Final = MappingProxyType(
     {
@@ -183,6 +191,10 @@
 _FIELD_NAMES: Final = tuple(
     message_type.__struct_fields__ for message_type in _MESSAGE_TYPES
 )
+#: Defaults of the trailing fields of each type.
+_DEFAULTS: Final = tuple(
+    message_type.__struct_defaults__ for message_type in _MESSAGE_TYPES
+)
 
 
 class MessageError(ConnectionError):
@@ -227,6 +239,10 @@
         if name == 'statements':
             part = [_flatten(statement) for statement in part]
         parts.append(part)
+    for default in reversed(_DEFAULTS[number]):
+        if parts[-1] != default:
+            break
+        parts.pop()
     return parts
 
 
--- a/deckdrum/fleet/node_messages.py
+++ b/deckdrum/fleet/node_messages.py
@@ -235,6 +235,8 @@
         Rows of the answer.
     position : sequence of int
         Term and offset of the server's log; empty if not reported.
+    load : sequence of float
+        Load of the holder (`deckdrum.load.reports`); empty if it is idle.
     """
 
     is_open: bool
@@ -243,6 +245,7 @@
     retry_after: float | None
     rows: Sequence[str]
     position: Sequence[int]
+    load: Sequence[float] = ()
 
 
 class AskProof(Message, frozen=True):
--- a/deckdrum/fleet/settings.py
+++ b/deckdrum/fleet/settings.py
@@ -31,6 +31,8 @@
     drain_time : float
         Shortest time for which a server that leaves keeps serving, in
         seconds.
+    capacity : float
+        Processing capacity of the machine in cores; 0 if unknown.
     """
 
     name: str
@@ -41,3 +43,4 @@
     policies: frozenset[Policy] = ALL_POLICIES
     limit_tolerance: Tolerance = DEFAULT_TOLERANCE
     drain_time: float = DEFAULT_DRAIN_TIME_S
+    capacity: float = 0
--- a/deckdrum/fleet/tests/test_messages.py
+++ b/deckdrum/fleet/tests/test_messages.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from deckdrum.fleet.limit_messages import AskLimit, LimitRole
 from deckdrum.fleet.messages import (
     MessageError,
     PreparedStatement,
@@ -47,3 +48,12 @@
 def test_malformed_messages_are_rejected(parts: object) -> None:
     with pytest.raises(MessageError):
         decode_message(parts)
+
+
+def test_unused_new_fields_are_not_sent_to_nodes_of_an_earlier_version() -> (
+    None
+):
+    plain = AskLimit('growers', LimitRole.COORDINATOR)
+    urgent = AskLimit('growers', LimitRole.COORDINATOR, priority=1)
+    assert len(msgpack.unpackb(encode_message(plain))) == 3
+    assert decode_message(msgpack.unpackb(encode_message(urgent))) == urgent
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -51,6 +51,7 @@
             str(settings.peer_address),
             settings.data_centre,
             uuid.uuid4().hex,
+            capacity=settings.capacity,
         )
 
     async def run(self) -> None:
--- a/deckdrum/platform/configuration.py
+++ b/deckdrum/platform/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from deckdrum.control import (
+    HIGHEST_PRIORITY,
     Configuration,
     ConsistencyGuarantee,
     Route,
@@ -139,6 +140,11 @@
 def decode_spec(_: str, spec: msgspec.Raw) -> Configuration:
     """Decode the spec of a configuration object in the store."""
     raw = msgspec.json.decode(spec, type=_Config)
+    urgent_services = {
+        route.service
+        for route in raw.routes
+        if route.priority <= HIGHEST_PRIORITY
+    }
     return Configuration(
         version=raw.version,
         routes={route.host: _decode_route(route) for route in raw.routes},
@@ -147,6 +153,7 @@
                 service.name,
                 service.max_conns,
                 service.sync_replicas,
+                service.name in urgent_services,
             )
             for service in raw.services
         },
--- a/deckdrum/platform/records.py
+++ b/deckdrum/platform/records.py
@@ -232,6 +232,7 @@
         is_draining=raw.state == _DRAINING,
         role=ServerRole.PRIMARY if is_primary else ServerRole.REPLICA,
         started_at=raw.born,
+        slots=raw.slots,
     )
 
 
--- a/deckdrum/platform/settings.py
+++ b/deckdrum/platform/settings.py
@@ -44,6 +44,15 @@
     drain_ms: float = DEFAULT_DRAIN_TIME_S * _MS
 
 
+class _MachineLimits(msgspec.Struct, rename='camel'):
+    """Resources of the machine.  Fields that are not used are ignored."""
+
+    #: Fraction of a core that the process may use.
+    cpu_quota: float = 0
+    #: How many times faster than a standard core that core runs.
+    cores: float = 1.0
+
+
 class _Store(msgspec.Struct, rename='camel'):
     """The platform's object store."""
 
@@ -71,6 +80,7 @@
     #: since the ports are the same on all instances.
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _MachineLimits = msgspec.field(default_factory=_MachineLimits)
 
     @property
     def peer_port(self) -> int:
@@ -128,6 +138,7 @@
                 self.bounds.quota_slack,
             ),
             drain_time=self.bounds.drain_ms / _MS,
+            capacity=self.limits.cpu_quota * self.limits.cores,
         )
 
 
--- a/deckdrum/platform/tests/test_configuration.py
+++ b/deckdrum/platform/tests/test_configuration.py
@@ -8,8 +8,16 @@
 
 from deckdrum.commands import control
 from deckdrum.outcomes.errors import DocumentError
-from deckdrum.platform.configuration import check_configuration
-from deckdrum.testing.nodes import build_config, build_route, build_workspace
+from deckdrum.platform.configuration import (
+    check_configuration,
+    decode_configuration,
+)
+from deckdrum.testing.nodes import (
+    SERVICE,
+    build_config,
+    build_route,
+    build_workspace,
+)
 
 GROWERS = build_workspace('growers', 'key-1', ratePerS=2, burst=4)
 
@@ -18,6 +26,18 @@
     check_configuration(json.dumps(build_config(2, **fields)).encode())
 
 
+@pytest.mark.parametrize(('priority', 'is_urgent'), [(0, True), (1, False)])
+def test_group_is_urgent_only_through_a_route_of_priority_0(
+    priority: int,
+    is_urgent: bool,
+) -> None:
+    routes = [build_route('db', 'primary', priority=priority)]
+    encoded = json.dumps(build_config(2, routes=routes)).encode()
+    configuration = decode_configuration(encoded)
+    assert configuration.services[SERVICE].has_urgent_routes is is_urgent
+    assert configuration.has_urgent_routes is is_urgent
+
+
 def test_consistent_configuration_is_accepted() -> None:
     check(tenants=[GROWERS, build_workspace('shoppers', 'key-2')])
 
--- a/deckdrum/platform/tests/test_settings.py
+++ b/deckdrum/platform/tests/test_settings.py
@@ -39,6 +39,19 @@
     assert settings.make_node_settings().drain_time == drain_time
 
 
+@pytest.mark.parametrize(
+    ('limits', 'capacity'),
+    [({'cpuQuota': 0.5, 'cores': 3}, 1.5), ({}, 0)],
+)
+def test_capacity_is_the_part_of_a_faster_core(
+    limits: dict[str, float],
+    capacity: float,
+) -> None:
+    text = build_platform_settings(limits=limits)
+    settings = decode_settings(text, 'node.json')
+    assert settings.make_node_settings().capacity == capacity
+
+
 @pytest.mark.parametrize(
     ('replaced', 'location'),
     [
