Repeat a statement that a busy server did not run in its transaction

Change: such a statement is sent again up to four times, after 5 to 40 ms. The stand-in keeps the transaction open after BUSY, as the servers do.

--- a/deckdrum/serving/tests/test_statements.py
+++ b/deckdrum/serving/tests/test_statements.py
@@ -196,6 +196,35 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize('statement', ['WRITE a 1', 'COMMIT'])
+def test_statement_rejected_as_busy_does_not_lose_its_transaction(
+    statement: str,
+) -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('BEGIN')
+        await client.ask('WRITE b 1')
+        deployment.group.primary.rejections.extend(('BUSY', 'BUSY', 'BUSY'))
+        assert (await client.ask(statement)).is_done
+        await client.ask('COMMIT')
+        assert len(deployment.group.primary.log) == 1
+
+    run_scenario(scenario)
+
+
+def test_transaction_is_lost_if_its_server_stays_busy() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('BEGIN')
+        await client.ask('WRITE b 1')
+        deployment.group.primary.load.is_full = True
+        lost = await client.ask('WRITE a 1')
+        assert lost.text.startswith('ABORTED')
+        assert lost.state == 'E'
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize('word', ['BUSY', 'LAGGING', 'FAILED', 'TIMEOUT'])
 def test_rejected_read_is_retried_on_another_server(word: str) -> None:
     async def scenario(deployment: Deployment) -> None:
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -11,6 +11,7 @@
     Begin,
     Commit,
     Rejection,
+    RejectionCause,
     Request,
     SetValue,
     TransactionState,
@@ -31,6 +32,9 @@
 #: rolled back, so the caller can safely retry it within its own deadline.
 PINNED_TIMEOUT_FACTOR: Final = 6
 MIN_PINNED_TIMEOUT_S: Final = 0.25
+#: Delays before a statement is repeated that a server was too busy to run.
+#: Repeating it costs less than running the whole transaction again.
+BUSY_RETRY_DELAYS_S: Final = (0.005, 0.01, 0.02, 0.04)
 
 
 class TransactionRunner:
@@ -174,26 +178,35 @@
         timeout = transaction.route.statement_timeout - ANSWER_MARGIN_S
         if Policy.LOST_ANSWERS in self._host.policies:
             timeout = min(timeout, _compute_timeout(request, transaction, pin))
-        sent_at = await curio.clock()
         try:
             async with curio.timeout_after(timeout):
-                reply = await self._send_pinned(request, pin)
+                reply = await self._send_until_run(request, pin)
         except curio.TaskTimeout:
             pin.handle.record_timeout(await curio.clock())
             return await self._fail_pinned(request, 'no answer in time')
         except ConnectionError as error:
             pin.handle.record_failure(await curio.clock(), error)
             return await self._fail_pinned(request, repr(error))
-        now = await curio.clock()
-        pin.handle.record_answer(now)
-        if isinstance(reply, Answer):
-            pin.handle.response_times.record(now - sent_at)
+        pin.handle.record_answer(await curio.clock())
         if isinstance(reply, Rejection):
             return await self._reject_pinned(request, reply)
         if isinstance(request.operation, Commit):
             return await self._finish_commit(reply, transaction, pin)
         return reply
 
+    async def _send_until_run(
+        self,
+        request: Request,
+        pin: PinnedConnection,
+    ) -> Answer | Rejection:
+        """Send a statement; repeat it if the server was too busy to run it."""
+        for delay in BUSY_RETRY_DELAYS_S:
+            reply = await self._send_pinned(request, pin)
+            if not _can_repeat(reply):
+                return reply
+            await curio.sleep(delay)
+        return await self._send_pinned(request, pin)
+
     async def _send_pinned(
         self,
         request: Request,
@@ -203,12 +216,17 @@
         rejection = await prepare_link(link, self._state, request.operation)
         if rejection is not None:
             return rejection
-        return await run_on_link(
+        sent_at = await curio.clock()
+        reply = await run_on_link(
             link,
             self._state,
             request.operation,
             request.id,
         )
+        if isinstance(reply, Answer):
+            seconds = await curio.clock() - sent_at
+            pin.handle.response_times.record(seconds)
+        return reply
 
     async def _finish_commit(
         self,
@@ -264,6 +282,15 @@
         return await self.fail(rejection.text, rejection.transaction_state)
 
 
+def _can_repeat(reply: Answer | Rejection) -> bool:
+    """Return whether a statement was not run and its transaction is open."""
+    return (
+        isinstance(reply, Rejection)
+        and reply.cause is RejectionCause.OVERLOADED
+        and reply.transaction_state is TransactionState.OPEN
+    )
+
+
 def _compute_timeout(
     request: Request,
     transaction: Transaction,
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -429,7 +429,9 @@
         return f'COMPLETE {self.name}.{len(self.group.executed_statements)}\r\n'
 
     def _reject(self, connection: Connection, code: str) -> str:
-        if connection.transaction:
+        # A statement that was not run for want of capacity leaves the
+        # transaction open.
+        if connection.transaction and code != 'BUSY':
             connection.is_aborted = True
         return f'ERROR {code} {self.name}\r\n'
 
