Choose nodes by the capacity of their machines

Cause: holders, coordinators of limits, collectors and feeders were chosen with equal chances, so in uneven fleets nearly all of them were on the small machines. Groups with urgent routes had nine holders, whose queues do not order statements among each other.

Change: weighted rendezvous hashing in utils/ranks.py, with weights from Member.capacity (load/capacity.py). Groups with urgent routes have one holder in each data centre, and two in fleets with a single data centre, because a frozen holder would otherwise stop the group.

Holders keep equal parts of the connections, so the choice of a workspace's holder among them is not weighted.

--- a/deckdrum/fleet/update_following.py
+++ b/deckdrum/fleet/update_following.py
@@ -6,8 +6,7 @@
 A node that no peer feeds watches the store directly.
 """
 
-from collections.abc import Sequence
-from functools import partial
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import curio
@@ -16,8 +15,9 @@
 from deckdrum.fleet.node_messages import FollowAnswer
 from deckdrum.fleet.node_peers import ASK_TIMEOUT_S, NodePeers
 from deckdrum.fleet.settings import NodeSettings
+from deckdrum.load.capacity import compute_weights
 from deckdrum.utils import Journal
-from deckdrum.utils.ranks import compute_rendezvous_rank
+from deckdrum.utils.ranks import compute_rendezvous_rank, rank_by_weight
 
 #: Smallest number of nodes in a data centre for which some follow others.  With
 #: fewer, watching is cheap and gives each node the shortest delay.
@@ -129,7 +129,7 @@
         )
         if len(neighbours) + 1 < MIN_NODES_TO_FOLLOW:
             return None
-        feeders = _choose_feeders((own, *neighbours))
+        feeders = choose_feeders((own, *neighbours), self._compute_weights())
         if own in feeders:
             return None
         now = await curio.clock()
@@ -153,18 +153,25 @@
             and not member.is_leaving
         }
 
+    def _compute_weights(self) -> dict[str, int]:
+        """Return the weights of all nodes by capacity."""
+        others = {member.name: member.capacity for member in self._peers.others}
+        return compute_weights(
+            others | {self._settings.name: self._settings.capacity}
+        )
+
     def _log_feeder(self, name: str) -> None:
         if name != self._current_feeder:
             self._journal.record('news.followed', peer=name or 'nobody')
             self._current_feeder = name
 
 
-def _choose_feeders(names: Sequence[str]) -> list[str]:
+def choose_feeders(
+    names: Sequence[str], weights: Mapping[str, float]
+) -> list[str]:
     """Return the nodes of a data centre that watch the store for the others.
 
     The result is the same on all nodes that know the same members.
     """
     count = max(MIN_FEEDERS, len(names) // NODES_PER_FEEDER)
-    return sorted(names, key=partial(compute_rendezvous_rank, _RANK_KEY))[
-        :count
-    ]
+    return rank_by_weight(names, weights, _RANK_KEY)[:count]
--- a/deckdrum/limits/counter.py
+++ b/deckdrum/limits/counter.py
@@ -8,6 +8,7 @@
 from deckdrum.control import ControlView, Member
 from deckdrum.fleet.limit_messages import AskLimit, LimitAnswer, LimitRole
 from deckdrum.fleet.node_peers import NodePeers
+from deckdrum.load.capacity import compute_weights
 from deckdrum.load.rate_limits import (
     INITIAL_TOKENS,
     TokenBucket,
@@ -63,6 +64,9 @@
                 for name, member in members.items()
                 if not member.is_leaving and not member.is_gone
             },
+            compute_weights(
+                {name: member.capacity for name, member in members.items()}
+            ),
         )
         if coordinators == self._coordinators:
             return
--- a/deckdrum/load/allocation.py
+++ b/deckdrum/load/allocation.py
@@ -9,6 +9,8 @@
   group, and the other nodes forward their statements to them.  A few holders
   see enough statements to keep track of replicas and of the primary; many nodes
   with one connection each would have to query others before most statements.
+* A group with urgent routes has one holder in each data centre, so that few
+  queues order its statements.
 * If connections belong to workspaces and a node's share is smaller than the
   number of workspaces, there are also only a few holders.  The statements of a
   workspace go to one of them and prefer one replica, because opening a
@@ -19,9 +21,10 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
+from types import MappingProxyType
 from typing import Final
 
-from deckdrum.utils.ranks import compute_rendezvous_rank
+from deckdrum.utils.ranks import compute_rendezvous_rank, rank_by_weight
 
 #: Fraction of a server's connections that is allocated.  Connections of nodes
 #: that lost power linger, so the rest is needed when these nodes restart.
@@ -39,9 +42,16 @@
 #: Applies where not every node is a holder; several, since one may be frozen
 #: while another is stopped.
 MAX_HOLDERS_PER_DATA_CENTRE: Final = 3
+#: Applies to groups with urgent routes.  Only statements at the same holder are
+#: ordered by urgency before they wait for a slot of a server.
+MAX_URGENT_HOLDERS_PER_DATA_CENTRE: Final = 1
+#: Holders of a group with urgent routes in a single data centre.  Without a
+#: second one, a frozen holder would stop the group until others replace it.
+MIN_URGENT_HOLDERS: Final = 2
 #: Limit per node where only some are holders; more than a server executes at
 #: once, since some connections are idle in transactions.
 MAX_CONNECTIONS_PER_HOLDER: Final = 8
+_NO_WEIGHTS: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +77,9 @@
     nodes: Mapping[str, str],
     max_connections: int,
     workspaces: int = 0,
+    weights: Mapping[str, float] = _NO_WEIGHTS,
+    *,
+    has_urgent_routes: bool = False,
 ) -> tuple[str, ...]:
     """Return the holders of a group's connections; empty if all nodes are.
 
@@ -81,22 +94,35 @@
     workspaces : int
         Number of workspaces to which connections belong; 0 if connections
         do not belong to workspaces.
+    weights : mapping of str to float
+        Weights of the nodes, within their data centres; 1 where a node is
+        missing.
+    has_urgent_routes : bool
+        Whether the group has a route of priority 0.
 
     Examples
     --------
     >>> nodes = {f'n{number}': 'ab'[number % 2] for number in range(20)}
     >>> len(select_holders('stalls', nodes, max_connections=16))
     4
+    >>> select_holders('stalls', nodes, 16, has_urgent_routes=True)
+    ('n14', 'n15')
     >>> select_holders('stalls', nodes, max_connections=40)
     ()
     >>> len(select_holders('stalls', nodes, max_connections=40, workspaces=50))
     6
     """
     allocated = _count_allocated(len(nodes), max_connections, workspaces)
-    if allocated // len(nodes) >= max(1, workspaces):
-        return ()
-    by_data_centre = _rank_by_data_centre(service, nodes)
+    by_data_centre = _rank_by_data_centre(service, nodes, weights)
     each = allocated // len(by_data_centre)
+    urgent_holders = MAX_URGENT_HOLDERS_PER_DATA_CENTRE
+    if len(by_data_centre) < MIN_URGENT_HOLDERS:
+        urgent_holders = MIN_URGENT_HOLDERS
+    can_reduce = has_urgent_routes and any(
+        len(ranked) > urgent_holders for ranked in by_data_centre.values()
+    )
+    if not can_reduce and allocated // len(nodes) >= max(1, workspaces):
+        return ()
     if not each:
         # Fewer connections than data centres: one holder in some of them.
         centres = sorted(
@@ -106,7 +132,8 @@
             by_data_centre[centre][0] for centre in centres[:allocated]
         )
     count = min(
-        MAX_HOLDERS_PER_DATA_CENTRE, max(1, each // MIN_LOCAL_CONNECTIONS)
+        urgent_holders if has_urgent_routes else MAX_HOLDERS_PER_DATA_CENTRE,
+        max(1, each // MIN_LOCAL_CONNECTIONS),
     )
     return tuple(
         name for ranked in by_data_centre.values() for name in ranked[:count]
@@ -220,10 +247,11 @@
 def _rank_by_data_centre(
     service: str,
     nodes: Mapping[str, str],
+    weights: Mapping[str, float],
 ) -> dict[str, list[str]]:
     """Return the nodes of each data centre, ranked for a group."""
     by_data_centre: defaultdict[str, list[str]] = defaultdict(list)
-    for name in sorted(nodes, key=partial(compute_rendezvous_rank, service)):
+    for name in rank_by_weight(nodes, weights, service):
         by_data_centre[nodes[name]].append(name)
     return dict(by_data_centre)
 
--- a/deckdrum/load/rate_limits.py
+++ b/deckdrum/load/rate_limits.py
@@ -12,9 +12,10 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
+from types import MappingProxyType
 from typing import Final
 
-from deckdrum.utils.ranks import compute_rendezvous_rank
+from deckdrum.utils.ranks import compute_rendezvous_rank, rank_by_weight
 
 #: More than one, so that a data centre can lose a coordinator.
 MIN_COORDINATORS_PER_DATA_CENTRE: Final = 2
@@ -33,6 +34,7 @@
 #: Leading bytes of a rank that are read as a number.
 _DRAW_BYTES: Final = 4
 _BYTE_VALUES: Final = 256
+_NO_WEIGHTS: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,13 +119,19 @@
         )
 
 
-def select_coordinators(nodes: Mapping[str, str]) -> tuple[str, ...]:
+def select_coordinators(
+    nodes: Mapping[str, str],
+    weights: Mapping[str, float] = _NO_WEIGHTS,
+) -> tuple[str, ...]:
     """Return the nodes that coordinate limits, a few per data centre.
 
     Parameters
     ----------
     nodes : mapping of str to str
         Data centres by the names of the nodes.
+    weights : mapping of str to float
+        Weights of the nodes, within their data centres; 1 where a node is
+        missing.
 
     Examples
     --------
@@ -134,7 +142,7 @@
     1
     """
     by_data_centre: defaultdict[str, list[str]] = defaultdict(list)
-    for name in sorted(nodes, key=partial(compute_rendezvous_rank, _RANK_KEY)):
+    for name in rank_by_weight(nodes, weights, _RANK_KEY):
         by_data_centre[nodes[name]].append(name)
     coordinators: list[str] = []
     for ranked in by_data_centre.values():
--- a/deckdrum/serving/allocation.py
+++ b/deckdrum/serving/allocation.py
@@ -14,6 +14,7 @@
     rank_holders,
     select_holders,
 )
+from deckdrum.load.capacity import compute_weights
 from deckdrum.members import GroupShare
 from deckdrum.serving.servers import ServerHandle
 
@@ -33,12 +34,15 @@
     servers : frozenset of tuple
         Ids and start times of the group's servers.  A new incarnation of a
         server needs a new allocation.
+    has_urgent_routes : bool
+        Whether the group has a route of priority 0.
     """
 
     max_connections: int
     workspace_count: int
     members: Mapping[str, Member]
     servers: frozenset[tuple[str, int]]
+    has_urgent_routes: bool = False
 
 
 class ConnectionAllocator:
@@ -103,6 +107,8 @@
                 remaining,
                 inputs.max_connections,
                 inputs.workspace_count,
+                compute_weights(list_capacities(own, members)),
+                has_urgent_routes=inputs.has_urgent_routes,
             )
         self._apply_holders(own, list(holders), members)
         for name, handle in servers.items():
@@ -184,3 +190,13 @@
     }
     remaining[own.name] = own.data_centre
     return remaining
+
+
+def list_capacities(
+    own: Member,
+    members: Mapping[str, Member],
+) -> dict[str, float]:
+    """Return the published capacities of all registered nodes, by name."""
+    capacities = {name: member.capacity for name, member in members.items()}
+    capacities[own.name] = own.capacity
+    return capacities
--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -1,7 +1,6 @@
 """Fetching proof that the term of a group's primary has not ended."""
 
 from collections.abc import Awaitable, Callable, Mapping
-from functools import partial
 from typing import Any, Final
 
 import curio
@@ -14,11 +13,13 @@
     PROOF_RENEWAL_THRESHOLD_S,
     LeadershipState,
 )
+from deckdrum.load.capacity import compute_weights
 from deckdrum.outcomes.errors import StoreError
+from deckdrum.serving.allocation import list_capacities
 from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
-from deckdrum.utils.ranks import compute_rendezvous_rank
+from deckdrum.utils.ranks import rank_by_weight
 
 ProofQuery = Callable[[], Awaitable[object]]
 #: Number of nodes in a data centre from which one of them, the collector,
@@ -222,5 +223,6 @@
     ]
     if len(local_nodes) < MIN_NODES_FOR_COLLECTOR:
         return None
-    first = min(local_nodes, key=partial(compute_rendezvous_rank, service))
+    weights = compute_weights(list_capacities(own, members))
+    first = rank_by_weight(local_nodes, weights, service)[0]
     return None if first == own.name else members.get(first)
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -213,6 +213,7 @@
                 (handle.id, handle.server.started_at)
                 for handle in self.servers.values()
             ),
+            declaration.has_urgent_routes,
         )
         if self.allocator.is_allocated_for(inputs):
             return
