Choose holders by their expected delay

Cause: each node chose holders by rank alone, so that statements waited at or were rejected by one holder while others of the group were idle.

Change: in a fleet of uneven machines a holder reports its expected waits for the primary and for the best replica with each answer (ForwardAnswer.load). The forwarding node chooses the holder with the lowest expected delay, and sends a statement that was rejected at once because of a queue to one other holder that has reported free capacity. Invalid reports are ignored; a report has no weight after 1 s. In an even fleet no load is sent and the choice is unchanged.

--- a/deckdrum/forwarding/encoding.py
+++ b/deckdrum/forwarding/encoding.py
@@ -162,8 +162,16 @@
     return Position(*parts) if parts else None
 
 
-def encode_outcome(outcome: Outcome, *, is_open: bool) -> ForwardAnswer:
-    """Return the message with the outcome of a statement."""
+def encode_outcome(
+    outcome: Outcome,
+    *,
+    is_open: bool,
+    load: Sequence[float] = (),
+) -> ForwardAnswer:
+    """Return the message with the outcome of a statement.
+
+    `load` is the load of this holder, as `ForwardAnswer` has it.
+    """
     if isinstance(outcome, Refusal):
         return ForwardAnswer(
             is_open,
@@ -172,6 +180,7 @@
             outcome.retry_after,
             (),
             (),
+            load,
         )
     return ForwardAnswer(
         is_open,
@@ -180,6 +189,7 @@
         None,
         outcome.rows,
         _encode_position(outcome.position),
+        load,
     )
 
 
--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -9,14 +9,16 @@
 
 import curio
 
-from deckdrum.control import Member, Route
+from deckdrum.control import ConsistencyGuarantee, Member, Route
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.health import HEARTBEAT_TIMEOUT_S
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import Forward, ForwardAnswer
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.forwarding.encoding import decode_outcome, encode_forward
+from deckdrum.forwarding.holder_loads import HolderLoads
 from deckdrum.forwarding.transactions import RemoteTransaction
+from deckdrum.load.reports import IMMEDIATE_REJECTION_FRACTION
 from deckdrum.operations import Answer, Begin, Effect, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving.executor import UNRESPONSIVE_AFTER_S, StatementExecutor
@@ -84,6 +86,8 @@
         Refusal of the last holder that could not run it.
     may_have_run : bool
         Whether a holder may have run it.
+    next_holder : Member or None
+        Holder with free capacity to try after another one's queue was full.
     """
 
     request: Request
@@ -97,6 +101,16 @@
     tried: set[str] = field(default_factory=set)
     refusal: Refusal | None = None
     may_have_run: bool = False
+    next_holder: Member | None = None
+
+    @property
+    def uses_primary(self) -> bool:
+        """Whether only the primary can run it."""
+        is_read = (
+            self.is_repeatable if self.begin is None else self.begin.read_only
+        )
+        is_current = self.route.guarantee is ConsistencyGuarantee.CURRENT
+        return is_current or not is_read
 
     @classmethod
     async def start(
@@ -142,6 +156,8 @@
 
 
 _RETRYABLE_CODES: Final = frozenset((Code.NOT_READY, Code.NO_PRIMARY))
+#: Codes of statements that a holder rejects because of its queue.
+_QUEUE_CODES: Final = frozenset((Code.QUEUE_FULL, Code.QUEUE_TIMEOUT))
 _NOT_SENT: Final = ForwardAttempt(None, None, was_sent=False)
 _NO_ANSWER: Final = ForwardAttempt(None, None, was_sent=True)
 
@@ -158,6 +174,8 @@
     local_executor : StatementExecutor
         Runs statements on this node, over connections from the unallocated
         reserve, if no holder can be reached.
+    data_centre : str
+        Data centre of this node.
     """
 
     def __init__(
@@ -165,6 +183,7 @@
         runtime: ServiceRuntime,
         peers: NodePeers,
         local_executor: StatementExecutor,
+        data_centre: str,
     ) -> None:
         self._local_execution = local_executor
         self._runtime = runtime
@@ -174,6 +193,7 @@
         #: Time until which a holder that could not reach the primary is
         #: avoided, by name.
         self._backoff_until: dict[str, float] = {}
+        self._loads = HolderLoads(runtime, data_centre)
 
     async def run_autocommit(
         self,
@@ -288,17 +308,32 @@
                 else None
             )
         outcome = decode_outcome(attempt.answer)
-        if not _is_retryable(outcome):
-            self._budget.record_success()
-            return ForwardResult(outcome, attempt.channel, holder)
-        until = await curio.clock() + HOLDER_BACKOFF_S
-        self._backoff_until[holder.name] = until
-        pending.refusal = outcome
+        now = await curio.clock()
+        if _is_retryable(outcome):
+            self._backoff_until[holder.name] = now + HOLDER_BACKOFF_S
+            pending.refusal = outcome
+        else:
+            if isinstance(outcome, Answer) or outcome.code in _QUEUE_CODES:
+                self._loads.record(holder, attempt.answer.load, now)
+            if not self._find_free_holder(pending, outcome, now):
+                self._budget.record_success()
+                return ForwardResult(outcome, attempt.channel, holder)
         await self._peers.forward_streams.put_back(
             holder.endpoint, attempt.channel
         )
         return None
 
+    def _list_candidates(self, pending: PendingForward) -> list[Member]:
+        """Return the holders that may be tried, the preferred one first."""
+        return [
+            holder
+            for holder in self._runtime.allocator.find_holders(
+                pending.state.workspace
+            )
+            if holder.name not in pending.tried
+            and not self._health.is_unresponsive(holder.name)
+        ]
+
     def _choose_holder(
         self, pending: PendingForward, now: float
     ) -> Member | None:
@@ -306,25 +341,55 @@
         tried = pending.tried
         if len(tried) >= MAX_HOLDER_ATTEMPTS:
             return None
-        candidates = [
-            holder
-            for holder in self._runtime.allocator.find_holders(
-                pending.state.workspace
-            )
-            if holder.name not in tried
-            and not self._health.is_unresponsive(holder.name)
-        ]
+        free = pending.next_holder
+        if free is not None and free.name not in tried:
+            return free
+        candidates = self._list_candidates(pending)
         preferred = [
             holder
             for holder in candidates
             if self._backoff_until.get(holder.name, 0) <= now
         ]
         if preferred:
-            return preferred[0]
+            return self._loads.choose(
+                preferred,
+                pending.state.workspace,
+                now,
+                uses_primary=pending.uses_primary,
+            )
         # No candidate could reach the primary lately: try one anyway, but only
         # on the first attempt.
         return candidates[0] if candidates and not tried else None
 
+    def _find_free_holder(
+        self, pending: PendingForward, outcome: Outcome, now: float
+    ) -> bool:
+        """Return whether a statement goes to one more holder.
+
+        That is if a holder has rejected it at once because of its queue, and
+        another one has reported free capacity.
+        """
+        if isinstance(outcome, Answer) or outcome.code not in _QUEUE_CODES:
+            return False
+        if pending.next_holder is not None:
+            return False
+        objective = pending.route.latency_objective
+        elapsed = now - pending.began
+        if elapsed > objective * IMMEDIATE_REJECTION_FRACTION:
+            return False
+        pending.next_holder = self._loads.find_free(
+            self._list_candidates(pending),
+            pending.state.workspace,
+            now,
+            objective - elapsed,
+            uses_primary=pending.uses_primary,
+        )
+        if pending.next_holder is None:
+            return False
+        pending.refusal = outcome
+        self._runtime.counters.count('rejections_forwarded')
+        return True
+
     async def _wait_for_restarting_holders(
         self, pending: PendingForward, now: float
     ) -> bool:
--- a/deckdrum/forwarding/handler.py
+++ b/deckdrum/forwarding/handler.py
@@ -20,6 +20,7 @@
     decode_route,
     encode_outcome,
 )
+from deckdrum.forwarding.holder_loads import measure_load
 from deckdrum.operations import Execute, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving import (
@@ -155,10 +156,42 @@
         self.running += 1
         self._registry.add(session)
         try:
-            await _run_to_end(session, channel, message)
+            await self._run_to_end(session, channel, message)
         finally:
             await self._end(session)
 
+    async def _run_to_end(
+        self,
+        session: CallerSession,
+        channel: StreamChannel,
+        message: Forward | ForwardNext,
+    ) -> None:
+        while True:
+            request = decode_request(message)
+            prepared = decode_prepared(message)
+            if isinstance(request.operation, Execute) and prepared is not None:
+                session.state.prepared[request.operation.name] = prepared
+            outcome = await session.execute(request)
+            transaction = session.state.transaction
+            is_open = transaction is not None and not transaction.is_failed
+            load = await self._measure_load(message)
+            answer = encode_outcome(outcome, is_open=is_open, load=load)
+            await channel.send(answer)
+            if not is_open:
+                return
+            message = await _receive_next(channel)
+
+    async def _measure_load(
+        self, message: Forward | ForwardNext
+    ) -> tuple[float, ...]:
+        """Return the load of the group of a new statement or transaction."""
+        if isinstance(message, ForwardNext):
+            return ()
+        executor = self._find_executor(decode_route(message).service)
+        if executor is None:
+            return ()
+        return measure_load(executor.runtime, await curio.clock())
+
     async def _end(self, session: CallerSession) -> None:
         self.running -= 1
         self._registry.discard(session)
@@ -185,25 +218,6 @@
         return session
 
 
-async def _run_to_end(
-    session: CallerSession,
-    channel: StreamChannel,
-    message: Forward | ForwardNext,
-) -> None:
-    while True:
-        request = decode_request(message)
-        prepared = decode_prepared(message)
-        if isinstance(request.operation, Execute) and prepared is not None:
-            session.state.prepared[request.operation.name] = prepared
-        outcome = await session.execute(request)
-        transaction = session.state.transaction
-        is_open = transaction is not None and not transaction.is_failed
-        await channel.send(encode_outcome(outcome, is_open=is_open))
-        if not is_open:
-            return
-        message = await _receive_next(channel)
-
-
 async def _receive_next(channel: StreamChannel) -> ForwardNext:
     try:
         async with curio.timeout_after(STREAM_IDLE_TIMEOUT_S):
--- /dev/null
+++ b/deckdrum/load/reports.py
@@ -0,0 +1,190 @@
+"""Reports of load, by which holders and servers are chosen.
+
+The load: demand in waves out of phase and machines that differ six-fold.  Two
+nodes of 58 ran a quarter of all statements, while holders of the same groups
+were idle, because each node chose holders without knowing how long statements
+wait there.
+
+A holder reports with each answer how long a further statement would wait there.
+Entry nodes choose the holder with the lowest expected delay.  A report is never
+more than a preference: an invalid, stale or missing one counts as no wait, so
+the choice is then that of an even fleet.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Annotated, Any, Final
+
+import msgspec
+
+#: Ratio of the largest to the smallest capacity from which a fleet is uneven.
+UNEVEN_RATIO: Final = 2
+#: Waits below this are not reported: they are shorter than the round trip to
+#: another data centre, so they would not change the choice.
+MIN_REPORTED_WAIT_MS: Final = 1.0
+#: Longest wait in a report.  No statement waits longer; a larger value is
+#: invalid.
+MAX_REPORTED_WAIT_MS: Final = 60_000.0
+#: Half-life of the weight of a report: a queue changes within the objective of
+#: the usual class, 0.2 to 0.3 s.
+REPORT_HALF_LIFE_S: Final = 0.25
+#: Age from which a report has no weight.
+REPORT_LIFETIME_S: Final = 1.0
+#: Age up to which a report of free capacity justifies a second attempt.  The
+#: report has a quarter of its weight then.
+FRESH_REPORT_AGE_S: Final = 0.5
+#: Time to open a connection of a workspace at another than its first holder.
+CONNECT_TIME_S: Final = 0.012
+#: Round trip to another data centre.
+REMOTE_ROUND_TRIP_S: Final = 0.0018
+#: Part of the objective within which a rejection counts as immediate.
+IMMEDIATE_REJECTION_FRACTION: Final = 0.2
+_MS_PER_S: Final = 1000
+_WaitMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORTED_WAIT_MS)]
+
+
+@dataclass(frozen=True, slots=True)
+class HolderWaits:
+    """Expected waits of a statement at a holder, in seconds.
+
+    Attributes
+    ----------
+    primary : float
+        Wait for a connection to the primary.
+    replica : float
+        Wait for a connection to the best replica.
+    """
+
+    primary: float = 0
+    replica: float = 0
+
+
+def is_uneven(capacities: Iterable[float]) -> bool:
+    """Return whether machines are so uneven that load is reported.
+
+    A capacity of 0 is unknown: it counts as the smallest one.
+
+    Examples
+    --------
+    >>> is_uneven([2.15, 0.516, 0])
+    True
+    >>> is_uneven([2.15, 2.15, 0])
+    False
+    >>> is_uneven([])
+    False
+    """
+    known = [capacity for capacity in capacities if capacity > 0]
+    return bool(known) and max(known) >= UNEVEN_RATIO * min(known)
+
+
+def estimate_wait(
+    waiting: int,
+    held: int,
+    connections: int,
+    hold_time: float,
+) -> float:
+    """Return how long a further statement waits for a connection, in seconds.
+
+    Parameters
+    ----------
+    waiting, held, connections : int
+        Waiting statements, connections in use, and all connections.
+    hold_time : float
+        Time for which a statement uses a connection, in seconds.
+
+    Examples
+    --------
+    >>> estimate_wait(waiting=0, held=3, connections=4, hold_time=0.02)
+    0
+    >>> estimate_wait(waiting=7, held=4, connections=4, hold_time=0.02)
+    0.04
+    """
+    if held < connections and not waiting:
+        return 0
+    return (waiting + 1) * hold_time / max(1, connections)
+
+
+def encode_waits(waits: HolderWaits) -> tuple[float, ...]:
+    """Return the waits as sent, in milliseconds; empty if both are short.
+
+    Examples
+    --------
+    >>> encode_waits(HolderWaits(primary=0.0504, replica=0))
+    (50.4, 0)
+    >>> encode_waits(HolderWaits(primary=0.0004, replica=0))
+    ()
+    """
+    milliseconds = tuple(
+        round(min(wait * _MS_PER_S, MAX_REPORTED_WAIT_MS), 1)
+        for wait in (waits.primary, waits.replica)
+    )
+    if max(milliseconds) < MIN_REPORTED_WAIT_MS:
+        return ()
+    return milliseconds
+
+
+def decode_waits(load: Sequence[Any]) -> HolderWaits | None:
+    """Return the waits in a report; None if a value is invalid.
+
+    Examples
+    --------
+    >>> decode_waits([50.0, 0.0])
+    HolderWaits(primary=0.05, replica=0.0)
+    >>> decode_waits([])
+    HolderWaits(primary=0, replica=0)
+    >>> decode_waits([float('nan'), 0.0])
+    """
+    if not load:
+        return HolderWaits()
+    try:
+        primary, replica = msgspec.convert(load, tuple[_WaitMs, _WaitMs])
+    except msgspec.ValidationError:
+        return None
+    return HolderWaits(primary / _MS_PER_S, replica / _MS_PER_S)
+
+
+def compute_weight(age: float) -> float:
+    """Return the weight of a report of an age in seconds, from 1 to 0.
+
+    Examples
+    --------
+    >>> [compute_weight(age) for age in (0, 0.25, 0.5, 1)]
+    [1.0, 0.5, 0.25, 0]
+    """
+    if age >= REPORT_LIFETIME_S:
+        return 0
+    return math.exp2(-max(0, age) / REPORT_HALF_LIFE_S)
+
+
+def estimate_delay(
+    wait: float,
+    age: float,
+    *,
+    has_connection: bool,
+    is_remote: bool,
+) -> float:
+    """Return the expected delay of a statement at a holder, in seconds.
+
+    Parameters
+    ----------
+    wait : float
+        Wait that the holder has reported, in seconds.
+    age : float
+        Age of the report, in seconds.
+    has_connection : bool
+        Whether a connection of the workspace is expected to be open there.
+    is_remote : bool
+        Whether the holder is in another data centre.
+
+    Examples
+    --------
+    >>> estimate_delay(0.08, 0.25, has_connection=True, is_remote=False)
+    0.04
+    >>> estimate_delay(0, 0, has_connection=False, is_remote=True)
+    0.0138
+    """
+    delay = wait * compute_weight(age)
+    if not has_connection:
+        delay += CONNECT_TIME_S
+    return delay + REMOTE_ROUND_TRIP_S if is_remote else delay
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -158,6 +158,7 @@
             runtime,
             self._tools.peers,
             executor,
+            own.data_centre,
         )
         self._supervisor_tasks.append(
             await curio.spawn(
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -22,6 +22,7 @@
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.leadership.state import LeadershipState
 from deckdrum.load.allocation import MIN_LOCAL_CONNECTIONS
+from deckdrum.load.reports import is_uneven
 from deckdrum.members import GroupShare
 from deckdrum.serving.allocation import (
     AllocationInputs,
@@ -92,6 +93,8 @@
         self.is_changing_primary = False
         #: Allocation of the group's connections to nodes.
         self.allocator = ConnectionAllocator(declaration.name, peers, policies)
+        #: Whether the machines of the fleet are so uneven that load counts.
+        self.is_uneven = False
         #: Number of statements that run on the primary.
         self.in_flight = 0
         self._make_backend = make_backend
@@ -205,6 +208,11 @@
         `workspace_count` is 0 if connections belong to no workspace.
         """
         self.declaration = declaration
+        self.is_uneven = is_uneven(
+            member.capacity
+            for member in (own, *members.values())
+            if not member.is_gone
+        )
         inputs = AllocationInputs(
             declaration.max_connections,
             workspace_count,
