Report the load of servers between holders

Cause: a holder ranked servers for reads by its own statements only, so several holders chose the same server, and each found out by itself that one had failed.

Change: in a fleet of uneven machines a holder with work asks one other holder every 0.5 s (AskLoad). The router adds the reported load to its own, and ranks a server that another holder avoids last until it has answered this node since the failure. Invalid reports and those older than 2 s are ignored.

A fleet of even machines, or one without capacities, sends no AskLoad (test).

--- a/deckdrum/load/reports.py
+++ b/deckdrum/load/reports.py
@@ -40,6 +40,12 @@
 REMOTE_ROUND_TRIP_S: Final = 0.0018
 #: Part of the objective within which a rejection counts as immediate.
 IMMEDIATE_REJECTION_FRACTION: Final = 0.2
+#: Age from which a report about a server is ignored; more than the 1.6 s for
+#: which a server is avoided at most after a failure.
+SERVER_REPORT_LIFETIME_S: Final = 2.0
+#: Bounds of valid values in a report about a server.
+MAX_REPORTED_STATEMENTS: Final = 1000
+MAX_REPORTED_TIME_S: Final = 60.0
 _MS_PER_S: Final = 1000
 _WaitMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORTED_WAIT_MS)]
 
@@ -60,6 +66,35 @@
     replica: float = 0
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_REPORTED_STATEMENTS)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_REPORTED_TIME_S)]
+
+
+class ServerReport(msgspec.Struct, array_like=True, frozen=True):
+    """Load of a server as one holder sees it, as sent in a `LoadAnswer`.
+
+    Attributes
+    ----------
+    server : str
+        Id of the server.
+    in_flight, waiting : int
+        Connections of the holder in use, and statements that wait for one.
+    mean_time : float
+        Mean time of a recent statement in seconds; 0 if there was none.
+    is_avoided : bool
+        Whether the holder avoids the server after a failure.
+    age : float
+        Age of the report, or time since that failure, in seconds.
+    """
+
+    server: str
+    in_flight: _Count
+    waiting: _Count
+    mean_time: _Seconds
+    is_avoided: bool
+    age: _Seconds
+
+
 def is_uneven(capacities: Iterable[float]) -> bool:
     """Return whether machines are so uneven that load is reported.
 
@@ -144,6 +179,21 @@
     return HolderWaits(primary / _MS_PER_S, replica / _MS_PER_S)
 
 
+def decode_server_report(report: Sequence[Any]) -> ServerReport | None:
+    """Return a report about a server; None if a value is invalid.
+
+    Examples
+    --------
+    >>> decode_server_report(['i-1', 3, 0, 0.02, False, 0]).in_flight
+    3
+    >>> decode_server_report(['i-1', -3, 0, 0.02, False, 0])
+    """
+    try:
+        return msgspec.convert(report, ServerReport)
+    except msgspec.ValidationError:
+        return None
+
+
 def compute_weight(age: float) -> float:
     """Return the weight of a report of an age in seconds, from 1 to 0.
 
--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -9,6 +9,7 @@
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.limit_messages import AskLimit
+from deckdrum.fleet.load_messages import AskLoad, LoadAnswer
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import (
     AskProof,
@@ -21,6 +22,7 @@
     TermEnded,
 )
 from deckdrum.limits import LimitCounter
+from deckdrum.serving.load_reports import build_load_answer
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import RECENT_ANSWER_WINDOW_S, ServerHandle
 
@@ -95,6 +97,12 @@
             return SampleAnswer(0, 0, -1)
         return await runtime.samples.share_sample()
 
+    async def _report_load(self, request: AskLoad) -> Message:
+        runtime = self._services.get(request.service)
+        if runtime is None:
+            return LoadAnswer()
+        return build_load_answer(runtime, await curio.clock())
+
     async def _count_operation(self, request: AskLimit) -> Message:
         return await self._limits.answer(request)
 
@@ -124,6 +132,7 @@
     {
         Heartbeat: PeerRequestHandler._echo,
         AskLimit: PeerRequestHandler._count_operation,
+        AskLoad: PeerRequestHandler._report_load,
         AskProof: PeerRequestHandler._report_proof,
         AskSample: PeerRequestHandler._report_sample,
         AskServer: PeerRequestHandler._report_server,
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -12,6 +12,7 @@
 from deckdrum.leadership.monitoring import PrimaryMonitor
 from deckdrum.node.statistics_logger import StatisticsLogger
 from deckdrum.serving.executor import StatementExecutor
+from deckdrum.serving.load_reports import LoadExchange
 from deckdrum.serving.routing import Router
 from deckdrum.serving.runners import StatementRunner
 from deckdrum.serving.runtime import ServiceRuntime
@@ -151,6 +152,7 @@
         monitor = PrimaryMonitor(runtime, self._tools)
         runtime.on_server_failure = monitor.handle_server_failure
         router = Router(runtime, own.data_centre)
+        exchange = LoadExchange(runtime, self._tools.peers, router.load_reports)
         executor = StatementExecutor(runtime, router)
         self.services[declaration.name] = runtime
         self._executors[declaration.name] = executor
@@ -160,12 +162,10 @@
             executor,
             own.data_centre,
         )
-        self._supervisor_tasks.append(
-            await curio.spawn(
-                keep_running,
-                self._journal,
-                monitor.run,
-                daemon=True,
-            ),
-        )
+        for run in (monitor.run, exchange.run):
+            self._supervisor_tasks.append(
+                await curio.spawn(
+                    keep_running, self._journal, run, daemon=True
+                ),
+            )
         return runtime
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -247,6 +247,7 @@
         if target.handle.server.is_draining:
             self._log_draining_server(dispatch, target, now)
         dispatch.attempt_count += 1
+        self._router.load_reports.ran_at = now
         # A hedged attempt must go to another server.
         dispatch.excluded_servers.add(target.handle.id)
         if not target.is_primary:
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -10,6 +10,7 @@
 from deckdrum.control import ConsistencyGuarantee, Route
 from deckdrum.fleet.policies import Policy
 from deckdrum.load.allocation import rank_replicas
+from deckdrum.serving.load_reports import LoadReports
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.state import SessionState
@@ -32,6 +33,9 @@
 BORROWING_COST_S: Final = 0.005
 #: Cost of reading from the primary, which reserves its capacity for changes.
 PRIMARY_COST_S: Final = 0.05
+#: Cost of a server that other holders avoid after failures; more than any other
+#: cost, so that it is the last choice.
+AVOIDED_COST_S: Final = 10.0
 #: Expected time of a statement on a server without recent samples.
 _DEFAULT_STATEMENT_TIME_S: Final = 0.01
 #: Half-life of the mean statement time of a server that is not in use.
@@ -66,6 +70,8 @@
     def __init__(self, runtime: ServiceRuntime, data_centre: str) -> None:
         self._runtime = runtime
         self._data_centre = data_centre
+        #: Load of the servers as other holders see it.
+        self.load_reports = LoadReports()
 
     async def choose_primary(self, timeout: float) -> Target | None:
         """Return the primary once its proof is valid; None on timeout."""
@@ -193,15 +199,22 @@
         """Return the expected cost of a read in seconds.
 
         `remote_cost` is added for a server that is not preferred, and the time
-        to open a connection if the workspace has no idle one.
+        to open a connection if the workspace has no idle one.  The load that
+        other holders report counts like that of this node.
         """
         idle_time = max(0, now - handle.answered_at)
         decay = math.exp2(-idle_time / _STATEMENT_TIME_HALF_LIFE_S)
         expected = max(_DEFAULT_STATEMENT_TIME_S, handle.mean_time * decay)
+        others = self.load_reports.summarize(handle.id, now)
+        if idle_time > _STATEMENT_TIME_HALF_LIFE_S:
+            expected = max(expected, others.mean_time)
+        load = handle.load + others.load
         remote = 0 if self._is_preferred(handle, workspace) else remote_cost
         borrowing = 0 if handle.is_holder else BORROWING_COST_S
         connecting = _estimate_connect_time(handle, workspace)
-        return (handle.load + 1) * expected + remote + borrowing + connecting
+        if not handle.has_answered(others.failed_at):
+            remote += AVOIDED_COST_S
+        return (load + 1) * expected + remote + borrowing + connecting
 
 
 def _estimate_connect_time(handle: ServerHandle, workspace: str) -> float:
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -132,6 +132,8 @@
         self.mean_time: float = 0
         self._backoff_until = float('-inf')
         self._backoff = MIN_BACKOFF_S
+        #: When a request last failed, other than by the connection limit.
+        self._failed_at = float('-inf')
         #: Positions that its log was found to lack.
         self.replica_lag = ReplicaLag()
         #: Response times from sending a statement to its answer.
@@ -184,6 +186,13 @@
         """Return whether requests should prefer other servers."""
         return now < self._backoff_until
 
+    def find_failure(self, now: float) -> float | None:
+        """Return when the failure was after which the server is avoided."""
+        is_avoided = self.is_backing_off(now) and not self.has_answered(
+            self._failed_at
+        )
+        return self._failed_at if is_avoided else None
+
     def has_recent_timeout(self, now: float) -> bool:
         """Return whether a recent request timed out without a later answer."""
         is_fresh = now - self.timed_out_at < RECENT_TIMEOUT_WINDOW_S
@@ -330,7 +339,7 @@
             async with curio.timeout_after(timeout):
                 reply = await self._run_command(command, arguments)
         except curio.TaskTimeout:
-            self.last_error = self._describe_timeout(command, timeout)
+            self.last_error = _describe_timeout(self, command, timeout)
             self.record_timeout(await curio.clock())
             return None
         except ConnectionError as error:
@@ -353,16 +362,6 @@
             not self.is_holder or self.pool.queue.slots < MIN_LOCAL_CONNECTIONS
         )
 
-    def _describe_timeout(self, command: str, timeout: float) -> str:
-        """Return the log text for a command that timed out."""
-        queue = self.pool.queue
-        return (
-            f'no answer to {command} within {timeout} s, connections: '
-            f'{queue.held} of {queue.slots} in use, '
-            f'{queue.waiting} waiting, {self.pool.idle} idle, '
-            f'{self.loans.queue.held} borrowed'
-        )
-
     async def _run_command(
         self,
         command: str,
@@ -419,10 +418,24 @@
         return None if isinstance(lease, Refusal) else lease
 
     def _back_off(self, now: float) -> None:
+        self._failed_at = now
         self._backoff_until = now + self._backoff
         self._backoff = min(self._backoff * 2, MAX_BACKOFF_S)
 
 
+def _describe_timeout(
+    handle: ServerHandle, command: str, timeout: float
+) -> str:
+    """Return the log text for a command that timed out."""
+    queue = handle.pool.queue
+    return (
+        f'no answer to {command} within {timeout} s, connections: '
+        f'{queue.held} of {queue.slots} in use, '
+        f'{queue.waiting} waiting, {handle.pool.idle} idle, '
+        f'{handle.loans.queue.held} borrowed'
+    )
+
+
 async def _invoke(
     link: BackendLink,
     command: str,
