Queues serve urgent statements first, with a minimum for others

Cause: in groups with a route of priority 0, connections were shared by weight, and a class below its share took a connection ahead of more urgent waiting ones.

Change: GroupShare.priority, set for groups with urgent routes, orders accounts by urgency (load/urgency.py). Every eighth connection goes to a less urgent account that was passed over. An arriving request displaces less urgent waiting ones that are late behind it. Reservations are at most a quarter of the connections. Loans have the priority of the borrower's route, and the proxy's own commands go first. Accounts move to members/accounts.py and route shares to serving/shares.py for the limits on class size. Metrics waiting and turned_away.

--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -36,8 +36,6 @@
 #: Delay before a server that reached its connection limit is tried again.
 #: Connections of a node that lost power count against the limit for 3 s.
 SERVER_FULL_BACKOFF_S: Final = 0.25
-#: Prefix of the group names of borrowers in a lender's queue.
-LOAN_PREFIX: Final = 'loan:'
 #: Lenders asked for a connection.
 MAX_LENDERS_ASKED: Final = 3
 
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -206,6 +206,8 @@
             self._follower.run,
         ):
             await self._keep_running(run)
+        statistics = self._service_manager.statistics_logger
+        self.counters.count_waiting = statistics.count_waiting
         self.counters.gauges.update(
             sessions=lambda: self.sessions,
             open_transactions=lambda: self.open_transactions,
--- a/deckdrum/node/lending.py
+++ b/deckdrum/node/lending.py
@@ -4,11 +4,7 @@
 
 import curio
 
-from deckdrum.fleet.borrowing import (
-    LOAN_PREFIX,
-    decode_state,
-    encode_prepared,
-)
+from deckdrum.fleet.borrowing import decode_state, encode_prepared
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.node_messages import (
     BorrowLink,
@@ -17,6 +13,7 @@
     RelayedBytes,
     ReturnLink,
 )
+from deckdrum.members import LOAN_PREFIX
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle, ServerLease
--- a/deckdrum/node/statistics_logger.py
+++ b/deckdrum/node/statistics_logger.py
@@ -57,6 +57,18 @@
         }
         self._log_if_changed('connection.figures', {'connections': connections})
 
+    def count_waiting(self) -> Counter[int]:
+        """Return the statements that wait for a connection, by priority.
+
+        Groups without urgent routes are not counted.
+        """
+        waiting: Counter[int] = Counter()
+        for runtime in self._services.values():
+            for handle in runtime.servers.values():
+                for pool in (handle.pool, handle.loans):
+                    waiting.update(pool.queue.count_waiting())
+        return waiting
+
     def _log_if_changed(self, event: str, statistics: dict[str, Any]) -> None:
         if any(statistics.values()) and statistics != self._last_logged.get(
             event
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -22,7 +22,6 @@
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.leadership.state import LeadershipState
 from deckdrum.load.allocation import MIN_LOCAL_CONNECTIONS
-from deckdrum.members import GroupShare
 from deckdrum.serving.allocation import (
     AllocationInputs,
     ConnectionAllocator,
@@ -31,16 +30,12 @@
 from deckdrum.serving.proofs import ProofQuery, ProofSources
 from deckdrum.serving.samples import SAMPLE_TIMEOUT_S, PrimarySampler
 from deckdrum.serving.servers import ServerHandle
+from deckdrum.serving.shares import RouteShares
 from deckdrum.sessions import Position
 from deckdrum.sessions.position import LOG_START
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 
-#: Weights of groups of callers, by priority of their route (0 is the highest).
-#: Under contention connections are shared in proportion to the weights.
-PRIORITY_WEIGHTS: Final = (4.0, 2.0, 1.0)
-#: Queued requests per group of callers and server.
-MAX_QUEUED_REQUESTS: Final = 64
 #: Minimum interval between two queries of all servers for the primary.
 DISCOVERY_INTERVAL_S: Final = 0.05
 #: Timeout for running statements when a term ends; most take 6 to 60 ms.
@@ -104,7 +99,7 @@
             journal,
             counters,
         )
-        self._shares: dict[str, GroupShare] = {}
+        self._shares = RouteShares()
         #: Pool statistics of servers that were removed.
         self.removed_server_stats: Counter[str] = Counter()
         self._discovered_at = float('-inf')
@@ -183,6 +178,8 @@
                     self._shares,
                     self.policies,
                 )
+                for pool in (handle.pool, handle.loans):
+                    pool.queue.turned_away = self.counters.turned_away
                 self.servers[name] = handle
             handle.update(server, get_drain_status(name))
         for removed in self.servers.keys() - listed.keys():
@@ -204,7 +201,12 @@
 
         `workspace_count` is 0 if connections belong to no workspace.
         """
+        had_urgent_routes = self.declaration.has_urgent_routes
         self.declaration = declaration
+        if had_urgent_routes and not declaration.has_urgent_routes:
+            # Statements that wait already are ordered anew.
+            self._shares.drop_priorities()
+            await _apply_shares(self.servers, self._shares)
         inputs = AllocationInputs(
             declaration.max_connections,
             workspace_count,
@@ -223,13 +225,10 @@
 
     async def set_route_share(self, route: Route) -> None:
         """Set the connection share of a route's callers."""
-        level = min(route.priority, len(PRIORITY_WEIGHTS) - 1)
-        share = GroupShare(PRIORITY_WEIGHTS[max(0, level)], MAX_QUEUED_REQUESTS)
-        if self._shares.get(route.database) == share:
-            return
-        self._shares[route.database] = share
-        for handle in self.servers.values():
-            await handle.apply_shares(self._shares)
+        if self._shares.set_route(
+            route, is_urgency_ordered=self.declaration.has_urgent_routes
+        ):
+            await _apply_shares(self.servers, self._shares)
 
     def record_position(self, position: Position, started_at: float) -> None:
         """Record a position of the primary's log sampled after `started_at`."""
@@ -447,3 +446,10 @@
     return bool(servers) and all(
         handle.drain_status.is_past_cutoff(now) for handle in servers.values()
     )
+
+
+async def _apply_shares(
+    servers: Mapping[str, ServerHandle], shares: RouteShares
+) -> None:
+    for handle in servers.values():
+        await handle.apply_shares(shares)
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -25,7 +25,7 @@
     MAX_BORROWED_CONNECTIONS,
     MIN_LOCAL_CONNECTIONS,
 )
-from deckdrum.members import GroupShare
+from deckdrum.members import COMMAND_GROUP, GroupShare
 from deckdrum.operations import Rejection
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.replica_lag import ReplicaLag
@@ -52,8 +52,6 @@
 #: Timeout for a connection if there are few, in seconds.  Idle transactions may
 #: hold them for longer: other lenders or servers are tried instead.
 SCARCE_CONNECTION_TIMEOUT_S: Final = 0.25
-#: Queue group of the proxy's own commands.
-_COMMAND_GROUP: Final = ''
 _SMOOTHING_FACTOR: Final = 0.2
 
 ServerLease = Lease[Backend, BackendLink]
@@ -369,7 +367,7 @@
         arguments: tuple[int, ...],
     ) -> ServerStatus | Rejection:
         """Run a command on a pooled connection, or outside the pool if busy."""
-        lease = await self.acquire(_COMMAND_GROUP, COMMAND_POOL_TIMEOUT_S, {})
+        lease = await self.acquire(COMMAND_GROUP, COMMAND_POOL_TIMEOUT_S, {})
         if isinstance(lease, Refusal):
             return await self._call_unpooled(command, arguments)
         is_clean = False
@@ -407,7 +405,9 @@
         """Borrow a connection if the few own ones are busy."""
         if Policy.BORROWING not in self._policies:
             return None
-        if not self._has_few_connections or not self.pool.queue.is_busy:
+        if not self._has_few_connections or not self.pool.queue.must_wait(
+            group
+        ):
             return None
         try:
             lease = await self.loans.acquire(
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -6,7 +6,7 @@
 
 from bisect import bisect_left
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final
 
 #: Upper bounds of the buckets of the latency histogram.
@@ -17,6 +17,7 @@
 _SERVED_LABELS: Final = ('database', 'kind', 'role')
 _LATENCY_LABELS: Final = ('guarantee', 'outcome')
 _LIMIT_LABELS: Final = ('workspace', 'code')
+_TURNED_AWAY_LABELS: Final = ('priority', 'place')
 _CALL_LABELS: Final = ('call', 'kind', 'outcome')
 
 
@@ -43,6 +44,10 @@
         self.served: Counter[tuple[str, str, str]] = Counter()
         self.store_calls: Counter[tuple[str, str, str]] = Counter()
         self.limited: Counter[tuple[str, str]] = Counter()
+        #: Statements rejected because of load, by priority and place.
+        self.turned_away: Counter[tuple[int, str]] = Counter()
+        #: Returns the number of waiting statements by priority.
+        self.count_waiting: Callable[[], Mapping[int, int]] = dict
         #: Statements by service, workspace and outcome.
         self.work: Counter[tuple[str, str, str]] = Counter()
         #: Functions that return the current value of each gauge.
@@ -119,6 +124,7 @@
 
         yield from self._collect_counters(core)
         yield self._collect_latency(core)
+        yield self._collect_waiting(core)
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
 
@@ -153,6 +159,15 @@
                 _LIMIT_LABELS,
                 self.limited,
             ),
+            (
+                'turned_away',
+                'Statements rejected because of load',
+                _TURNED_AWAY_LABELS,
+                {
+                    (str(priority), place): number
+                    for (priority, place), number in self.turned_away.items()
+                },
+            ),
         ):
             family = core.CounterMetricFamily(
                 f'{_PREFIX}{name}',
@@ -166,6 +181,16 @@
     def _label_events(self) -> dict[tuple[str, ...], int]:
         return {(event,): number for event, number in self.events.items()}
 
+    def _collect_waiting(self, core: Any) -> Any:
+        family = core.GaugeMetricFamily(
+            f'{_PREFIX}waiting',
+            'Statements that wait for a connection',
+            labels=('priority',),
+        )
+        for priority, number in sorted(self.count_waiting().items()):
+            family.add_metric((str(priority),), number)
+        return family
+
     def _collect_latency(self, core: Any) -> Any:
         family = core.HistogramMetricFamily(
             f'{_PREFIX}request_seconds',
