Entry nodes reject statements that an overloaded holder would reject

Cause: during overload a holder rejected most less urgent statements at once, and each of them cost a message there and back and the holder's processor time.

Change: the load shedder of a forwarder (load/shedding.py, forwarding/shedding.py) applies a holder's QUEUE_FULL or QUEUE_TIMEOUT to statements of the same or lower urgency for its retry_after, at most 0.1 s, and sends one of them every 20 ms. Priority 0 is always sent. A rejection applies to its workspace until a second one is rejected, and not from the primary to reads of replicas. It is active in groups with urgent routes only, and never for a statement that may have run.

Packages members, load, forwarding, serving, node and docs: 262 passed.

--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -9,14 +9,16 @@
 
 import curio
 
-from deckdrum.control import Member, Route
+from deckdrum.control import ConsistencyGuarantee, Member, Route
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.health import HEARTBEAT_TIMEOUT_S
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import Forward, ForwardAnswer
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.forwarding.encoding import decode_outcome, encode_forward
+from deckdrum.forwarding.shedding import LoadShedder
 from deckdrum.forwarding.transactions import RemoteTransaction
+from deckdrum.load.shedding import StatementKind
 from deckdrum.operations import Answer, Begin, Effect, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving.executor import UNRESPONSIVE_AFTER_S, StatementExecutor
@@ -122,6 +124,17 @@
             deadline,
         )
 
+    @property
+    def kind(self) -> StatementKind:
+        """What decides whether load shedding applies to it."""
+        is_read = self.begin.read_only if self.begin else self.is_repeatable
+        is_current = self.route.guarantee is ConsistencyGuarantee.CURRENT
+        return StatementKind(
+            max(0, self.route.priority),
+            self.state.workspace,
+            needs_primary=is_current or not is_read,
+        )
+
     async def make_remaining_route(self) -> Route:
         """Return the route with the remaining time as statement timeout."""
         left = self.deadline + FORWARD_MARGIN_S - await curio.clock()
@@ -171,6 +184,7 @@
         self._peers = peers
         self._health = peers.health
         self._budget = RetryBudget()
+        self._shedder = LoadShedder(runtime)
         #: Time until which a holder that could not reach the primary is
         #: avoided, by name.
         self._backoff_until: dict[str, float] = {}
@@ -260,6 +274,9 @@
                 continue
             if holder is None or now >= pending.deadline:
                 return self._refuse(pending)
+            shed = self._shed(holder, pending, now)
+            if shed is not None:
+                return shed
             pending.tried.add(holder.name)
             forwarded = await self._forward_to(
                 holder, pending, pending.deadline - now
@@ -267,6 +284,15 @@
             if forwarded is not None:
                 return forwarded
 
+    def _shed(
+        self, holder: Member, pending: PendingForward, now: float
+    ) -> Refusal | None:
+        """Return a refusal if the holder is known to reject the statement."""
+        if pending.may_have_run:
+            # A shed statement is reported as not run.
+            return None
+        return self._shedder.check(holder.name, pending.kind, now)
+
     async def _forward_to(
         self,
         holder: Member,
@@ -274,6 +300,7 @@
         timeout: float,
     ) -> ForwardResult | Refusal | None:
         """Forward a statement to a holder; None if another is to be tried."""
+        sent_at = await curio.clock()
         timeout = max(timeout, HEARTBEAT_TIMEOUT_S)
         message = pending.encode(timeout)
         attempt = await self._attempt(
@@ -288,6 +315,7 @@
                 else None
             )
         outcome = decode_outcome(attempt.answer)
+        await self._shedder.record(holder.name, pending.kind, outcome, sent_at)
         if not _is_retryable(outcome):
             self._budget.record_success()
             return ForwardResult(outcome, attempt.channel, holder)
