Show the load by class, server and node

Cause: operators could not see which class waits or is rejected, how many statements are in flight at a server over all nodes, and which nodes run them.

Change: the log event load.figures (at most every 5 s, if changed), the same figures as metrics, and lines in deckdrumctl report. LoadMonitor takes the figures from sources, each a function that adds those of one part; the only source so far is that of the connection pools, which do not count by priority. Outcomes of callers' operations are counted by the priority of their route.

--- a/deckdrum/commands/reporting.py
+++ b/deckdrum/commands/reporting.py
@@ -15,6 +15,11 @@
 from typing import Final
 
 from deckdrum.commands.explaining import LogLine, read_lines
+from deckdrum.commands.load_summary import (
+    LoadSummary,
+    describe_load,
+    summarize_load,
+)
 from deckdrum.commands.work_summary import (
     ConnectionSummary,
     WorkSummary,
@@ -89,6 +94,8 @@
         Statements by service and workspace.
     connections : tuple of Connections
         Connections by service.
+    load : LoadSummary
+        Load by class, server and node.
     """
 
     reads: Mapping[str, int]
@@ -101,6 +108,7 @@
     losses: tuple[FailureSummary, ...]
     work: tuple[WorkSummary, ...]
     connections: tuple[ConnectionSummary, ...]
+    load: LoadSummary
 
 
 def summarize_lines(lines: Iterable[LogLine]) -> Report:
@@ -130,6 +138,7 @@
         tuple(_summarize_failures(ordered)),
         summarize_work(ordered),
         summarize_connections(ordered),
+        summarize_load(ordered),
     )
 
 
@@ -164,7 +173,7 @@
     if as_json:
         print_line(json.dumps(figures))
     else:
-        for section in ('losses', 'work', 'connections'):
+        for section in ('losses', 'work', 'connections', 'load'):
             figures.pop(section)
         for name, figure in figures.items():
             print_line(f'{name}: {"none" if figure is None else figure}')
@@ -174,6 +183,8 @@
             print_line(describe_work(work))
         for connections in report.connections:
             print_line(describe_connections(connections))
+        for line in describe_load(report.load):
+            print_line(line)
     return bool(report.reads or report.refusals)
 
 
--- a/deckdrum/commands/tests/test_reporting.py
+++ b/deckdrum/commands/tests/test_reporting.py
@@ -168,3 +168,61 @@
     connections = summarize_lines(read_lines([path])).connections
     assert connections[0].reused_share == 0.75
     assert connections[0].opened == 1
+
+
+def build_load(at: float, source: str = 'n1', **figures: Any) -> str:
+    """Return the line of a node's load."""
+    defaults: dict[str, Any] = {
+        'capacity': 0.5,
+        'ran': 0,
+        'outcomes': {},
+        'rejected': {},
+        'waiting': {},
+        'servers': {},
+    }
+    fields = defaults | figures
+    return build_line(at, 'load.figures', **fields | {'source': source})
+
+
+def test_load_is_summed_over_incarnations_and_nodes(tmp_path: Path) -> None:
+    """Guards against counting cumulative figures twice, or only once."""
+    path = write_log(
+        tmp_path,
+        build_line(1, 'node.started'),
+        build_load(5, ran=4, outcomes={'stalls/0/done': 4}),
+        build_load(
+            10,
+            ran=6,
+            outcomes={'stalls/0/done': 5, 'stalls/0/limit': 1},
+            rejected={'stalls/any/queue': 2},
+        ),
+        build_line(11, 'node.started'),
+        build_load(16, ran=1, outcomes={'stalls/0/done': 1}),
+        build_load(16, 'n2', ran=3, capacity=2.15),
+    )
+    load = summarize_lines(read_lines([path])).load
+    classes = {each.priority: each for each in load.classes}
+    assert classes['0'].outcomes == {'done': 6, 'limit': 1}
+    assert classes['any'].rejected == {'queue': 2}
+    nodes = [
+        (each.node, each.capacity, each.ran, each.share) for each in load.nodes
+    ]
+    assert nodes == [('n1', 0.5, 7, 0.7), ('n2', 2.15, 3, 0.3)]
+
+
+def test_peaks_of_load_are_sums_of_nodes_that_run(tmp_path: Path) -> None:
+    """Guards against figures of ended nodes that stay in the sum."""
+    first = {'stalls/i-1/in_flight': 3, 'stalls/i-1/slots': 4}
+    second = {'stalls/i-1/in_flight': 2, 'stalls/i-1/slots': 4}
+    path = write_log(
+        tmp_path,
+        build_load(5, servers=first, waiting={'stalls/0/queue': 1}),
+        build_load(6, 'n2', servers=second, waiting={'stalls/0/queue': 4}),
+        build_line(7, 'node.stopped'),
+        build_load(8, 'n3', servers=first),
+    )
+    load = summarize_lines(read_lines([path])).load
+    assert load.classes[0].most_waiting == {'queue': 5}
+    server = load.servers[0]
+    assert (server.service, server.server) == ('stalls', 'i-1')
+    assert (server.slots, server.most_in_flight) == (4, 5)
--- a/deckdrum/commands/work_summary.py
+++ b/deckdrum/commands/work_summary.py
@@ -11,7 +11,7 @@
 
 from deckdrum.commands.explaining import LogLine
 
-_STARTED_EVENT: Final = 'node.started'
+STARTED_EVENT: Final = 'node.started'
 _WORK_EVENT: Final = 'work.figures'
 _CONNECTIONS_EVENT: Final = 'connection.figures'
 _DECIMALS: Final = 3
@@ -63,7 +63,7 @@
 def summarize_work(ordered: Iterable[LogLine]) -> tuple[WorkSummary, ...]:
     """Return the statements by service and workspace, most frequent first."""
     outcomes: defaultdict[tuple[str, str], Counter[str]] = defaultdict(Counter)
-    for line in _find_last_per_run(ordered, _WORK_EVENT):
+    for line in find_last_per_run(ordered, _WORK_EVENT):
         for key, number in line.fields['work'].items():
             group, owner, outcome = key.split('/')
             outcomes[group, owner][outcome] += number
@@ -79,7 +79,7 @@
 ) -> tuple[ConnectionSummary, ...]:
     """Return the connections by service."""
     totals: defaultdict[str, Counter[str]] = defaultdict(Counter)
-    for line in _find_last_per_run(ordered, _CONNECTIONS_EVENT):
+    for line in find_last_per_run(ordered, _CONNECTIONS_EVENT):
         for group, figures in line.fields['connections'].items():
             totals[group].update(figures)
     return tuple(
@@ -122,12 +122,12 @@
     )
 
 
-def _find_last_per_run(ordered: Iterable[LogLine], event: str) -> list[LogLine]:
+def find_last_per_run(ordered: Iterable[LogLine], event: str) -> list[LogLine]:
     """Return the last line of an event for each incarnation of a node."""
     latest: dict[tuple[str, int], LogLine] = {}
     run_numbers: Counter[str] = Counter()
     for line in ordered:
-        if line.event == _STARTED_EVENT:
+        if line.event == STARTED_EVENT:
             run_numbers[line.source] += 1
         if line.event == event:
             latest[line.source, run_numbers[line.source]] = line
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -109,7 +109,10 @@
             partial(make_backend, dial=self._dialer.dial),
             journal,
             counters,
+            settings.capacity,
         )
+        #: Reads the load of this node.
+        self.load_monitor = self._service_manager.load_monitor
         self.lender = ConnectionLender(self.services, counters)
         self.peers.lend_connection = self.lender.lend
         self._failure_detector = FailureDetector(
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -10,6 +10,7 @@
 from deckdrum.forwarding import Forwarder
 from deckdrum.leadership.context import LeadershipContext
 from deckdrum.leadership.monitoring import PrimaryMonitor
+from deckdrum.node.load_figures import LoadMonitor
 from deckdrum.node.statistics_logger import StatisticsLogger
 from deckdrum.serving.executor import StatementExecutor
 from deckdrum.serving.routing import Router
@@ -33,6 +34,8 @@
         Log of the node.
     counters : Counters
         Metrics of the node.
+    capacity : float
+        Published capacity of the machine in cores; 0 if unknown.
     """
 
     def __init__(
@@ -41,14 +44,17 @@
         make_backend: Callable[[BackendServer], Backend],
         journal: Journal,
         counters: Counters,
+        capacity: float = 0,
     ) -> None:
         self.services: dict[str, ServiceRuntime] = {}
         self._tools = tools
         self._make_backend = make_backend
         self._journal = journal
         self._counters = counters
+        #: Further parts add their sources here.
+        self.load_monitor = LoadMonitor(capacity, self.services, counters)
         self.statistics_logger = StatisticsLogger(
-            self.services, counters, journal
+            self.services, counters, journal, self.load_monitor
         )
         self._executors: dict[str, StatementExecutor] = {}
         self._forwarders: dict[str, Forwarder] = {}
--- a/deckdrum/node/sessions.py
+++ b/deckdrum/node/sessions.py
@@ -123,11 +123,14 @@
         is_late = route is not None and seconds > route.latency_objective
         service = route.service if route else ''
         if _is_counted(request, outcome):
+            label = get_outcome_label(outcome, is_late=is_late)
             self._counters.count_statement_outcome(
-                service,
-                session.state.workspace,
-                get_outcome_label(outcome, is_late=is_late),
+                service, session.state.workspace, label
             )
+            if route is not None:
+                self._counters.count_class_outcome(
+                    service, route.priority, label
+                )
         if not is_refused and not is_late:
             return
         self._journal.record_rate_limited(
--- a/deckdrum/node/statistics_logger.py
+++ b/deckdrum/node/statistics_logger.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from deckdrum.node.load_figures import LoadMonitor
 from deckdrum.serving import ServiceRuntime
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
@@ -26,6 +27,8 @@
         Counts store calls and statements.
     journal : Journal
         Receives the statistics.
+    load_monitor : LoadMonitor
+        Reads the load of the node.
     """
 
     def __init__(
@@ -33,10 +36,12 @@
         services: Mapping[str, ServiceRuntime],
         counters: Counters,
         journal: Journal,
+        load_monitor: LoadMonitor,
     ) -> None:
         self._services = services
         self._counters = counters
         self._journal = journal
+        self._load_monitor = load_monitor
         self._last_logged: dict[str, dict[str, Any]] = {}
 
     async def run(self) -> None:
@@ -56,6 +61,8 @@
             for name, runtime in self._services.items()
         }
         self._log_if_changed('connection.figures', {'connections': connections})
+        load = self._load_monitor.read().describe()
+        self._log_if_changed('load.figures', load)
 
     def _log_if_changed(self, event: str, statistics: dict[str, Any]) -> None:
         if any(statistics.values()) and statistics != self._last_logged.get(
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -6,7 +6,8 @@
 
 from bisect import bisect_left
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
 from typing import Any, Final
 
 #: Upper bounds of the buckets of the latency histogram.
@@ -18,6 +19,26 @@
 _LATENCY_LABELS: Final = ('guarantee', 'outcome')
 _LIMIT_LABELS: Final = ('workspace', 'code')
 _CALL_LABELS: Final = ('call', 'kind', 'outcome')
+_OUTCOME_LABELS: Final = ('service', 'priority', 'outcome')
+
+
+@dataclass(frozen=True, slots=True)
+class LabelledMetric:
+    """A metric whose values are read when metrics are requested.
+
+    Attributes
+    ----------
+    labels : tuple of str
+        Names of the labels.
+    read : callable
+        Returns the values by tuples of label values.
+    is_cumulative : bool
+        Whether it is a counter; otherwise it is a gauge.
+    """
+
+    labels: tuple[str, ...]
+    read: Callable[[], Mapping[Any, float]]
+    is_cumulative: bool = False
 
 
 class Counters:
@@ -45,6 +66,10 @@
         self.limited: Counter[tuple[str, str]] = Counter()
         #: Statements by service, workspace and outcome.
         self.work: Counter[tuple[str, str, str]] = Counter()
+        #: Statements by service, priority and outcome.
+        self.class_outcomes: Counter[tuple[str, str, str]] = Counter()
+        #: Metrics that are read from other parts, by name.
+        self.labelled: dict[str, LabelledMetric] = {}
         #: Functions that return the current value of each gauge.
         self.gauges: dict[str, Callable[[], float]] = {}
         self._latency: dict[tuple[str, str], list[int]] = {}
@@ -80,6 +105,12 @@
         """Count a statement of a caller by its outcome."""
         self.work[service, workspace, outcome] += 1
 
+    def count_class_outcome(
+        self, service: str, priority: int, outcome: str
+    ) -> None:
+        """Count a statement of a caller by the priority of its route."""
+        self.class_outcomes[service, str(priority), outcome] += 1
+
     def describe_work(self) -> dict[str, int]:
         """Return the number of statements by label, as written to the log."""
         return {
@@ -121,6 +152,7 @@
         yield self._collect_latency(core)
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
+        yield from self._collect_labelled(core)
 
     def render(self) -> bytes:
         """Return the metrics in Prometheus text format."""
@@ -153,6 +185,12 @@
                 _LIMIT_LABELS,
                 self.limited,
             ),
+            (
+                'outcomes',
+                'Statements of callers by priority and outcome',
+                _OUTCOME_LABELS,
+                self.class_outcomes,
+            ),
         ):
             family = core.CounterMetricFamily(
                 f'{_PREFIX}{name}',
@@ -163,6 +201,18 @@
                 family.add_metric(values, number)
             yield family
 
+    def _collect_labelled(self, core: Any) -> Iterator[Any]:
+        for name, metric in self.labelled.items():
+            build_family = (
+                core.CounterMetricFamily
+                if metric.is_cumulative
+                else core.GaugeMetricFamily
+            )
+            family = build_family(_PREFIX + name, name, labels=metric.labels)
+            for values, number in metric.read().items():
+                family.add_metric(values, number)
+            yield family
+
     def _label_events(self) -> dict[tuple[str, ...], int]:
         return {(event,): number for event, number in self.events.items()}
 
