Let reads wait for replicas; bound reads at the primary

Cause: while replicas lag, reads of own changes and reads of bounded age go to the primary of their group, ahead of urgent statements.

Change: in a fleet of uneven machines a read waits for a replica that is expected to catch up while the read can still be in time. The expected lag is twice the lag that a replica has shown, at most the age of its answers, and is dropped after 2 s. A replica that lacked a position is no longer excluded for the rest of the statement until its sixth attempt. In groups with urgent routes, less urgent reads that a replica could run use at most half of a node's connections to the primary while more urgent statements wait; one beyond that is rejected once it cannot be in time. PositionHistory keeps when the primary was first seen at an offset, since the latest time moves while the primary is idle.

--- a/deckdrum/backends/position_history.py
+++ b/deckdrum/backends/position_history.py
@@ -30,6 +30,8 @@
         self._term = 0
         self._offsets: deque[int] = deque(maxlen=_MAX_POSITIONS)
         self._times: deque[float] = deque(maxlen=_MAX_POSITIONS)
+        #: When the primary was first seen at each offset.
+        self._first_times: deque[float] = deque(maxlen=_MAX_POSITIONS)
 
     @property
     def term(self) -> int:
@@ -62,6 +64,7 @@
             self._term = term
             self._offsets.clear()
             self._times.clear()
+            self._first_times.clear()
         if self._offsets and self._offsets[-1] == offset:
             # The primary has not moved, so the data is still current.
             self._times[-1] = max(self._times[-1], started_at)
@@ -73,6 +76,7 @@
             return
         self._offsets.append(offset)
         self._times.append(started_at)
+        self._first_times.append(started_at)
 
     def bound_age(self, offset: int, now: float) -> float:
         """Return an upper bound on the age of data at `offset`, in seconds.
@@ -104,6 +108,28 @@
         index = bisect_left(self._offsets, offset)
         return self._times[index - 1] if index else float('-inf')
 
+    def find_first_seen(self, offset: int) -> float | None:
+        """Return when the primary was first seen at or beyond `offset`.
+
+        Returns
+        -------
+        float or None
+            None if the primary was not seen there.
+
+        Examples
+        --------
+        >>> history = PositionHistory()
+        >>> history.record(term=1, offset=10, started_at=5.0)
+        >>> history.record(term=1, offset=10, started_at=6.0)
+        >>> history.find_first_seen(offset=10)
+        5.0
+        >>> history.find_first_seen(offset=11)
+        """
+        index = bisect_left(self._offsets, offset)
+        if index == len(self._offsets):
+            return None
+        return self._first_times[index]
+
     def find_min_offset(self, max_age: float, now: float) -> int | None:
         """Return the lowest offset that is at most `max_age` seconds old.
 
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -14,6 +14,7 @@
     CHANGE_LOST_FACTOR,
     REPEATABLE_LOST_FACTOR,
     Attempt,
+    AttemptOutcome,
     NoAnswer,
 )
 from deckdrum.serving.dispatches import (
@@ -29,6 +30,7 @@
 from deckdrum.serving.routing import Router, Target
 from deckdrum.serving.runners import StartedTransaction, StatementRunner
 from deckdrum.serving.runtime import ServiceRuntime
+from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.state import PinnedConnection, SessionState
 from deckdrum.sessions import Position
 
@@ -234,6 +236,10 @@
         target = await self._choose_target(dispatch, route, remaining)
         if target is None:
             return self._retry_policy.build_refusal(dispatch, now)
+        if isinstance(target, Refusal):
+            if dispatch.may_have_run:
+                return self._retry_policy.build_refusal(dispatch, now)
+            return target
         if dispatch.running and target.handle.id in dispatch.excluded_servers:
             # The only eligible server is already running the statement.
             return None
@@ -266,7 +272,7 @@
         )
         dispatch.running.append(attempt)
         await curio.spawn(
-            self._run_attempt, dispatch, attempt, target, daemon=True
+            self._run_attempt, dispatch, attempt, target, route, daemon=True
         )
         return None
 
@@ -293,7 +299,7 @@
         dispatch: Dispatch,
         route: Route,
         remaining: float,
-    ) -> Target | None:
+    ) -> Target | Refusal | None:
         if dispatch.running:
             # Return soon to waiting for the attempt in progress.
             remaining = min(remaining, HEDGE_PRIMARY_TIMEOUT_S)
@@ -303,6 +309,7 @@
                 dispatch.state,
                 dispatch.excluded_servers,
                 remaining,
+                dispatch.began + route.latency_objective,
             )
         return await self._router.choose_primary(remaining)
 
@@ -311,14 +318,12 @@
         dispatch: Dispatch,
         attempt: Attempt,
         target: Target,
+        route: Route,
     ) -> None:
         if target.is_primary:
-            self.runtime.in_flight += 1
-        try:
+            outcome = await self._run_on_primary(dispatch, attempt, route)
+        else:
             outcome = await attempt.run()
-        finally:
-            if target.is_primary:
-                self.runtime.in_flight -= 1
         if isinstance(outcome, NoAnswer):
             self.runtime.report_server_failure(attempt.handle)
         elif not isinstance(outcome, Refusal):
@@ -329,6 +334,17 @@
         else:
             await dispatch.finished_attempts.put(finished)
 
+    async def _run_on_primary(
+        self, dispatch: Dispatch, attempt: Attempt, route: Route
+    ) -> AttemptOutcome:
+        reads = self._router.primary_reads
+        self.runtime.in_flight += 1
+        try:
+            with reads.track(attempt, route, is_read=dispatch.is_read):
+                return await attempt.run()
+        finally:
+            self.runtime.in_flight -= 1
+
     def _record_position(
         self,
         attempt: Attempt,
@@ -343,21 +359,25 @@
         if outcome.position is None:
             return
         if not target.is_primary:
-            self._record_replica_position(target.handle.id, outcome.position)
+            self._record_replica_position(target.handle, outcome.position)
             return
         if isinstance(outcome, Rejection) and not outcome.reports_position:
             return
         self.runtime.record_position(outcome.position, attempt.started_at)
 
-    def _record_replica_position(self, name: str, position: Position) -> None:
-        """Use the position of a replica's log as proof of the term."""
-        if Policy.PROOF_FROM_READS not in self._policies:
-            return
+    def _record_replica_position(
+        self, handle: ServerHandle, position: Position
+    ) -> None:
+        """Use the position of a replica's log for its lag and as proof."""
         history = self.runtime.history
-        if position.term == history.term:
+        if position.term != history.term:
+            return
+        max_age = history.bound_age(position.offset, handle.answered_at)
+        handle.replica_lag.record_age(max_age, handle.answered_at)
+        if Policy.PROOF_FROM_READS in self._policies:
             since = history.find_last_seen_below(position.offset)
             self.runtime.leadership_state.record_replicated_change(
-                name, position.term, since
+                handle.id, position.term, since
             )
 
     async def _wait_for_attempt(
--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -10,11 +10,15 @@
 from deckdrum.outcomes.errors import BrokenInvariantError
 from deckdrum.serving.attempts import NoAnswer
 from deckdrum.serving.dispatches import Dispatch, FinishedAttempt
+from deckdrum.serving.replica_lag import find_creation
 from deckdrum.serving.routing import Target
 from deckdrum.serving.runtime import ServiceRuntime
 
 #: Upper bound for the backoff between attempts on the primary.
 MAX_RETRY_BACKOFF_S: Final = 0.08
+#: Attempts after which a read no longer waits for a replica that lags.  The
+#: expected lag doubles with each: six cover ten times the usual one of 12 ms.
+MAX_REPLICA_ATTEMPTS: Final = 6
 #: Capacity of the retry budget, and the fraction of a retry that each success
 #: adds to it.
 RETRY_BUDGET_CAPACITY: Final = 20.0
@@ -133,7 +137,7 @@
             and finished.target.min_position
         ):
             if Policy.REPLICA_PAUSES in self._runtime.policies:
-                handle.replica_lag.record_lag(finished.target.min_position, now)
+                self._record_lag(dispatch, finished.target, now)
             return None
         if outcome.cause is RejectionCause.NOT_PRIMARY:
             await self._runtime.leadership_state.clear_primary(
@@ -153,6 +157,20 @@
         )
         return refuse(code, outcome.text)
 
+    def _record_lag(
+        self, dispatch: Dispatch, target: Target, now: float
+    ) -> None:
+        """Record that a replica lacks a position, which it may have soon."""
+        min_position = target.min_position
+        if min_position is None:
+            return
+        created_at = find_creation(self._runtime.history, min_position)
+        target.handle.replica_lag.record_lag(min_position, now, created_at)
+        is_uneven = self._runtime.is_uneven
+        if is_uneven and dispatch.attempt_count < MAX_REPLICA_ATTEMPTS:
+            # The router may let the read wait for this replica.
+            dispatch.excluded_servers.discard(target.handle.id)
+
     async def _back_off(
         self,
         dispatch: Dispatch,
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Container
 from dataclasses import dataclass
+from operator import itemgetter
 from typing import Final
 
 import curio
@@ -10,7 +11,11 @@
 from deckdrum.control import ConsistencyGuarantee, Route
 from deckdrum.fleet.policies import Policy
 from deckdrum.load.allocation import rank_replicas
+from deckdrum.load.replica_reads import plan_replica_wait
+from deckdrum.outcomes import Refusal
 from deckdrum.serving.load_reports import LoadReports
+from deckdrum.serving.primary_reads import PrimaryReads
+from deckdrum.serving.replica_lag import find_creation
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.state import SessionState
@@ -72,6 +77,8 @@
         self._data_centre = data_centre
         #: Load of the servers as other holders see it.
         self.load_reports = LoadReports()
+        #: Bounds the reads at the primary.
+        self.primary_reads = PrimaryReads(runtime)
 
     async def choose_primary(self, timeout: float) -> Target | None:
         """Return the primary once its proof is valid; None on timeout."""
@@ -86,9 +93,14 @@
         state: SessionState,
         excluded_servers: Container[str],
         timeout: float,
-    ) -> Target | None:
+        deadline: float,
+    ) -> Target | Refusal | None:
         """Return a server that can run a read; None on timeout.
 
+        In a fleet of uneven machines the read waits for a replica that lags, if
+        it can still be in time.  A refusal is returned at once if the read
+        cannot be in time because of more urgent statements.
+
         Parameters
         ----------
         route : Route
@@ -98,7 +110,9 @@
         excluded_servers : container of str
             Servers that are running the read or have failed to.
         timeout : float
-            Longest wait for the primary, in seconds.
+            Longest wait for a server, in seconds.
+        deadline : float
+            Time by which the answer must arrive to be in time.
         """
         if route.guarantee is ConsistencyGuarantee.CURRENT:
             return await self.choose_primary(timeout)
@@ -120,7 +134,13 @@
             )
             if replica is not None:
                 return Target(replica, min_position, False, min_position.term)
-        return await self.choose_primary(timeout)
+            if self._runtime.is_uneven:
+                waited_for = await self._wait_for_replica(
+                    route, state, excluded_servers, timeout, deadline
+                )
+                if waited_for is not None:
+                    return waited_for
+        return await self._choose_primary_for_read(route, timeout, deadline)
 
     async def refresh_sample(self, route: Route) -> None:
         """Sample the primary if the latest sample is about to be too old."""
@@ -142,6 +162,106 @@
             return max(min_position, state.min_position)
         return max(min_position, LOG_START)
 
+    async def _choose_primary_for_read(
+        self, route: Route, timeout: float, deadline: float
+    ) -> Target | Refusal | None:
+        """Return the primary for a read that no replica can run."""
+        primary = self._runtime.primary
+        if primary is not None:
+            refusal = await self.primary_reads.wait_within_bound(
+                primary, route, deadline, timeout
+            )
+            if refusal is not None:
+                return refusal
+        return await self.choose_primary(timeout)
+
+    async def _wait_for_replica(
+        self,
+        route: Route,
+        state: SessionState,
+        excluded_servers: Container[str],
+        timeout: float,
+        deadline: float,
+    ) -> Target | None:
+        """Wait until a replica has caught up; None if the read does not wait.
+
+        It does not wait if the primary was preferred to a replica that does not
+        lag.
+        """
+        now = await curio.clock()
+        deadline = min(deadline, now + timeout)
+        has_waited = False
+        while True:
+            # The position that the read needs may have changed meanwhile.
+            min_position = await self._find_min_position(route, state)
+            if min_position is None:
+                return None
+            now = await curio.clock()
+            if not has_waited and self._list_current(
+                min_position, excluded_servers, now
+            ):
+                return None
+            planned = self._plan_replica_wait(
+                min_position, excluded_servers, now, deadline
+            )
+            if planned is None:
+                return None
+            wait, replica = planned
+            if not wait:
+                return Target(replica, min_position, False, min_position.term)
+            self._runtime.counters.count('replica_waits')
+            await curio.sleep(wait)
+            has_waited = True
+
+    def _plan_replica_wait(
+        self,
+        min_position: Position,
+        excluded_servers: Container[str],
+        now: float,
+        deadline: float,
+    ) -> tuple[float, ServerHandle] | None:
+        """Return the replica that is the first to catch up, and the wait."""
+        created_at = find_creation(self._runtime.history, min_position)
+        if created_at is None:
+            return None
+        planned: list[tuple[float, ServerHandle]] = []
+        for handle in self._list_replicas(excluded_servers, now):
+            wait = plan_replica_wait(
+                created_at,
+                handle.replica_lag.find_expected(now) or math.inf,
+                handle.response_times.mean,
+                now,
+                deadline,
+            )
+            if wait is not None:
+                planned.append((wait, handle))
+        return min(planned, key=itemgetter(0), default=None)
+
+    def _list_replicas(
+        self, excluded_servers: Container[str], now: float
+    ) -> list[ServerHandle]:
+        """Return the replicas that can run reads if they do not lag."""
+        return [
+            handle
+            for handle in self._runtime.replicas
+            if handle.id not in excluded_servers
+            and not handle.server.is_draining
+            and not handle.is_backing_off(now)
+        ]
+
+    def _list_current(
+        self,
+        min_position: Position,
+        excluded_servers: Container[str],
+        now: float,
+    ) -> list[ServerHandle]:
+        """Return the replicas that were not found to lack a position."""
+        return [
+            handle
+            for handle in self._list_replicas(excluded_servers, now)
+            if not handle.replica_lag.is_behind(min_position, now)
+        ]
+
     async def _pick_replica(
         self,
         min_position: Position,
@@ -153,14 +273,7 @@
         remote_cost = min(REMOTE_COST_FRACTION * objective, MAX_REMOTE_COST_S)
         if Policy.NEAR_READS not in self._runtime.policies:
             remote_cost = 0
-        candidates = [
-            handle
-            for handle in self._runtime.replicas
-            if handle.id not in excluded_servers
-            and not handle.server.is_draining
-            and not handle.is_backing_off(now)
-            and not handle.replica_lag.is_behind(min_position, now)
-        ]
+        candidates = self._list_current(min_position, excluded_servers, now)
         primary = self._runtime.primary
         if not candidates:
             return None
