Bound the statements in flight at a server by its slots

Cause: up to 28 statements were in flight at a server with 4 slots, from up to nine holders, and were served in order of arrival there. Urgent statements waited behind all others.

Change: in groups with urgent routes, a gate for each server at each holder admits statements after they have a connection, by priority. Each holder owns a part of the bound; the slot coordinator lends the rest by demand under leases of 0.25 s. A lease is never reduced before its end, and is not prolonged while another holder needs a part of it. AskSlots gets the trailing field in_flight: statements that still run after their lease has ended count until they are answered. Opening a connection takes a slot; status queries and rollbacks are counted and do not wait.

--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -1,6 +1,7 @@
 """Borrowing connections to backend servers from the nodes that hold them."""
 
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import AbstractAsyncContextManager, nullcontext
 from functools import partial
 from typing import Final
 
@@ -101,6 +102,10 @@
         self._is_closed = True
 
 
+def _hold_nothing(group: str) -> AbstractAsyncContextManager[None]:
+    return nullcontext()
+
+
 class DirectBackend(Backend):
     """A server that this node connects to directly.
 
@@ -119,6 +124,9 @@
         self.mean_connect_time: float = 0
         #: Whether the log of this incarnation is known not to be empty.
         self.is_log_known_nonempty: Callable[[], bool] = bool
+        #: Held while a connection is opened for a group of callers.
+        self.hold_slot: Callable[[str], AbstractAsyncContextManager[None]]
+        self.hold_slot = _hold_nothing
 
     async def connect(self, timeout: float) -> BackendLink:
         """Open a connection, unless the server was full a moment ago."""
@@ -131,9 +139,22 @@
         workspace: str | None = None,
     ) -> BackendLink:
         """Open a connection for an owner, unless the server was just full."""
-        now = await curio.clock()
-        if now < self.full_until:
+        if await curio.clock() < self.full_until:
             raise NoFreeConnectionError(f'{self.name} was full a moment ago')
+        async with self.hold_slot(group):
+            return await self._open(group, timeout, workspace)
+
+    def wrap(self, stream: ByteStream) -> BackendLink:
+        """Return a link over a connection that is already established."""
+        return self._direct.wrap(stream)
+
+    async def _open(
+        self,
+        group: str,
+        timeout: float,
+        workspace: str | None,
+    ) -> BackendLink:
+        now = await curio.clock()
         self._direct.server = self.server
         has_log = self.is_log_known_nonempty()
         try:
@@ -157,10 +178,6 @@
         ) * _LATEST_SAMPLE_FRACTION
         return link
 
-    def wrap(self, stream: ByteStream) -> BackendLink:
-        """Return a link over a connection that is already established."""
-        return self._direct.wrap(stream)
-
 
 class BorrowingBackend(Backend):
     """A server that is reached over connections of other nodes.
--- a/deckdrum/fleet/load_messages.py
+++ b/deckdrum/fleet/load_messages.py
@@ -19,6 +19,9 @@
         Statements that it has in flight or waiting for the server.
     urgent : int
         How many of them have priority 0.
+    in_flight : int
+        How many of them are in flight.  The coordinator lends no slots that
+        statements admitted under an earlier lease still use.
     """
 
     service: str
@@ -26,6 +29,7 @@
     holder: str
     wanted: int
     urgent: int = 0
+    in_flight: int = 0
 
 
 class SlotsAnswer(Message, frozen=True):
--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -9,6 +9,7 @@
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.limit_messages import AskLimit
+from deckdrum.fleet.load_messages import AskSlots, SlotsAnswer
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import (
     AskProof,
@@ -98,6 +99,12 @@
     async def _count_operation(self, request: AskLimit) -> Message:
         return await self._limits.answer(request)
 
+    async def _lend_slots(self, request: AskSlots) -> Message:
+        runtime = self._services.get(request.service)
+        if runtime is None:
+            return SlotsAnswer(0, 0)
+        return await runtime.slots.answer(request)
+
     async def _end_term(self, request: EndTerm) -> Message:
         runtime = self._services.get(request.service)
         if runtime is not None:
@@ -127,6 +134,7 @@
         AskProof: PeerRequestHandler._report_proof,
         AskSample: PeerRequestHandler._report_sample,
         AskServer: PeerRequestHandler._report_server,
+        AskSlots: PeerRequestHandler._lend_slots,
         EndTerm: PeerRequestHandler._end_term,
     },
 )
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -19,9 +19,14 @@
     SetValue,
     TransactionState,
 )
-from deckdrum.outcomes import Refusal
+from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
 from deckdrum.serving.servers import ServerHandle, ServerLease
+from deckdrum.serving.slots import (
+    OPENING_SLOT_TIMEOUT_S,
+    NoSlotError,
+    SlotPermit,
+)
 from deckdrum.serving.state import PreparedStatement, SessionState
 from deckdrum.sessions import Position
 
@@ -39,6 +44,8 @@
 #: is lost has an unknown outcome, hence the longer wait.
 REPEATABLE_LOST_FACTOR: Final = 3
 CHANGE_LOST_FACTOR: Final = 8
+#: Reason of a refusal by the gate of a server.
+NO_SLOT_REASON: Final = 'the server has no slot free'
 #: Timeout for the rollback before a connection is returned to the pool.
 _ROLLBACK_TIMEOUT_S: Final = 0.3
 
@@ -89,6 +96,8 @@
         Opens a transaction before the statement; the connection is kept.
     start_deadline : float
         Time by which a connection is needed to meet the route's objective.
+    priority : int
+        Priority of the route; 0 is the most urgent.
     """
 
     handle: ServerHandle
@@ -99,8 +108,12 @@
     deadline: float
     begin: Begin | None = None
     start_deadline: float = math.inf
+    priority: int = 1
     #: The leased connection; kept after success if a transaction was opened.
     lease: ServerLease | None = None
+    #: The server's slot, from sending the statement until its answer or until
+    #: the connection is closed.
+    permit: SlotPermit | None = None
     started_at: float = 0
     was_sent: bool = False
     #: When the statement was sent; infinite unless an answer is pending.
@@ -110,33 +123,10 @@
 
     async def run(self) -> AttemptOutcome:
         """Run the statement and release the connection unless it is kept."""
-        self.started_at = await curio.clock()
-        timeout = max(self.deadline - self.started_at, _MIN_ATTEMPT_TIMEOUT_S)
         try:
-            async with curio.timeout_after(timeout):
-                outcome = await self._run(timeout)
-        except curio.TaskTimeout:
-            if self.handle.answered_at < self.started_at:
-                self.handle.record_timeout(await curio.clock())
-            return await self._give_up('no answer in time', is_late=True)
-        except ConnectionError as error:
-            if self.is_abandoned:
-                return await self._give_up('the answer is lost', is_late=True)
-            self.handle.record_failure(await curio.clock(), error)
-            return await self._give_up(repr(error), is_late=False)
-        except curio.CancelledError:
-            await self._give_up('cancelled', is_late=True)
-            raise
-        if isinstance(outcome, Refusal | NoAnswer):
-            return outcome
-        now = await curio.clock()
-        has_answer = isinstance(outcome, Answer)
-        self.handle.record_answer(
-            now, now - self.started_at if has_answer else None
-        )
-        if self.begin is None or not isinstance(outcome, Answer):
-            await self._release_lease(outcome.transaction_state)
-        return outcome
+            return await self._run_in_time()
+        finally:
+            await self._release_slot()
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the answer exceeds the server's answer timeout."""
@@ -167,9 +157,43 @@
             self.is_abandoned = True
             await lease.link.close()
 
+    async def _run_in_time(self) -> AttemptOutcome:
+        self.started_at = await curio.clock()
+        timeout = max(self.deadline - self.started_at, _MIN_ATTEMPT_TIMEOUT_S)
+        try:
+            async with curio.timeout_after(timeout):
+                outcome = await self._run(timeout)
+        except curio.TaskTimeout:
+            if self.handle.answered_at < self.started_at:
+                self.handle.record_timeout(await curio.clock())
+            return await self._give_up('no answer in time', is_late=True)
+        except ConnectionError as error:
+            if self.is_abandoned:
+                return await self._give_up('the answer is lost', is_late=True)
+            self.handle.record_failure(await curio.clock(), error)
+            return await self._give_up(repr(error), is_late=False)
+        except curio.CancelledError:
+            await self._give_up('cancelled', is_late=True)
+            raise
+        if isinstance(outcome, Refusal | NoAnswer):
+            return outcome
+        now = await curio.clock()
+        has_answer = isinstance(outcome, Answer)
+        self.handle.record_answer(
+            now, now - self.started_at if has_answer else None
+        )
+        if self.begin is None or not isinstance(outcome, Answer):
+            await self._release_lease(outcome.transaction_state)
+        return outcome
+
     async def _run(self, timeout: float) -> AttemptOutcome:
+        gate = self.handle.gate
+        prepare_timeout = PREPARE_TIMEOUT_S
+        if gate.is_bounded:
+            # Waiting for a slot must not be taken for a failure of the server.
+            prepare_timeout += OPENING_SLOT_TIMEOUT_S
         try:
-            async with curio.timeout_after(min(timeout, PREPARE_TIMEOUT_S)):
+            async with curio.timeout_after(min(timeout, prepare_timeout)):
                 refusal = await self._prepare_connection(timeout)
         except curio.TaskTimeout:
             self.handle.record_timeout(await curio.clock())
@@ -179,6 +203,13 @@
         lease = self.lease
         if lease is None:
             raise BrokenInvariantError('a prepared attempt has no connection')
+        self.permit = await gate.acquire(
+            self.priority,
+            await compute_slot_timeout(self.handle, self.deadline),
+        )
+        if self.permit is None:
+            await self._release_unsent()
+            return refuse(Code.QUEUE_TIMEOUT, NO_SLOT_REASON)
         self.was_sent = True
         self.sent_at = await curio.clock()
         outcome = await run_on_link(
@@ -188,6 +219,7 @@
             self.request_id,
             self.min_position if self.begin is None else None,
         )
+        await self._release_slot()
         if isinstance(outcome, Answer):
             self.handle.response_times.record(
                 await curio.clock() - self.sent_at
@@ -199,13 +231,17 @@
         self, timeout: float
     ) -> Rejection | Refusal | None:
         """Acquire and prepare a connection; return why it failed, or None."""
-        lease = await self.handle.acquire(
-            self.state.database,
-            min(timeout, POOL_QUEUE_TIMEOUT_S),
-            self.state.values,
-            max(0, self.start_deadline - self.started_at),
-            self.state.workspace,
-        )
+        self.handle.gate.priorities[self.state.database] = self.priority
+        try:
+            lease = await self.handle.acquire(
+                self.state.database,
+                min(timeout, POOL_QUEUE_TIMEOUT_S),
+                self.state.values,
+                max(0, self.start_deadline - self.started_at),
+                self.state.workspace,
+            )
+        except NoSlotError as error:
+            return refuse(Code.QUEUE_TIMEOUT, str(error))
         if isinstance(lease, Refusal):
             return lease
         self.lease = lease
@@ -224,6 +260,20 @@
             await self.handle.release(lease, is_clean=False)
         return NoAnswer(self.was_sent, is_late, reason)
 
+    async def _release_slot(self) -> None:
+        permit = self.permit
+        self.permit = None
+        if permit is not None:
+            await self.handle.gate.release(permit)
+
+    async def _release_unsent(self) -> None:
+        """Release the connection if only BEGIN was sent on it, or nothing."""
+        await self._release_lease(
+            TransactionState.IDLE
+            if self.begin is None
+            else TransactionState.OPEN
+        )
+
     async def _release_lease(self, transaction_state: TransactionState) -> None:
         lease = self.lease
         self.lease = None
@@ -231,6 +281,17 @@
             await release_link(self.handle, lease, transaction_state)
 
 
+async def compute_slot_timeout(handle: ServerHandle, deadline: float) -> float:
+    """Return how long a statement may wait for a slot, in seconds.
+
+    This leaves the time within which the server answers, but at most half of
+    the time to `deadline`.
+    """
+    now: float = await curio.clock()
+    remaining = max(0, deadline - now)
+    return remaining - min(handle.response_times.timeout, remaining / 2)
+
+
 async def release_link(
     handle: ServerHandle,
     lease: ServerLease,
@@ -240,9 +301,11 @@
 
     A transaction that is still open is rolled back.
     """
-    is_clean = transaction_state is TransactionState.IDLE or await _roll_back(
-        lease.link
-    )
+    is_clean = transaction_state is TransactionState.IDLE
+    if not is_clean:
+        # A rollback frees resources of the server, so it does not wait.
+        async with handle.gate.count():
+            is_clean = await _roll_back(lease.link)
     await handle.release(lease, is_clean)
 
 
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -262,6 +262,7 @@
             dispatch.began
             + route.latency_objective
             - target.handle.response_times.mean,
+            route.priority,
         )
         dispatch.running.append(attempt)
         await curio.spawn(
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -31,6 +31,7 @@
 from deckdrum.serving.proofs import ProofQuery, ProofSources
 from deckdrum.serving.samples import SAMPLE_TIMEOUT_S, PrimarySampler
 from deckdrum.serving.servers import ServerHandle
+from deckdrum.serving.slot_groups import GroupSlots
 from deckdrum.sessions import Position
 from deckdrum.sessions.position import LOG_START
 from deckdrum.utils import Journal
@@ -94,6 +95,8 @@
         self.allocator = ConnectionAllocator(declaration.name, peers, policies)
         #: Number of statements that run on the primary.
         self.in_flight = 0
+        #: Bounds of the statements in flight at each server.
+        self.slots = GroupSlots(peers, journal, counters)
         self._make_backend = make_backend
         self._peers = peers
         self._proofs = ProofSources(
@@ -214,12 +217,15 @@
                 for handle in self.servers.values()
             ),
         )
-        if self.allocator.is_allocated_for(inputs):
-            return
-        if Policy.SHARED_PROOF in self.policies:
-            remaining = list_remaining_nodes(own, members)
-            self._proofs.pick_collector(own, members, remaining)
-        await self.allocator.allocate(inputs, own, self.servers, self._shares)
+        if not self.allocator.is_allocated_for(inputs):
+            if Policy.SHARED_PROOF in self.policies:
+                remaining = list_remaining_nodes(own, members)
+                self._proofs.pick_collector(own, members, remaining)
+            await self.allocator.allocate(
+                inputs, own, self.servers, self._shares
+            )
+        holders = _list_holders(self.allocator, own, members)
+        await self.slots.apply(declaration, own.name, holders, self.servers)
 
     async def set_route_share(self, route: Route) -> None:
         """Set the connection share of a route's callers."""
@@ -438,6 +444,22 @@
         await self.discover_primary()
 
 
+def _list_holders(
+    allocator: ConnectionAllocator,
+    own: Member,
+    members: Mapping[str, Member],
+) -> dict[str, Member]:
+    """Return the holders of a group's connections, by name."""
+    others = allocator.others
+    if not others and allocator.is_holder:
+        remaining = list_remaining_nodes(own, members)
+        others = [members[name] for name in remaining if name in members]
+    holders = {member.name: member for member in others}
+    if allocator.is_holder:
+        holders[own.name] = own
+    return holders
+
+
 def _has_left(handle: ServerHandle | None, now: float) -> bool:
     return handle is not None and handle.drain_status.is_past_cutoff(now)
 
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -30,6 +30,7 @@
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.replica_lag import ReplicaLag
 from deckdrum.serving.response_times import ResponseTimes
+from deckdrum.serving.slots import GatedServer, NoSlotError
 from deckdrum.sessions import Position
 from deckdrum.utils.tasks import SharedCall
 
@@ -70,7 +71,7 @@
     asked_at: float
 
 
-class ServerHandle:
+class ServerHandle(GatedServer):
     """Access of this node to one backend server.
 
     Points in time are those of `curio.clock`.
@@ -97,8 +98,8 @@
         shares: Mapping[str, GroupShare],
         policies: frozenset[Policy] = ALL_POLICIES,
     ) -> None:
+        super().__init__(own)
         self._policies = policies
-        self.own = own
         #: Own connections.
         self.pool: Pool[Backend, BackendLink] = Pool(own, slots, shares)
         #: Borrowed connections.
@@ -137,16 +138,6 @@
         #: Response times from sending a statement to its answer.
         self.response_times = ResponseTimes()
 
-    @property
-    def id(self) -> str:
-        """Id of the server."""
-        return self.own.server.id
-
-    @property
-    def server(self) -> BackendServer:
-        """Entry of the server in the directory."""
-        return self.own.server
-
     @property
     def load(self) -> int:
         """Number of local requests that hold or wait for a connection."""
@@ -241,6 +232,8 @@
 
         Raises
         ------
+        NoSlotError
+            If the server has no slot for opening a connection.
         ConnectionError
             If the server cannot be reached.
         """
@@ -259,6 +252,8 @@
                 time_to_deadline,
                 workspace,
             )
+        except NoSlotError:
+            raise
         except ConnectionLimitError:
             # Connections of killed nodes may still use up the limit.
             return await self.loans.acquire(group, timeout, workspace=workspace)
@@ -374,7 +369,8 @@
             return await self._call_unpooled(command, arguments)
         is_clean = False
         try:
-            reply = await _invoke(lease.link, command, arguments)
+            async with self.gate.count():
+                reply = await _invoke(lease.link, command, arguments)
             is_clean = True
         finally:
             await self.release(lease, is_clean)
@@ -390,7 +386,8 @@
         link = await backend.connect(COMMAND_TIMEOUT_S)
         is_complete = False
         try:
-            reply = await _invoke(link, command, arguments)
+            async with self.gate.count():
+                reply = await _invoke(link, command, arguments)
             is_complete = True
         finally:
             if not is_complete:
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -16,9 +16,16 @@
     TransactionState,
 )
 from deckdrum.outcomes import Code, Refusal, refuse
-from deckdrum.serving.attempts import prepare_link, release_link, run_on_link
+from deckdrum.serving.attempts import (
+    NO_SLOT_REASON,
+    compute_slot_timeout,
+    prepare_link,
+    release_link,
+    run_on_link,
+)
 from deckdrum.serving.executor import ANSWER_MARGIN_S
 from deckdrum.serving.host import Outcome, SessionHost
+from deckdrum.serving.slots import SlotPermit
 from deckdrum.serving.state import (
     ForwardedTransaction,
     PinnedConnection,
@@ -172,9 +179,35 @@
         pin: PinnedConnection,
     ) -> Outcome:
         timeout = transaction.route.statement_timeout - ANSWER_MARGIN_S
+        deadline = await curio.clock() + timeout
+        gate = pin.handle.gate
+        permit = await gate.acquire(
+            transaction.route.priority,
+            await compute_slot_timeout(pin.handle, deadline),
+            is_open=True,
+        )
+        if permit is None:
+            # Also a COMMIT has not been sent, so nothing is kept.
+            return await self.fail(NO_SLOT_REASON)
+        try:
+            return await self._run_admitted(
+                request, transaction, pin, permit, deadline
+            )
+        finally:
+            await gate.release(permit)
+
+    async def _run_admitted(
+        self,
+        request: Request,
+        transaction: Transaction,
+        pin: PinnedConnection,
+        permit: SlotPermit,
+        deadline: float,
+    ) -> Outcome:
+        sent_at = await curio.clock()
+        timeout = deadline - sent_at
         if Policy.LOST_ANSWERS in self._host.policies:
             timeout = min(timeout, _compute_timeout(request, transaction, pin))
-        sent_at = await curio.clock()
         try:
             async with curio.timeout_after(timeout):
                 reply = await self._send_pinned(request, pin)
@@ -184,6 +217,7 @@
         except ConnectionError as error:
             pin.handle.record_failure(await curio.clock(), error)
             return await self._fail_pinned(request, repr(error))
+        await pin.handle.gate.release(permit)
         now = await curio.clock()
         pin.handle.record_answer(now)
         if isinstance(reply, Answer):
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -17,8 +17,11 @@
 _SERVED_LABELS: Final = ('database', 'kind', 'role')
 _LATENCY_LABELS: Final = ('guarantee', 'outcome')
 _LIMIT_LABELS: Final = ('workspace', 'code')
+_SERVER_LABELS: Final = ('service', 'server')
 _CALL_LABELS: Final = ('call', 'kind', 'outcome')
 
+_ServerGauge = dict[tuple[str, str], Callable[[], float]]
+
 
 class Counters:
     """Counters, gauges and latency histograms of a node.
@@ -47,6 +50,8 @@
         self.work: Counter[tuple[str, str, str]] = Counter()
         #: Functions that return the current value of each gauge.
         self.gauges: dict[str, Callable[[], float]] = {}
+        #: The same by group and server, for each gauge with these labels.
+        self.server_gauges: defaultdict[str, _ServerGauge] = defaultdict(dict)
         self._latency: dict[tuple[str, str], list[int]] = {}
         self._latency_sums: defaultdict[tuple[str, str], float] = defaultdict(
             float
@@ -121,6 +126,13 @@
         yield self._collect_latency(core)
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
+        for name, by_server in self.server_gauges.items():
+            family = core.GaugeMetricFamily(
+                _PREFIX + name, name, labels=_SERVER_LABELS
+            )
+            for labels, read in by_server.items():
+                family.add_metric(labels, read())
+            yield family
 
     def render(self) -> bytes:
         """Return the metrics in Prometheus text format."""
