Keep free spare slots for the holder whose turn it is

Cause: of three holders that always ask in the same order, the third had a lease for 0.25 of 10 s. The holder whose lease had just ended asked before it and got the slot again.

Change: free slots are kept for holders that precede the asking one. A removed server, or a former incarnation of one, ends its requests.

--- a/deckdrum/load/slots.py
+++ b/deckdrum/load/slots.py
@@ -229,9 +229,9 @@
         account.reported_at = now
         if now < self._lends_from:
             return SlotLease()
-        free = self._spare - self.count_on_loan(now, excluded=holder)
-        granted = min(self._compute_share(holder, now), free)
+        share, free = self._compute_share(holder, now)
         leased = account.lease.amount if account.is_holding(now) else 0
+        granted = min(share, max(leased, free))
         if granted >= max(1, leased):
             account.renew(granted, now)
         return account.lease if account.is_holding(now) else SlotLease()
@@ -244,7 +244,12 @@
             if name != excluded
         )
 
-    def _compute_share(self, holder: str, now: float) -> int:
+    def _compute_share(self, holder: str, now: float) -> tuple[int, int]:
+        """Return a holder's fair share, and what may be lent to it now.
+
+        Slots that become free are kept for holders that precede it.  Otherwise
+        the holder that asks first after the end of a lease would always get it.
+        """
         ranks = {
             name: account.rank(now)
             for name, account in self._accounts.items()
@@ -254,7 +259,14 @@
             name: self._accounts[name].demand
             for name in sorted(ranks, key=ranks.__getitem__)
         }
-        return share_spare(self._spare, self._part, demands)[holder]
+        shares = share_spare(self._spare, self._part, demands)
+        free = self._spare - self.count_on_loan(now, excluded=holder)
+        for name, share in shares.items():
+            if name == holder:
+                break
+            occupied = self._accounts[name].count_occupied(self._part, now)
+            free -= max(0, share - occupied)
+        return shares[holder], free
 
 
 @dataclass(frozen=True, slots=True)
--- a/deckdrum/serving/slot_groups.py
+++ b/deckdrum/serving/slot_groups.py
@@ -73,10 +73,13 @@
         """
         self._coordinators.holders = holders
         for name in self._borrowers.keys() - servers.keys():
-            self._remove(declaration.name, name)
+            await self._remove(declaration.name, name)
         for name, handle in servers.items():
             borrower = self._borrowers.get(name)
-            if borrower is None or borrower.gate is not handle.gate:
+            if borrower is not None and borrower.gate is not handle.gate:
+                await self._remove(declaration.name, name)
+                borrower = None
+            if borrower is None:
                 borrower = self._add(declaration.name, handle)
             server = handle.server
             terms = SlotTerms()
@@ -117,8 +120,10 @@
         lender = self._lenders[server]
         return await self._coordinators.ask(request, borrower.terms, lender)
 
-    def _remove(self, service: str, server: str) -> None:
-        self._borrowers.pop(server)
+    async def _remove(self, service: str, server: str) -> None:
+        """Forget a server or an incarnation of it; nothing waits for it."""
+        borrower = self._borrowers.pop(server)
         self._lenders.pop(server)
+        await borrower.apply(SlotTerms())
         for gauge in _GAUGES:
             self._counters.server_gauges[gauge].pop((service, server))
--- a/deckdrum/testing/slots.py
+++ b/deckdrum/testing/slots.py
@@ -88,12 +88,13 @@
 
     async def run(self, seconds: float, priority: int = 1) -> bool:
         """Run a statement; return whether it was admitted in time."""
-        permit = await self.gate.acquire(priority, _WAIT_TIMEOUT_S)
+        gate = self.gate
+        permit = await gate.acquire(priority, _WAIT_TIMEOUT_S)
         if permit is None:
             return False
         self._fleet.record()
         await curio.sleep(seconds)
-        await self.gate.release(permit)
+        await gate.release(permit)
         return True
 
     async def occupy(self, seconds: float, count: int = 8) -> None:
