--- a/deckdrum/serving/allocation.py
+++ b/deckdrum/serving/allocation.py
@@ -14,7 +14,7 @@
     rank_holders,
     select_holders,
 )
-from deckdrum.load.capacity import compute_weights
+from deckdrum.load.capacity import compute_weights, is_uneven
 from deckdrum.members import GroupShare
 from deckdrum.serving.servers import ServerHandle
 
@@ -192,6 +192,11 @@
     return remaining
 
 
+def has_uneven_machines(own: Member, members: Mapping[str, Member]) -> bool:
+    """Return whether the capacities of all registered nodes are uneven."""
+    return is_uneven(list_capacities(own, members))
+
+
 def list_capacities(
     own: Member,
     members: Mapping[str, Member],
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -19,6 +19,7 @@
 _LATENCY_LABELS: Final = ('guarantee', 'outcome')
 _LIMIT_LABELS: Final = ('workspace', 'code', 'priority')
 _TURNED_AWAY_LABELS: Final = ('priority', 'place')
+_SERVER_LABELS: Final = ('service', 'server')
 _CALL_LABELS: Final = ('call', 'kind', 'outcome')
 _OUTCOME_LABELS: Final = ('service', 'priority', 'outcome')
 
@@ -42,6 +43,9 @@
     is_cumulative: bool = False
 
 
+_ServerGauge = dict[tuple[str, str], Callable[[], float]]
+
+
 class Counters:
     """Counters, gauges and latency histograms of a node.
 
@@ -77,6 +81,8 @@
         self.labelled: dict[str, LabelledMetric] = {}
         #: Functions that return the current value of each gauge.
         self.gauges: dict[str, Callable[[], float]] = {}
+        #: The same by group and server, for each gauge with these labels.
+        self.server_gauges: defaultdict[str, _ServerGauge] = defaultdict(dict)
         self._latency: dict[tuple[str, str], list[int]] = {}
         self._latency_sums: defaultdict[tuple[str, str], float] = defaultdict(
             float
@@ -162,6 +168,13 @@
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
         yield from self._collect_labelled(core)
+        for name, by_server in self.server_gauges.items():
+            family = core.GaugeMetricFamily(
+                _PREFIX + name, name, labels=_SERVER_LABELS
+            )
+            for labels, read in by_server.items():
+                family.add_metric(labels, read())
+            yield family
 
     def render(self) -> bytes:
         """Return the metrics in Prometheus text format."""
