Do not take a hung connection for a busy gate, nor the reverse

Cause: the time for opening a connection was extended by the wait for a slot, so a statement whose server was cut off had no time left for a detour, and one that waited for the slot of a hung opening was refused.

Change: the time is as before.

--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -21,12 +21,12 @@
 )
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
-from deckdrum.serving.servers import ServerHandle, ServerLease
-from deckdrum.serving.slots import (
-    OPENING_SLOT_TIMEOUT_S,
-    NoSlotError,
-    SlotPermit,
+from deckdrum.serving.servers import (
+    RECENT_ANSWER_WINDOW_S,
+    ServerHandle,
+    ServerLease,
 )
+from deckdrum.serving.slots import NoSlotError, SlotPermit
 from deckdrum.serving.state import PreparedStatement, SessionState
 from deckdrum.sessions import Position
 
@@ -188,15 +188,16 @@
 
     async def _run(self, timeout: float) -> AttemptOutcome:
         gate = self.handle.gate
-        prepare_timeout = PREPARE_TIMEOUT_S
-        if gate.is_bounded:
-            # Waiting for a slot must not be taken for a failure of the server.
-            prepare_timeout += OPENING_SLOT_TIMEOUT_S
         try:
-            async with curio.timeout_after(min(timeout, prepare_timeout)):
+            async with curio.timeout_after(min(timeout, PREPARE_TIMEOUT_S)):
                 refusal = await self._prepare_connection(timeout)
         except curio.TaskTimeout:
-            self.handle.record_timeout(await curio.clock())
+            now = await curio.clock()
+            is_up = self.handle.has_answered(now - RECENT_ANSWER_WINDOW_S)
+            if self.lease is None and is_up and gate.is_full(now):
+                # It has waited for a slot, which is no failure of the server.
+                return refuse(Code.QUEUE_TIMEOUT, NO_SLOT_REASON)
+            self.handle.record_timeout(now)
             return await self._give_up('no connection in time', is_late=False)
         if refusal is not None:
             return refusal
--- a/deckdrum/serving/slots.py
+++ b/deckdrum/serving/slots.py
@@ -104,6 +104,10 @@
         """Whether statements may have to wait."""
         return self.part < float('inf')
 
+    def is_full(self, now: float) -> bool:
+        """Return whether a statement would have to wait."""
+        return self.in_flight >= self.compute_limit(now)
+
     async def acquire(
         self,
         priority: int,
@@ -128,7 +132,7 @@
             None if there is none within `timeout`.
         """
         now = await curio.clock()
-        if not self._waiting and self.in_flight < self.compute_limit(now):
+        if not self._waiting and not self.is_full(now):
             permit = self._admit(priority)
             await self._report_demand(permit)
             return permit
@@ -158,7 +162,7 @@
     async def admit_waiting(self) -> None:
         """Admit waiting statements as far as the limit allows."""
         now = await curio.clock()
-        while self._waiting and self.in_flight < self.compute_limit(now):
+        while self._waiting and not self.is_full(now):
             entries = [waiter.entry for waiter in self._waiting]
             index = select_admitted(entries, self._preferred)
             self._preferred = count_preferred(entries, index, self._preferred)
--- a/deckdrum/serving/tests/test_slot_permits.py
+++ b/deckdrum/serving/tests/test_slot_permits.py
@@ -151,21 +151,91 @@
 def test_statement_of_an_open_transaction_goes_first() -> None:
     async def scenario(deployment: Deployment) -> None:
         await activate(deployment)
-        client = await deployment.connect(CURRENT)
-        await client.ask('BEGIN')
-        assert (await client.ask('READ a')).is_done
+        clients = [await deployment.connect(CURRENT) for _ in range(3)]
+        for client in clients:
+            await client.ask('BEGIN')
+            assert (await client.ask('READ a')).is_done
+        # The others have idle connections, so only statements wait.
+        for client in clients[1:]:
+            await client.ask('ROLLBACK')
+        gate = await occupy_primary(deployment)
+        asking = []
+        for client in reversed(clients):
+            asking.append(await curio.spawn(client.ask, 'READ a'))
+            await curio.sleep(0.01)
+        assert gate.waiting == 3
+        gate.compute_limit = lambda now: 1
+        await gate.admit_waiting()
+        assert (await asking[-1].join()).is_done
+        assert not any(task.terminated for task in asking[:-1])
+        for task in asking[:-1]:
+            assert (await task.join()).is_done
+
+    run_scenario(scenario)
+
+
+def test_statement_of_an_urgent_route_goes_first() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await activate(deployment)
+        clients = [
+            await deployment.connect(database)
+            for database in (OWN_WRITES, CURRENT)
+        ]
+        for client in clients:
+            await client.ask('BEGIN')
+            assert (await client.ask('READ a')).is_done
+        for client in clients:
+            await client.ask('ROLLBACK')
         gate = await occupy_primary(deployment)
-        others = [await deployment.connect(CURRENT) for _ in range(2)]
-        for other in others:
-            await curio.spawn(other.ask, 'READ b', daemon=True)
-        await curio.sleep(0.05)
-        waiting = gate.waiting
-        assert waiting == 2
-        asking = await curio.spawn(client.ask, 'READ a')
-        await curio.sleep(0.05)
+        asking = []
+        for client in clients:
+            asking.append(await curio.spawn(client.ask, 'READ a'))
+            await curio.sleep(0.01)
         gate.compute_limit = lambda now: 1
         await gate.admit_waiting()
-        assert (await asking.join()).is_done
-        assert gate.waiting == waiting - 1
+        assert (await asking[1].join()).is_done
+        assert not asking[0].terminated
+        assert (await asking[0].join()).is_done
+
+    run_scenario(scenario)
+
+
+def test_opening_that_hangs_counts_as_a_failure_of_the_server() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await activate(deployment, timeout=1000)
+        client = await deployment.connect(CURRENT)
+        assert (await client.ask('READ a')).is_done
+        await deployment.cut_off(0, deployment.group.primary.name)
+        # It uses the only slot, and the statement must not just wait for it.
+        assert (await client.ask('READ a')).is_done
+        assert deployment.nodes[0].node.counters.events['detours_taken']
+
+    run_scenario(scenario)
+
+
+def test_opening_without_slot_is_no_failure_of_the_server() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await activate(deployment)
+        name = deployment.group.primary.name
+        handle = deployment.nodes[0].node.services[SERVICE].servers[name]
+        await handle.pool.close_idle()
+        await occupy_primary(deployment)
+        client = await deployment.connect(CURRENT)
+        reply = await client.ask('READ a')
+        assert 'no slot' in reply.text
+        assert not handle.is_backing_off(await curio.clock())
+
+    run_scenario(scenario)
+
+
+def test_metrics_are_given_by_server() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        await activate(deployment)
+        name = deployment.group.primary.name
+        labels = f'{{server="{name}",service="{SERVICE}"}}'
+        metrics = deployment.nodes[0].node.counters.render().decode()
+        assert f'deckdrum_node_server_slots{labels} 3.0' in metrics
+        assert f'deckdrum_node_server_part{labels} 1.0' in metrics
+        assert f'deckdrum_node_server_waiting{labels} 0.0' in metrics
 
     run_scenario(scenario)
