Bound the total wait of a read for its servers

Cause: a read that had waited for a replica or at the bound could wait for the primary for its whole time limit again. Reports of holders that had left were kept.

Change: one point in time ends all waits of a choice; old reports are discarded.

--- a/deckdrum/forwarding/tests/test_holder_loads.py
+++ b/deckdrum/forwarding/tests/test_holder_loads.py
@@ -23,13 +23,19 @@
 BUSY = (80.0, 80.0)
 
 
-def build_loads(*, is_uneven: bool = True) -> HolderLoads:
-    """Return the loads at a node that holds no connections."""
+def build_loads(
+    *, is_uneven: bool = True, is_holder: bool = False
+) -> HolderLoads:
+    """Return the loads at a node; a holder has no statements of its own."""
     allocator = SimpleNamespace(
-        is_holder=False, find_holders=lambda workspace: HOLDERS
+        is_holder=is_holder, find_holders=lambda workspace: HOLDERS
     )
     runtime: Any = SimpleNamespace(
-        is_uneven=is_uneven, counters=Counters(), allocator=allocator
+        is_uneven=is_uneven,
+        counters=Counters(),
+        allocator=allocator,
+        primary=None,
+        replicas=[],
     )
     return HolderLoads(cast(ServiceRuntime, runtime), 'ba-hall')
 
@@ -67,6 +73,17 @@
     assert not measure_load(cast(ServiceRuntime, runtime), now=5)
 
 
+def test_idle_holder_runs_a_statement_itself_if_others_are_busy() -> None:
+    # Failure: a holder forwards statements to busier ones of a higher rank.
+    loads = build_loads(is_holder=True)
+    assert choose(loads, now=5) == FIRST
+    for holder in HOLDERS:
+        loads.record(holder, BUSY, now=5)
+    assert (
+        loads.choose([FIRST, SECOND], 'growers', 5, uses_primary=True) is None
+    )
+
+
 def test_node_of_an_earlier_version_is_not_taken_for_free() -> None:
     # Failure: such a node never reports load, so it would get all rejections.
     loads = build_loads()
--- a/deckdrum/serving/load_reports.py
+++ b/deckdrum/serving/load_reports.py
@@ -57,6 +57,10 @@
     made_at: float
 
 
+def _is_recent(dated: _DatedReport, now: float) -> bool:
+    return now - dated.made_at <= SERVER_REPORT_LIFETIME_S
+
+
 class LoadReports:
     """Keeps the latest report of each other holder of a group."""
 
@@ -78,6 +82,7 @@
         """
         decoded = [decode_server_report(report) for report in reports]
         valid = [report for report in decoded if report is not None]
+        self._discard_old(asked_at)
         self._reports[holder] = {
             report.server: _DatedReport(report, asked_at - report.age)
             for report in valid
@@ -89,8 +94,7 @@
         recent = [
             each[server]
             for each in self._reports.values()
-            if server in each
-            and now - each[server].made_at <= SERVER_REPORT_LIFETIME_S
+            if server in each and _is_recent(each[server], now)
         ]
         if not recent:
             return ServerLoad()
@@ -107,6 +111,12 @@
             ),
         )
 
+    def _discard_old(self, now: float) -> None:
+        """Discard old reports, such as those of holders that have left."""
+        for holder, reports in list(self._reports.items()):
+            if not any(_is_recent(each, now) for each in reports.values()):
+                self._reports.pop(holder)
+
 
 class LoadExchange:
     """Asks the other holders of a group for their reports, one at a time.
--- a/deckdrum/serving/primary_reads.py
+++ b/deckdrum/serving/primary_reads.py
@@ -67,7 +67,7 @@
         handle: ServerHandle,
         route: Route,
         deadline: float,
-        timeout: float,
+        gives_up_at: float,
     ) -> Refusal | None:
         """Wait until a read may go to the primary.
 
@@ -79,8 +79,8 @@
             Route of the read.
         deadline : float
             Time by which the answer must arrive to be in time.
-        timeout : float
-            Longest wait, in seconds.
+        gives_up_at : float
+            Time at which the wait ends.
 
         Returns
         -------
@@ -91,7 +91,6 @@
         if not is_active or not _is_movable(route):
             return None
         now = await curio.clock()
-        gives_up_at = now + timeout
         # Reads that come later do not delay this one.
         held_back_before = self._held_back
         while self._is_urgent_waiting(route.priority):
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -125,6 +125,7 @@
             async with curio.ignore_after(min(timeout, READ_SAMPLE_TIMEOUT_S)):
                 await self._runtime.samples.sample()
             min_position = await self._find_min_position(route, state)
+        gives_up_at = await curio.clock() + timeout
         if min_position is not None:
             replica = await self._pick_replica(
                 min_position,
@@ -136,11 +137,11 @@
                 return Target(replica, min_position, False, min_position.term)
             if self._runtime.is_uneven:
                 waited_for = await self._wait_for_replica(
-                    route, state, excluded_servers, timeout, deadline
+                    route, state, excluded_servers, min(deadline, gives_up_at)
                 )
                 if waited_for is not None:
                     return waited_for
-        return await self._choose_primary_for_read(route, timeout, deadline)
+        return await self._choose_primary_for_read(route, gives_up_at, deadline)
 
     async def refresh_sample(self, route: Route) -> None:
         """Sample the primary if the latest sample is about to be too old."""
@@ -163,24 +164,23 @@
         return max(min_position, LOG_START)
 
     async def _choose_primary_for_read(
-        self, route: Route, timeout: float, deadline: float
+        self, route: Route, gives_up_at: float, deadline: float
     ) -> Target | Refusal | None:
         """Return the primary for a read that no replica can run."""
         primary = self._runtime.primary
         if primary is not None:
             refusal = await self.primary_reads.wait_within_bound(
-                primary, route, deadline, timeout
+                primary, route, deadline, gives_up_at
             )
             if refusal is not None:
                 return refusal
-        return await self.choose_primary(timeout)
+        return await self.choose_primary(gives_up_at - await curio.clock())
 
     async def _wait_for_replica(
         self,
         route: Route,
         state: SessionState,
         excluded_servers: Container[str],
-        timeout: float,
         deadline: float,
     ) -> Target | None:
         """Wait until a replica has caught up; None if the read does not wait.
@@ -188,8 +188,6 @@
         It does not wait if the primary was preferred to a replica that does not
         lag.
         """
-        now = await curio.clock()
-        deadline = min(deadline, now + timeout)
         has_waited = False
         while True:
             # The position that the read needs may have changed meanwhile.
--- a/deckdrum/serving/tests/test_replica_waits.py
+++ b/deckdrum/serving/tests/test_replica_waits.py
@@ -122,7 +122,7 @@
     )
     began = await curio.clock()
     refusal = await reads.wait_within_bound(
-        cast(ServerHandle, handle), route, began + time_left, 1
+        cast(ServerHandle, handle), route, began + time_left, began + 1
     )
     return refusal, await curio.clock() - began
 
