Limits: shares that the members of a panel lend each other

Cause: one coordinator counted for each workspace. Nodes that could not reach it, or that it could not answer, were left with a deputy's rate.

Change: where a route is urgent, the coordinators form panels. Each member owns a k-th of rate and burst and lends it for 0.4 s at a time, for each workspace to the member that ranks first of those that ask. The decisions are in load/limit_shares.py, the exchange in limits/shares.py. A token bucket keeps of its level only what belongs to shares held without interruption, so that no tokens are spent twice when a share changes hands.

--- a/deckdrum/limits/__init__.py
+++ b/deckdrum/limits/__init__.py
@@ -5,5 +5,6 @@
 
 from deckdrum.limits.client import LimitClient
 from deckdrum.limits.counter import LimitCounter
+from deckdrum.limits.shares import LimitShares
 
-__all__ = ['LimitClient', 'LimitCounter']
+__all__ = ['LimitClient', 'LimitCounter', 'LimitShares']
--- a/deckdrum/limits/client.py
+++ b/deckdrum/limits/client.py
@@ -24,6 +24,9 @@
 COORDINATOR_TIMEOUT_S: Final = 0.1
 #: Nodes asked to count one operation: the coordinator and its stand-ins.
 MAX_COORDINATORS_ASKED: Final = 2
+#: The same in a panel, half of which may be unreachable.  Less than the time
+#: limit of an operation (0.6 s) passes with their timeouts.
+MAX_PANEL_MEMBERS_ASKED: Final = 4
 
 
 class LimitClient:
@@ -84,13 +87,18 @@
         """
         role = LimitRole.COORDINATOR
         attempts = 0
+        max_attempts = (
+            MAX_PANEL_MEMBERS_ASKED
+            if self._counter.shares.is_active
+            else MAX_COORDINATORS_ASKED
+        )
         for name in self._counter.rank(workspace.name):
             if name == self._node:
                 return await self._counter.try_acquire(
                     workspace, role, priority
                 )
             if not self._peers.health.is_unresponsive(name):
-                if attempts >= MAX_COORDINATORS_ASKED:
+                if attempts >= max_attempts:
                     return None
                 attempts += 1
                 request = AskLimit(workspace.name, role, priority)
@@ -114,6 +122,9 @@
         coordinator = self._view.members.get(name)
         if coordinator is None:
             return None
+        if not coordinator.capacity:
+            # A node of an earlier version cannot decode a priority.
+            request = AskLimit(request.workspace, request.asked_as)
         answer = await self._peers.ask(
             coordinator.endpoint, request, COORDINATOR_TIMEOUT_S
         )
--- a/deckdrum/limits/counter.py
+++ b/deckdrum/limits/counter.py
@@ -1,6 +1,6 @@
 """Counting of operations on the coordinators of workspace limits."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 import curio
@@ -9,12 +9,15 @@
 from deckdrum.control import ControlView, Member
 from deckdrum.fleet.limit_messages import AskLimit, LimitAnswer, LimitRole
 from deckdrum.fleet.node_peers import NodePeers
+from deckdrum.limits.shares import LimitShares
+from deckdrum.load.limit_shares import LEASE_S
 from deckdrum.load.rate_limits import (
     INITIAL_TOKENS,
     TokenBucket,
     Tolerance,
     compute_coordinator_burst,
     compute_deputy_rate,
+    compute_panel_deputy_allowance,
     rank_coordinators,
     select_coordinators,
 )
@@ -32,8 +35,8 @@
 class LimitCounter:
     """Counts operations of the workspaces that this node coordinates.
 
-    `view` lists the members and the current limits, and `tolerance` is how far
-    a limit may be exceeded.
+    `view` lists the members and the current limits, `tolerance` is how far
+    a limit may be exceeded, and `shares` has the node's shares of the limits.
     """
 
     def __init__(
@@ -42,9 +45,12 @@
         view: ControlView,
         peers: NodePeers,
         tolerance: Tolerance,
+        shares: LimitShares,
     ) -> None:
         self.is_stopping = False
         self.tolerance = tolerance
+        #: Shares of the limits, where coordinators form panels.
+        self.shares = shares
         self._node = node
         self._view = view
         self._peers = peers
@@ -65,15 +71,26 @@
                 if not member.is_leaving and not member.is_gone
             },
         )
-        if coordinators == self._coordinators:
+        now = await curio.clock()
+        are_same = coordinators == self._coordinators
+        was_active = self.shares.is_active
+        if was_active and not are_same:
+            self._settle_shares(now)
+        has_changed = self.shares.apply_coordinators(
+            [members[name] for name in coordinators], now
+        )
+        if are_same and not has_changed:
             return
         self._coordinators = coordinators
         self._rankings.clear()
-        self._coordinating_since = await curio.clock()
-        for workspace in list(self._allowances):
-            # Another node is the coordinator now.
-            if self.rank(workspace)[:1] != [self._node]:
-                del self._allowances[workspace]
+        self._coordinating_since = now
+        if self.shares.is_active and (are_same or not was_active):
+            self._allowances.clear()
+        if not self.shares.is_active:
+            for workspace in list(self._allowances):
+                # Another node is the coordinator now.
+                if self.rank(workspace)[:1] != [self._node]:
+                    del self._allowances[workspace]
         self._peers.health.set_required_peers(
             'limits', self._list_other_coordinators(members)
         )
@@ -82,15 +99,29 @@
         """Return the coordinator of a workspace, followed by its stand-ins."""
         ranked = self._rankings.get(workspace)
         if ranked is None:
-            ranked = rank_coordinators(workspace, self._coordinators)
+            ranked = (
+                self.shares.rank(workspace)
+                if self.shares.is_active
+                else rank_coordinators(workspace, self._coordinators)
+            )
             self._rankings[workspace] = ranked
         return ranked
 
     async def answer(self, request: AskLimit) -> LimitAnswer:
         """Answer a node that asks to begin an operation."""
         workspace = self._find_workspace(request.workspace)
-        if self.is_stopping or workspace is None or workspace.rate is None:
+        if workspace is None or workspace.rate is None:
+            return _NOT_COUNTED_HERE
+        is_stepping_down = self.is_stopping
+        if self.shares.is_active and self.is_stopping:
+            # The others get the shares that this node no longer borrows.
+            ranked = self.rank(workspace.name)
+            usable = self.shares.list_usable(ranked, await curio.clock())
+            is_stepping_down = len(usable) * 2 <= len(ranked)
+        if is_stepping_down:
             return _NOT_COUNTED_HERE
+        if self.shares.is_active:
+            return await self._answer_in_panel(workspace, request)
         role = LimitRole(request.asked_as)
         if role is LimitRole.DEPUTY:
             answer = await self._relay(request)
@@ -123,6 +154,10 @@
         """
         now = await curio.clock()
         rate = workspace.rate or 0
+        if self.shares.is_active:
+            request = AskLimit(workspace.name, role, priority)
+            answer = await self._answer_in_panel(workspace, request)
+            return answer.wait if answer.is_kept else LEASE_S
         is_coordinator = self.rank(workspace.name)[:1] == [self._node]
         if is_coordinator or role is LimitRole.SUCCESSOR:
             allowance = self._get_allowance(
@@ -141,6 +176,89 @@
             deputy_rate, INITIAL_TOKENS, now, priority
         )
 
+    async def _answer_in_panel(
+        self, workspace: Workspace, request: AskLimit
+    ) -> LimitAnswer:
+        """Count an operation with this node's shares, or ask their holder."""
+        name = workspace.name
+        ranked = self.rank(name)
+        now = await curio.clock()
+        usable = self.shares.list_usable(ranked, now)
+        if usable:
+            wait = self._spend_shares(
+                workspace, usable, len(ranked), request.priority, now
+            )
+            return LimitAnswer(is_kept=True, wait=wait)
+        # A request with this role has been relayed already.
+        if request.asked_as != LimitRole.SUCCESSOR:
+            holder = self._view.members.get(
+                self.shares.find_holder(ranked, now) or ''
+            )
+            answer = await self._ask_holder(
+                holder, replace(request, asked_as=LimitRole.SUCCESSOR)
+            )
+            if answer is not None:
+                return answer
+        if self._node not in ranked:
+            return _NOT_COUNTED_HERE
+        wait = await self._spend_as_deputy(workspace, request.priority)
+        # This node or another one has a share by then.
+        return LimitAnswer(is_kept=True, wait=min(wait, LEASE_S))
+
+    def _spend_shares(
+        self,
+        workspace: Workspace,
+        usable: Sequence[float],
+        members: int,
+        priority: int,
+        now: float,
+    ) -> float:
+        allowance = self._allowances.get(workspace.name)
+        if allowance is None:
+            allowance = TokenBucket(0, self._coordinating_since)
+            self._allowances[workspace.name] = allowance
+        rate, burst = self._compute_share(workspace, members)
+        return allowance.try_spend_shares(usable, rate, burst, now, priority)
+
+    def _compute_share(
+        self, workspace: Workspace, members: int
+    ) -> tuple[float, float]:
+        """Return rate and burst of one share of a limit."""
+        rate = workspace.rate or 0
+        burst = compute_coordinator_burst(rate, workspace.burst, self.tolerance)
+        return rate / members, burst / members
+
+    def _settle_shares(self, now: float) -> None:
+        """Count until now with the shares of the present panels."""
+        for name, allowance in list(self._allowances.items()):
+            ranked = self.rank(name)
+            usable = self.shares.list_usable(ranked, now)
+            workspace = self._find_workspace(name)
+            if not usable or workspace is None:
+                del self._allowances[name]
+                continue
+            rate, burst = self._compute_share(workspace, len(ranked))
+            allowance.settle_shares(usable, rate, burst, now)
+
+    async def _spend_as_deputy(
+        self, workspace: Workspace, priority: int
+    ) -> float:
+        """Use the allowance of a member of a panel without any share."""
+        now = await curio.clock()
+        ranked = self.rank(workspace.name)
+        burst, rate = compute_panel_deputy_allowance(
+            workspace.rate or 0,
+            workspace.burst,
+            self.tolerance,
+            len(ranked),
+            ranked.index(self._node),
+        )
+        allowance = self._deputy_allowances.get(workspace.name)
+        if allowance is None:
+            allowance = TokenBucket(burst, now)
+            self._deputy_allowances[workspace.name] = allowance
+        return allowance.try_spend(rate, burst, now, priority)
+
     def _get_allowance(
         self,
         name: str,
@@ -168,8 +286,19 @@
         if self._peers.health.is_unresponsive(coordinator.name):
             return None
         forwarded = replace(request, asked_as=LimitRole.COORDINATOR)
+        return await self._ask_holder(coordinator, forwarded)
+
+    async def _ask_holder(
+        self, holder: Member | None, request: AskLimit
+    ) -> LimitAnswer | None:
+        """Return the answer of a node that counts; None if there is none."""
+        if holder is None:
+            return None
+        if not holder.capacity:
+            # A node of an earlier version cannot decode a priority.
+            request = AskLimit(request.workspace, request.asked_as)
         answer = await self._peers.ask(
-            coordinator.endpoint, forwarded, RELAY_TIMEOUT_S
+            holder.endpoint, request, RELAY_TIMEOUT_S
         )
         if isinstance(answer, LimitAnswer) and answer.is_kept:
             return answer
--- /dev/null
+++ b/deckdrum/load/limit_shares.py
@@ -0,0 +1,358 @@
+"""Sharing a workspace's limit among the coordinators of a panel.
+
+While one coordinator counts alone, the other side of a network partition is
+left with a deputy's rate: a workspace with a limit of 131 operations a second
+began 700 in 15 s, of 1,965 that its limit allows.  Here each of the k members
+of a panel owns a k-th of rate and burst and lends it, under a lease, to the
+member that ranks first for a workspace.  While all are in contact, the first
+one has the whole limit; in a partition each side has the shares of its own
+members.
+
+No share is used by two nodes at a time.  A lease expires at the borrower before
+it expires at the lender, a new borrower waits for the leases of others, and a
+node that began to use a share starts with no tokens from it.
+"""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import partial
+from typing import Final
+
+from deckdrum.utils.ranks import compute_rendezvous_rank
+
+#: How long a share is lent, in seconds: a usual operation has an objective of
+#: 0.2 s and a time limit of 0.6 s, in which a retry finds the new borrower.
+LEASE_S: Final = 0.4
+#: How long a member that reaches less than half of the others uses its share,
+#: in seconds: others mark it as gone and replace it after 10 s.
+CUT_OFF_TIMEOUT_S: Final = 8.0
+_LONG_AGO: Final = float('-inf')
+_RANK_KEY: Final = 'limits'
+#: Members of a panel in each data centre.
+_MEMBERS_PER_DATA_CENTRE: Final = 2
+
+
+def form_panels(coordinators: Mapping[str, str]) -> list[tuple[str, ...]]:
+    """Return the panels of some coordinators, two of each data centre.
+
+    Parameters
+    ----------
+    coordinators : mapping of str to str
+        Data centres by the names of the coordinators.
+
+    Examples
+    --------
+    >>> form_panels({'n1': 'a', 'n2': 'a', 'n3': 'b', 'n4': 'b'})
+    [('n1', 'n2', 'n3', 'n4')]
+    >>> len(form_panels({'n1': 'a', 'n2': 'a', 'n3': 'a', 'n4': 'b'}))
+    3
+    """
+    by_data_centre: defaultdict[str, list[str]] = defaultdict(list)
+    for name in sorted(
+        coordinators, key=partial(compute_rendezvous_rank, _RANK_KEY)
+    ):
+        by_data_centre[coordinators[name]].append(name)
+    count = max(map(len, by_data_centre.values()), default=0)
+    # With two in each data centre, the second panel equals the first one.
+    if count <= _MEMBERS_PER_DATA_CENTRE:
+        count = min(count, 1)
+    return [
+        _form_panel(number, list(by_data_centre.values()))
+        for number in range(count)
+    ]
+
+
+def _form_panel(number: int, ranked: Sequence[list[str]]) -> tuple[str, ...]:
+    """Return the members of a panel, from the ranking of each data centre."""
+    members = {
+        names[(number + step) % len(names)]
+        for names in ranked
+        for step in range(_MEMBERS_PER_DATA_CENTRE)
+    }
+    return tuple(sorted(members))
+
+
+def select_panel(
+    workspace: str, panels: Sequence[tuple[str, ...]]
+) -> tuple[str, ...]:
+    """Return the panel of a workspace.
+
+    Examples
+    --------
+    >>> select_panel('growers', [('n1', 'n2'), ('n2', 'n3')])
+    ('n1', 'n2')
+    >>> select_panel('growers', [])
+    ()
+    """
+    numbers = sorted(
+        range(len(panels)),
+        key=lambda number: compute_rendezvous_rank(workspace, str(number)),
+    )
+    return panels[numbers[0]] if numbers else ()
+
+
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """Terms on which a share is lent; times are in seconds.
+
+    Attributes
+    ----------
+    usable_after : float
+        Time until it may be used, from the arrival of the answer.
+    lifetime : float
+        Time for which it is lent, from the sending of the request.
+    lent_to : tuple of str
+        Other nodes to which it is lent.
+    """
+
+    usable_after: float
+    lifetime: float
+    lent_to: tuple[str, ...]
+
+
+class OwnShare:
+    """The share that a member of a panel owns and lends.
+
+    Parameters
+    ----------
+    since : float
+        When the node became a member, in kernel seconds.  It does not know what
+        a former process under its name has lent until then.
+
+    Examples
+    --------
+    >>> share = OwnShare(since=0)
+    >>> share.lend('n1', now=1)
+    Loan(usable_after=0, lifetime=0.4, lent_to=())
+    >>> share.lend('n2', now=1.25)
+    Loan(usable_after=0.1499..., lifetime=0.4, lent_to=('n1',))
+    >>> share.find_since(['n1'], now=1.25)
+    >>> share.find_since(['n1'], now=1.5)
+    1.4
+    """
+
+    def __init__(self, since: float) -> None:
+        self._free_from = since + LEASE_S
+        #: Start of use and end of each lease, by borrower.
+        self._leases: dict[str, tuple[float, float]] = {}
+
+    def lend(self, borrower: str, now: float) -> Loan:
+        """Lend the share, or renew the lease of a borrower."""
+        lent_to = tuple(
+            name for name in self.list_borrowers(now) if name != borrower
+        )
+        usable_from, expires_at = self._leases.get(borrower, (now, _LONG_AGO))
+        if expires_at <= now:
+            ends = [self._leases[name][1] for name in lent_to]
+            usable_from = max([now, self._free_from, *ends])
+        self._leases[borrower] = (usable_from, now + LEASE_S)
+        return Loan(max(0, usable_from - now), LEASE_S, lent_to)
+
+    def end_lease(self, borrower: str, sent_at: float, now: float) -> None:
+        """End the lease of a borrower that refuses connections.
+
+        `sent_at` is when the connection was requested.  A process that has
+        started since then may have borrowed the share anew.
+        """
+        usable_from, expires_at = self._leases.get(borrower, (now, _LONG_AGO))
+        if now < expires_at <= sent_at + LEASE_S:
+            self._leases[borrower] = (usable_from, now)
+
+    def list_borrowers(self, now: float) -> list[str]:
+        """Return the nodes to which the share is lent."""
+        return [
+            name
+            for name, (_, expires_at) in self._leases.items()
+            if expires_at > now
+        ]
+
+    def find_since(self, preceding: Iterable[str], now: float) -> float | None:
+        """Return since when the owner may use the share, None if it may not.
+
+        Parameters
+        ----------
+        preceding : iterable of str
+            Nodes that precede the owner for a workspace, or that are not known
+            to follow it.
+        now : float
+            Current time, in kernel seconds.
+        """
+        ends = [
+            self._leases[name][1] for name in preceding if name in self._leases
+        ]
+        since = max([self._free_from, *ends])
+        return since if since <= now else None
+
+
+class BorrowedShare:
+    """The share of another member, as its borrower knows it.
+
+    Examples
+    --------
+    >>> share = BorrowedShare()
+    >>> share.renew(Loan(0, 0.4, ()), sent_at=1.0, now=1.01)
+    >>> share.find_since(['n1'], now=1.02)
+    1.01
+
+    Another node to which it is lent as well waits until the former lease ends:
+
+    >>> share.renew(Loan(0, 0.4, ('n1',)), sent_at=1.15, now=1.16)
+    >>> share.find_since(['n1'], now=1.3), share.find_since(['n1'], now=1.41)
+    (1.01, None)
+    >>> share.find_since([], now=1.41)
+    1.01
+    """
+
+    def __init__(self) -> None:
+        #: When the lease ends, in kernel seconds.
+        self.expires_at: float = _LONG_AGO
+        self._usable_from: float = _LONG_AGO
+        #: Other borrowers, with the end of the last lease without them.
+        self._listed: dict[str, float] = {}
+        self._sent_at: float = _LONG_AGO
+        #: When the lender last stopped to lend to others, by their names.
+        self._cleared_at: dict[str, float] = {}
+
+    @property
+    def lent_to(self) -> Collection[str]:
+        """Other nodes to which the lender has lent the share."""
+        return self._listed.keys()
+
+    def renew(self, loan: Loan, sent_at: float, now: float) -> None:
+        """Apply the answer to a request that was sent at `sent_at`."""
+        if sent_at < self._sent_at:
+            # A later request has been answered already.
+            return
+        self._sent_at = sent_at
+        is_continued = self.expires_at > now
+        if loan.usable_after or not is_continued:
+            # A lender that has started again may have lent it to others.
+            self._usable_from = now + loan.usable_after
+        former_end = self.expires_at if is_continued else _LONG_AGO
+        cleared = self._listed.keys() - set(loan.lent_to)
+        self._cleared_at.update(dict.fromkeys(cleared, now))
+        self._listed = {
+            name: self._listed.get(name, former_end) for name in loan.lent_to
+        }
+        self.expires_at = sent_at + loan.lifetime
+
+    def find_since(self, preceding: Iterable[str], now: float) -> float | None:
+        """Return since when the share may be used, None if it may not be.
+
+        Parameters
+        ----------
+        preceding : iterable of str
+            Nodes that precede the borrower for a workspace, or that are not
+            known to follow it.
+        now : float
+            Current time, in kernel seconds.
+        """
+        since = self._usable_from
+        for name in preceding:
+            if now >= self._listed.get(name, now + 1):
+                return None
+            since = max(since, self._cleared_at.get(name, _LONG_AGO))
+        return since if since <= now < self.expires_at else None
+
+
+class PeerContact:
+    """When another member was last reached, or found not to run.
+
+    Parameters
+    ----------
+    since : float
+        When it became a member, in kernel seconds.
+
+    Examples
+    --------
+    >>> contact = PeerContact(since=0)
+    >>> contact.record_refusal(sent_at=1.0, now=1.1)
+    >>> contact.find_dead_since(now=1.3)
+    >>> contact.record_refusal(sent_at=1.4, now=1.4)
+    >>> contact.find_dead_since(now=1.5)
+    1.5
+    >>> contact.find_dead_since(now=1.9)
+    """
+
+    def __init__(self, since: float) -> None:
+        #: When it last answered or refused a connection.
+        self.reached_at = since
+        self._first_refused_at: float = _LONG_AGO
+        #: When the last connection that was refused was requested.
+        self._refused_at: float = _LONG_AGO
+
+    def record_answer(self, sent_at: float) -> None:
+        """Record that the member answered a request."""
+        self.reached_at = max(self.reached_at, sent_at)
+        self._refused_at = _LONG_AGO
+
+    def record_refusal(self, sent_at: float, now: float) -> None:
+        """Record that a connection was refused, so that no process runs."""
+        self.reached_at = max(self.reached_at, sent_at)
+        if sent_at > self._refused_at + LEASE_S:
+            self._first_refused_at = now
+        self._refused_at = sent_at
+
+    def find_dead_since(self, now: float) -> float | None:
+        """Return since when neither it nor a borrower of it uses its share.
+
+        A member that starts again does not use it for `LEASE_S`.
+        """
+        since = self._first_refused_at + LEASE_S
+        is_known = now < self._refused_at + LEASE_S
+        return since if is_known and since <= now else None
+
+
+def is_cut_off(contacts: Sequence[PeerContact], now: float) -> bool:
+    """Return whether a member has reached too few others for too long.
+
+    Examples
+    --------
+    >>> contacts = [PeerContact(since) for since in (1, 8, 9)]
+    >>> is_cut_off(contacts, now=15), is_cut_off(contacts, now=17)
+    (False, True)
+    >>> is_cut_off([], now=17)
+    False
+    """
+    if not contacts:
+        return False
+    times = sorted((contact.reached_at for contact in contacts), reverse=True)
+    # The last moment by which at least half of the others were reached since.
+    half_reached_at = times[(len(times) + 1) // 2 - 1]
+    return now - half_reached_at > CUT_OFF_TIMEOUT_S
+
+
+def add_shares_of_dead(
+    held: Sequence[float],
+    dead: Sequence[float],
+    members: int,
+) -> list[float]:
+    """Return the shares that a member may use, with those of dead members.
+
+    Only a member with more than half of the shares of the members that run may
+    use those of the others, so that no two do.
+
+    Parameters
+    ----------
+    held : sequence of float
+        Since when it may use each own or borrowed share.
+    dead : sequence of float
+        Since when each member that does not run cannot use its share.
+    members : int
+        Number of members of the panel.
+
+    Examples
+    --------
+    >>> add_shares_of_dead([1, 2, 3], dead=[5], members=5)
+    [1, 2, 3, 5]
+    >>> add_shares_of_dead([1, 2], dead=[5], members=5)
+    [1, 2]
+    """
+    running = members - len(dead)
+    if not dead or len(held) * 2 <= running:
+        return list(held)
+    majority_since = sorted(held)[running // 2]
+    # Members that ran longer counted for the majority until they died.
+    since = max(majority_since, *dead)
+    return [*held, *(since for _ in dead)]
--- a/deckdrum/load/rate_limits.py
+++ b/deckdrum/load/rate_limits.py
@@ -14,7 +14,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
 from typing import Final
@@ -34,6 +34,13 @@
 COORDINATOR_FRACTION: Final = 0.25
 DEPUTY_FRACTION: Final = 0.4
 ISOLATED_FRACTION: Final = 0.25
+#: Members of a panel that are asked most while none has a share, and their part
+#: of what deputies admit.
+FIRST_MEMBERS: Final = 2
+FIRST_MEMBERS_FRACTION: Final = 0.75
+#: Part of a member's allowance that it admits at once: usual work needs it
+#: within the 0.4 s until shares are lent anew.
+AT_ONCE_FRACTION: Final = 0.8
 #: Priority of urgent operations, and of all where routes have no priorities.
 URGENT_PRIORITY: Final = 0
 #: Urgent operations arrive at random, at 0.63 of the limit in a workspace at
@@ -158,13 +165,80 @@
 
         A lower rate or burst takes effect with this call.
         """
-        passed = max(0, now - self.asked_at)
-        filled = self._level + passed * rate
-        self._level = min(max(burst, 1), filled)
+        filled = max(0, now - self.asked_at) * rate
+        return self._spend(filled, rate, burst, now, priority)
+
+    def try_spend_shares(
+        self,
+        shares: Sequence[float],
+        rate: float,
+        burst: float,
+        now: float,
+        priority: int = URGENT_PRIORITY,
+    ) -> float:
+        """Take a token of some shares of a limit; return as `try_spend`.
+
+        Parameters
+        ----------
+        shares : sequence of float
+            Since when each share is used, in kernel seconds; at least one.
+        rate, burst : float
+            Of one share.
+        now : float
+            Current time, in kernel seconds.
+        priority : int
+            Priority of the operation.
+
+        Examples
+        --------
+        A new share brings no tokens of the time before:
+
+        >>> bucket = TokenBucket(level=0, since=0)
+        >>> bucket.try_spend_shares([0, 1], rate=1, burst=4, now=1)
+        0
+        >>> bucket.try_spend_shares([0, 1], rate=1, burst=4, now=1)
+        0.5
+        """
+        filled = self._fill_from_shares(shares, rate, burst, now)
+        count = len(shares)
+        return self._spend(filled, rate * count, burst * count, now, priority)
+
+    def settle_shares(
+        self, shares: Sequence[float], rate: float, burst: float, now: float
+    ) -> None:
+        """Add the tokens of some shares until now, without taking one.
+
+        It is called before shares come from other members; the parameters are
+        those of `try_spend_shares`.
+        """
+        filled = self._fill_from_shares(shares, rate, burst, now)
+        self._level = min(len(shares) * burst, self._level + filled)
+        self.asked_at = max(now, self.asked_at)
+
+    def _fill_from_shares(
+        self, shares: Sequence[float], rate: float, burst: float, now: float
+    ) -> float:
+        """Drop tokens of shares that were lost; return the new tokens."""
+        kept = sum(since <= self.asked_at for since in shares)
+        self._level = min(self._level, max(1, kept * burst) if kept else 0)
+        return rate * sum(
+            max(0, now - max(since, self.asked_at)) for since in shares
+        )
+
+    def _spend(
+        self,
+        filled: float,
+        rate: float,
+        burst: float,
+        now: float,
+        priority: int,
+    ) -> float:
+        """Add tokens and take one; return as `try_spend`."""
+        self._level = min(max(burst, 1), self._level + filled)
         self.asked_at = max(now, self.asked_at)
         if priority > URGENT_PRIORITY:
             self._less_urgent_asked_at = now
-        self._fill_floor(passed * rate, burst, now)
+        self._fill_floor(filled, burst, now)
         available = self._level
         if burst >= MIN_RESERVING_BURST:
             available -= self._floor
@@ -311,6 +385,55 @@
     return max(0, budget) / tolerance.window
 
 
+def compute_panel_deputy_allowance(
+    rate: float,
+    burst: float,
+    tolerance: Tolerance,
+    members: int,
+    position: int,
+) -> tuple[float, float]:
+    """Return what a member of a panel admits while it has no share.
+
+    All members may have none for a moment, so they divide the deputies' part of
+    the tolerance.  The first two get most of it: they are asked while the first
+    one is lost or starts again, until its shares are lent anew.
+
+    Parameters
+    ----------
+    rate, burst : float
+        The limit of the workspace.
+    tolerance : Tolerance
+        How far it may be exceeded.
+    members : int
+        Number of members of the panel.
+    position : int
+        Place of the member in the workspace's ranking, from 0.
+
+    Returns
+    -------
+    tuple of float
+        Burst, and operations per second; 0 if the part is less than one.
+
+    Examples
+    --------
+    >>> tolerance = Tolerance(window=5, overrun=0, slack=100)
+    >>> compute_panel_deputy_allowance(110, 50, tolerance, 6, position=0)
+    (12.0, 0.6)
+    >>> compute_panel_deputy_allowance(110, 50, tolerance, 6, position=2)
+    (2.0, 0.1)
+    """
+    budget = tolerance.compute_allowed_excess(rate, burst) * DEPUTY_FRACTION
+    if position < FIRST_MEMBERS:
+        part = budget * FIRST_MEMBERS_FRACTION / FIRST_MEMBERS
+    else:
+        others = members - FIRST_MEMBERS
+        part = budget * (1 - FIRST_MEMBERS_FRACTION) / others
+    at_once = part * AT_ONCE_FRACTION
+    if at_once < 1:
+        return 0, 0
+    return at_once, (part - at_once) / tolerance.window
+
+
 def compute_isolated_allowance(
     workspace: str,
     node: str,
--- a/deckdrum/load/tests/test_rate_limits.py
+++ b/deckdrum/load/tests/test_rate_limits.py
@@ -103,3 +103,15 @@
     assert bucket.try_spend(0.5, 1, now=3, priority=1)
     assert not bucket.try_spend(0.5, 1, now=3)
     assert not bucket.try_spend(0.5, 1, now=6.5, priority=1)
+
+
+def test_tokens_of_a_lost_share_are_lost() -> None:
+    """Its next holder begins with none, so they would be spent twice."""
+    bucket = TokenBucket(level=0, since=0)
+    bucket.settle_shares([0, 0, 0], rate=2, burst=4, now=9)
+    # One share is kept with its burst, and one is new.
+    waits = [
+        bucket.try_spend_shares([0, 9.5], rate=2, burst=4, now=10)
+        for _ in range(8)
+    ]
+    assert waits == [0, 0, 0, 0, 0, 0, 0, 0.25]
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -204,6 +204,7 @@
             self._registration.run,
             self._failure_detector.run,
             self._follower.run,
+            self.host.limit_shares.run,
         ):
             await self._keep_running(run)
         self.counters.gauges.update(
@@ -211,6 +212,8 @@
             open_transactions=lambda: self.open_transactions,
             configuration_version=lambda: self.view.version,
             members=lambda: len(self.view.members),
+            limit_share=lambda: self.host.limit_shares.held_fraction,
+            limit_shares_lent=lambda: self.host.limit_shares.lent_count,
         )
 
     async def begin_shutdown(self) -> None:
@@ -218,6 +221,7 @@
         if not self.is_stopping:
             self.is_stopping = True
             self.host.counter.is_stopping = True
+            self.host.limit_shares.is_stopping = True
             await self._registration.announce_leaving()
             self.journal.record(
                 'node.stopping',
--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -8,7 +8,7 @@
 
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
-from deckdrum.fleet.limit_messages import AskLimit
+from deckdrum.fleet.limit_messages import AskLimit, AskLimitShare
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import (
     AskProof,
@@ -98,6 +98,9 @@
     async def _count_operation(self, request: AskLimit) -> Message:
         return await self._limits.answer(request)
 
+    async def _lend_limit_share(self, request: AskLimitShare) -> Message:
+        return await self._limits.shares.answer(request)
+
     async def _end_term(self, request: EndTerm) -> Message:
         runtime = self._services.get(request.service)
         if runtime is not None:
@@ -124,6 +127,7 @@
     {
         Heartbeat: PeerRequestHandler._echo,
         AskLimit: PeerRequestHandler._count_operation,
+        AskLimitShare: PeerRequestHandler._lend_limit_share,
         AskProof: PeerRequestHandler._report_proof,
         AskSample: PeerRequestHandler._report_sample,
         AskServer: PeerRequestHandler._report_server,
--- a/deckdrum/node/session_host.py
+++ b/deckdrum/node/session_host.py
@@ -3,7 +3,7 @@
 from deckdrum.control import Access, ControlView, Route, authorize
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.fleet.settings import NodeSettings
-from deckdrum.limits import LimitClient, LimitCounter
+from deckdrum.limits import LimitClient, LimitCounter, LimitShares
 from deckdrum.node.services import ServiceManager
 from deckdrum.node.sessions import SessionManager
 from deckdrum.operations import Request
@@ -53,12 +53,15 @@
         counters: Counters,
     ) -> None:
         self.policies = settings.policies
+        #: Shares of the limits that this node holds.
+        self.limit_shares = LimitShares(settings.name, view, peers, journal)
         #: Counts the operations of workspaces that this node coordinates.
         self.counter = LimitCounter(
             settings.name,
             view,
             peers,
             settings.limit_tolerance,
+            self.limit_shares,
         )
         self._view = view
         self._service_manager = service_manager
--- a/deckdrum/testing/limits.py
+++ b/deckdrum/testing/limits.py
@@ -12,10 +12,10 @@
 )
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.health import PeerHealth
-from deckdrum.fleet.limit_messages import AskLimit
+from deckdrum.fleet.limit_messages import AskLimit, AskLimitShare
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_peers import NodePeers, PeerAnswer
-from deckdrum.limits import LimitClient, LimitCounter
+from deckdrum.limits import LimitClient, LimitCounter, LimitShares
 from deckdrum.load.rate_limits import DEFAULT_TOLERANCE
 from deckdrum.outcomes import Refusal
 from deckdrum.utils import Address
@@ -62,18 +62,22 @@
     ) -> PeerAnswer:
         """Call a node of the fleet; time out if it is unreachable."""
         other = address.port
-        await curio.sleep(2 * ONE_WAY_DELAY_S)
+        if self._fleet.nodes[self._node].peers is not self:
+            # This process has been replaced.
+            await curio.sleep(timeout)
+            return None
+        await curio.sleep(ONE_WAY_DELAY_S)
         if other in self._fleet.dead:
             return ConnectionRefusedError('no process')
-        if self._fleet.are_partitioned(self._node, other):
+        if self._fleet.is_unreachable(self._node, other):
             await curio.sleep(timeout)
             return None
-        if isinstance(question, Heartbeat):
-            return question
-        if isinstance(question, AskLimit):
-            counter = self._fleet.nodes[other].counter
-            return await counter.answer(question)
-        return None
+        answer = await self._fleet.nodes[other].answer(question)
+        await curio.sleep(ONE_WAY_DELAY_S)
+        if self._fleet.loses_answer(question):
+            await curio.sleep(timeout)
+            return None
+        return answer
 
 
 class FleetNode:
@@ -84,8 +88,12 @@
         # The store is not used.
         self.view = ControlView(None, journal)  # type: ignore[arg-type]
         peers = FleetPeers(fleet, number)
+        self.peers = peers
         name = f'n{number}'
-        self.counter = LimitCounter(name, self.view, peers, DEFAULT_TOLERANCE)
+        self.shares = LimitShares(name, self.view, peers, journal)
+        self.counter = LimitCounter(
+            name, self.view, peers, DEFAULT_TOLERANCE, self.shares
+        )
         self.limit_client = LimitClient(
             name,
             self.view,
@@ -95,6 +103,16 @@
             Counters(),
         )
 
+    async def answer(self, question: Message) -> Message | None:
+        """Answer a message of another node."""
+        if isinstance(question, Heartbeat):
+            return question
+        if isinstance(question, AskLimit):
+            return await self.counter.answer(question)
+        if isinstance(question, AskLimitShare):
+            return await self.shares.answer(question)
+        return None
+
 
 class LimitFleet:
     """Simulated nodes that share the limit of one workspace.
@@ -107,6 +125,8 @@
         The workspace.
     has_urgent_routes : bool
         Whether the configuration has a route of priority 0.
+    capacity : float
+        Capacity that the nodes publish; 0 for nodes of an earlier version.
     """
 
     def __init__(
@@ -115,34 +135,58 @@
         workspace: Workspace,
         *,
         has_urgent_routes: bool = False,
+        capacity: float = 1,
     ) -> None:
         #: Nodes whose processes are stopped.
         self.dead: set[int] = set()
         #: Sets of nodes that reach only each other.
         self.parts: list[set[int]] = []
+        #: Pairs of nodes of which the first does not reach the second.
+        self.broken_links: set[tuple[int, int]] = set()
+        #: Nodes whose processes are suspended.
+        self.frozen: set[int] = set()
+        #: Number of answers about shares that will be lost.
+        self.answers_to_lose = 0
+        #: Nodes that are no members.
+        self.absent: set[int] = set()
         #: Start times of operations, in seconds of the kernel's clock.
         self.begun: list[float] = []
-        #: Number of refused operations.
-        self.refused = 0
+        #: Times of refused operations.
+        self.refused_at: list[float] = []
+        self.capacities = [capacity for _ in range(count)]
         self.workspace = workspace
         self._services = {
             'stalls': ServiceDeclaration('stalls', 9, 0, has_urgent_routes),
         }
         self.nodes = [FleetNode(self, number) for number in range(count)]
         self._version = 0
+        self._revision = 0
+
+    @property
+    def refused(self) -> int:
+        """Number of refused operations."""
+        return len(self.refused_at)
 
     async def start(self) -> None:
         """Register the limit and all members on every node."""
         await self.limit(self.workspace)
         for node in self.nodes:
             await self.register_members(node)
+            await curio.spawn(node.shares.run, daemon=True)
 
     async def register_members(self, node: FleetNode) -> None:
         """Register all members on a node."""
+        self._revision += 1
         for number, _ in enumerate(self.nodes):
-            centre = CENTRES[number % len(CENTRES)]
-            member = Member(f'n{number}', f'127.0.0.1:{number}', centre, 'run')
-            entry = Entry(member.name, number + 1, member)
+            member = Member(
+                f'n{number}',
+                f'127.0.0.1:{number}',
+                CENTRES[number % len(CENTRES)],
+                'run',
+                is_gone=number in self.absent,
+                capacity=self.capacities[number],
+            )
+            entry = Entry(member.name, self._revision, member)
             await node.view.apply_entry(Kind.MEMBERS, entry)
         await node.counter.apply_members()
 
@@ -163,6 +207,24 @@
         self.nodes[number] = node
         self.dead.discard(number)
         await self.register_members(node)
+        await curio.spawn(node.shares.run, daemon=True)
+
+    def is_unreachable(self, one: int, other: int) -> bool:
+        """Return whether messages of a node do not reach another one."""
+        return (
+            self.are_partitioned(one, other)
+            or (one, other) in self.broken_links
+            or not self.frozen.isdisjoint((one, other))
+            or one in self.dead
+        )
+
+    def loses_answer(self, question: Message) -> bool:
+        """Return whether the answer to a message is lost."""
+        is_lost = (
+            isinstance(question, AskLimitShare) and self.answers_to_lose > 0
+        )
+        self.answers_to_lose -= is_lost
+        return is_lost
 
     def are_partitioned(self, one: int, other: int) -> bool:
         """Return whether two nodes cannot reach each other."""
@@ -176,5 +238,5 @@
         if refusal is None:
             self.begun.append(await curio.clock())
         else:
-            self.refused += 1
+            self.refused_at.append(await curio.clock())
         return refusal
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -192,6 +192,8 @@
         Log outputs of the first nodes; the logs of others are discarded.
     policies : frozenset of Policy
         Mechanisms that are enabled.
+    capacity : float
+        Capacity that the nodes publish; 0 for none.
     **group : object
         Fields of the `DatabaseGroup`.
     """
@@ -203,6 +205,7 @@
         centres: int = 3,
         logs: Sequence[TextIO] = (),
         policies: frozenset[Policy] = ALL_POLICIES,
+        capacity: float = 0,
         **group: Any,
     ) -> None:
         self.store = StandinStore()
@@ -213,6 +216,7 @@
         self._centres = centres
         self._logs = dict(enumerate(logs))
         self._policies = policies
+        self._capacity = capacity
         #: Databases that a node cannot reach, by the number of the node.
         self._partitions: dict[int, set[str]] = {}
 
@@ -259,6 +263,7 @@
             seeds=seeds,
             seed=number + 1,
             policies=self._policies,
+            capacity=self._capacity,
         )
         node = Node(
             settings,
