Limits: a member that leaves its panel during a relay

Cause: a member without a share looked up its place in the panel again after the node that it had asked did not answer. If it had left the panel meanwhile, the request failed with a ValueError; the exchange also iterated over its members while they could change.

Change: the ranking of the beginning of the request is used, and a copy of the members' names.

The test fails before the change.

--- a/deckdrum/limits/counter.py
+++ b/deckdrum/limits/counter.py
@@ -201,7 +201,7 @@
                 return answer
         if self._node not in ranked:
             return _NOT_COUNTED_HERE
-        wait = await self._spend_as_deputy(workspace, request.priority)
+        wait = await self._spend_as_deputy(workspace, ranked, request.priority)
         # This node or another one has a share by then.
         return LimitAnswer(is_kept=True, wait=min(wait, LEASE_S))
 
@@ -241,11 +241,10 @@
             allowance.settle_shares(usable, rate, burst, now)
 
     async def _spend_as_deputy(
-        self, workspace: Workspace, priority: int
+        self, workspace: Workspace, ranked: list[str], priority: int
     ) -> float:
         """Use the allowance of a member of a panel without any share."""
         now = await curio.clock()
-        ranked = self.rank(workspace.name)
         burst, rate = compute_panel_deputy_allowance(
             workspace.rate or 0,
             workspace.burst,
--- a/deckdrum/limits/shares.py
+++ b/deckdrum/limits/shares.py
@@ -159,7 +159,7 @@
         while True:
             await curio.sleep(ASK_INTERVAL_S)
             if self._own is not None and not self.is_stopping:
-                for name in self._contacts:
+                for name in list(self._contacts):
                     await curio.spawn(self._ask, name, daemon=True)
             self._update_figures(await curio.clock())
 
--- a/deckdrum/limits/tests/test_shares.py
+++ b/deckdrum/limits/tests/test_shares.py
@@ -378,6 +378,27 @@
     run_virtual(scenario)
 
 
+def test_member_that_leaves_its_panel_answers_a_pending_request() -> None:
+    """Its place in the panel was looked up again after the relay had failed."""
+
+    async def scenario() -> None:
+        fleet = LimitFleet(NODES, GROWERS, has_urgent_routes=True)
+        await fleet.start()
+        await curio.sleep(2)
+        first, second = _list_panel(fleet)[:2]
+        fleet.broken_links.add((second, first))
+        node = fleet.nodes[second]
+        asking = await curio.spawn(
+            node.answer, AskLimit('growers', LimitRole.DEPUTY)
+        )
+        await curio.sleep(0.01)
+        fleet.absent = {second}
+        await fleet.register_members(node)
+        assert isinstance(await asking.join(), LimitAnswer)
+
+    run_virtual(scenario)
+
+
 def test_nodes_exchange_shares_over_their_connections() -> None:
     """Shares are lent by messages, and show in logs and metrics."""
 
