Limits: a deputy's allowance beside new shares

Cause: a node that gets shares begins with no tokens, so that usual work was rejected for some tenths of a second after each change of the first member.

Change: in the first second with a new share, a member whose bucket is empty uses its deputy's allowance as well. That allowance is a budget of its own out of the tolerance, so that the sum does not grow.

--- a/deckdrum/limits/counter.py
+++ b/deckdrum/limits/counter.py
@@ -29,6 +29,9 @@
 #: How long the unused count of a stand-in remains valid.  After that, the
 #: coordinator may have counted operations that the stand-in does not know of.
 STAND_IN_LIFETIME_S: Final = 2.0
+#: Age up to which a share counts as new, so that its holder may use the
+#: allowance of a deputy as well: tokens for usual work are there by then.
+NEW_SHARE_AGE_S: Final = 1.0
 _NOT_COUNTED_HERE: Final = LimitAnswer(is_kept=False, wait=0)
 
 
@@ -188,6 +191,15 @@
             wait = self._spend_shares(
                 workspace, usable, len(ranked), request.priority, now
             )
+            if wait and now - max(usable) < NEW_SHARE_AGE_S:
+                # A new share brings no tokens.  The allowance of a deputy is
+                # counted apart, so that it may be used beside shares.
+                wait = min(
+                    wait,
+                    await self._spend_as_deputy(
+                        workspace, ranked, request.priority
+                    ),
+                )
             return LimitAnswer(is_kept=True, wait=wait)
         # A request with this role has been relayed already.
         if request.asked_as != LimitRole.SUCCESSOR:
--- a/deckdrum/limits/tests/test_shares.py
+++ b/deckdrum/limits/tests/test_shares.py
@@ -112,6 +112,21 @@
     await curio.sleep(3)
 
 
+async def _stop_first(fleet: LimitFleet) -> None:
+    """A graceful shutdown: it counts until its leases end."""
+    first = _list_panel(fleet)[0]
+    node = fleet.nodes[first]
+    node.counter.is_stopping = True
+    node.shares.is_stopping = True
+    fleet.absent = {first}
+    for other in fleet.nodes:
+        await curio.sleep(0.01)
+        await fleet.register_members(other)
+    await curio.sleep(1)
+    fleet.dead.add(first)
+    await curio.sleep(3)
+
+
 async def _lose_an_answer(fleet: LimitFleet) -> None:
     for _ in range(5):
         fleet.answers_to_lose = 1
@@ -127,6 +142,7 @@
     _split_in_half,
     _kill_all,
     _replace_first,
+    _stop_first,
     _lose_an_answer,
 )
 
