--- a/deckdrum/limits/tests/test_shares.py
+++ b/deckdrum/limits/tests/test_shares.py
@@ -112,6 +112,21 @@
     await curio.sleep(3)
 
 
+async def _stop_first(fleet: LimitFleet) -> None:
+    """A graceful shutdown: it counts until its leases end."""
+    first = _list_panel(fleet)[0]
+    node = fleet.nodes[first]
+    node.counter.is_stopping = True
+    node.shares.is_stopping = True
+    fleet.absent = {first}
+    for other in fleet.nodes:
+        await curio.sleep(0.01)
+        await fleet.register_members(other)
+    await curio.sleep(1)
+    fleet.dead.add(first)
+    await curio.sleep(3)
+
+
 async def _lose_an_answer(fleet: LimitFleet) -> None:
     for _ in range(5):
         fleet.answers_to_lose = 1
@@ -127,6 +142,7 @@
     _split_in_half,
     _kill_all,
     _replace_first,
+    _stop_first,
     _lose_an_answer,
 )
 
@@ -378,6 +394,27 @@
     run_virtual(scenario)
 
 
+def test_member_that_leaves_its_panel_answers_a_pending_request() -> None:
+    """Its place in the panel was looked up again after the relay had failed."""
+
+    async def scenario() -> None:
+        fleet = LimitFleet(NODES, GROWERS, has_urgent_routes=True)
+        await fleet.start()
+        await curio.sleep(2)
+        first, second = _list_panel(fleet)[:2]
+        fleet.broken_links.add((second, first))
+        node = fleet.nodes[second]
+        asking = await curio.spawn(
+            node.answer, AskLimit('growers', LimitRole.DEPUTY)
+        )
+        await curio.sleep(0.01)
+        fleet.absent = {second}
+        await fleet.register_members(node)
+        assert isinstance(await asking.join(), LimitAnswer)
+
+    run_virtual(scenario)
+
+
 def test_nodes_exchange_shares_over_their_connections() -> None:
     """Shares are lent by messages, and show in logs and metrics."""
 
