--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -35,6 +35,15 @@
     ...     counters.render()
     ... )
     True
+    >>> counters.turned_away[1, 'queue'] += 2
+    >>> counters.count_waiting = lambda: {0: 3}
+    >>> for line in counters.render().decode().splitlines():
+    ...     if line.startswith(
+    ...         ('deckdrum_node_turned_away_total', 'deckdrum_node_waiting')
+    ...     ):
+    ...         print(line)
+    deckdrum_node_turned_away_total{place="queue",priority="1"} 2.0
+    deckdrum_node_waiting{priority="0"} 3.0
     >>> counters.describe_store_calls()
     {'watch members answered': 1}
     """
