Tests of the wiring of load reports; queues of borrowing holders

Cause: mutations of the code showed that no test failed if the holder sent no load, the router ignored the load of others, a node without capacity was asked, urgent reads were bounded, or answers of replicas did not lower their lag. A holder with one connection reported a wait although it borrows instead.

Change: one test for each; such a holder reports no wait while it can borrow.

--- a/deckdrum/forwarding/holder_loads.py
+++ b/deckdrum/forwarding/holder_loads.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from deckdrum.control import Member
+from deckdrum.load.allocation import MIN_LOCAL_CONNECTIONS
 from deckdrum.load.reports import (
     FRESH_REPORT_AGE_S,
     HolderWaits,
@@ -168,8 +169,12 @@
 
     Transactions hold connections for longer than one statement, so the wait of
     recent statements counts if it is longer than that computed from the queue.
+    A holder with few connections borrows others instead of waiting.
     """
     queue = handle.pool.queue
+    has_few = queue.slots < MIN_LOCAL_CONNECTIONS
+    if has_few and not handle.loans.queue.is_busy:
+        return 0
     hold_time = handle.response_times.mean
     wait = estimate_wait(queue.waiting, queue.held, queue.slots, hold_time)
     return max(wait, handle.mean_time - hold_time) if wait else 0
--- a/deckdrum/forwarding/tests/test_holder_loads.py
+++ b/deckdrum/forwarding/tests/test_holder_loads.py
@@ -94,6 +94,42 @@
     assert loads.find_free(HOLDERS, '', 5.6, 0.1, uses_primary=True) is None
 
 
+def test_holder_reports_its_queue_to_the_nodes_that_forward() -> None:
+    # Failure: statements go on to a holder whose connections are all in use.
+    async def scenario(deployment: Deployment) -> None:
+        caller = next(
+            running
+            for running in deployment.nodes
+            if not running.node.services[SERVICE].allocator.is_holder
+        )
+        number = deployment.nodes.index(caller)
+        client = await deployment.connect(CURRENT, number)
+        assert (await client.ask('WRITE a 1')).is_done
+        first = caller.node.services[SERVICE].allocator.others[0].name
+        holder = next(
+            running.node
+            for running in deployment.nodes
+            if running.node.settings.name == first
+        )
+        primary = holder.services[SERVICE].primary
+        assert primary is not None
+        for queue in (primary.pool.queue, primary.loans.queue):
+            for _ in range(queue.slots):
+                await queue.acquire(CURRENT, 1)
+        assert not (await client.ask('WRITE a 2')).is_done
+        began = await curio.clock()
+        assert (await client.ask('WRITE a 3')).is_done
+        assert await curio.clock() - began < 0.05
+
+    run_scenario(
+        scenario,
+        nodes=12,
+        max_connections=9,
+        settle=2.5,
+        capacities=(1.0,) * 11 + (4,),
+    )
+
+
 async def _reject(channel: StreamChannel, _: Forward) -> None:
     refusal = refuse(Code.QUEUE_FULL, 'the group is full')
     await channel.send(encode_outcome(refusal, is_open=False, load=(2, 2)))
--- a/deckdrum/serving/tests/test_load_reports.py
+++ b/deckdrum/serving/tests/test_load_reports.py
@@ -6,6 +6,7 @@
 from deckdrum.fleet.load_messages import AskLoad, LoadAnswer
 from deckdrum.load.reports import SERVER_REPORT_LIFETIME_S
 from deckdrum.serving.load_reports import LoadReports, ServerLoad
+from deckdrum.serving.routing import Router
 from deckdrum.testing.nodes import (
     BOUNDED,
     SERVICE,
@@ -18,6 +19,13 @@
 NO_LOAD = ServerLoad()
 
 
+def _find_router(deployment: Deployment) -> Router:
+    manager = deployment.nodes[0].node._service_manager
+    executor = manager.find_executor(SERVICE)
+    assert executor is not None
+    return executor._router
+
+
 async def _ask_twice_a_second(client: LineClient, seconds: float) -> None:
     for _ in range(int(seconds * 2)):
         assert (await client.ask('READ a')).is_done
@@ -63,7 +71,7 @@
         asked = [each.counters.events['load_questions'] for each in nodes]
         assert asked[0] >= 4
         assert asked[1:] == [0, 0]
-        router = nodes[0]._service_manager._executors[SERVICE]._router
+        router = _find_router(deployment)
         assert router.load_reports._reports.keys() == {'n1', 'n2'}
 
     run_scenario(scenario, capacities=UNEVEN)
@@ -81,6 +89,37 @@
     run_scenario(scenario, capacities=capacities)
 
 
+def test_node_without_capacity_is_not_asked() -> None:
+    # Failure: a node of an earlier version closes the stream of each question.
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(BOUNDED)
+        await _ask_twice_a_second(client, 3)
+        router = _find_router(deployment)
+        assert router.load_reports._reports.keys() == {'n2'}
+
+    run_scenario(scenario, capacities=(2, 0, 0.5))
+
+
+def test_load_of_other_holders_moves_reads_to_another_replica() -> None:
+    # Failure: each holder counts its own statements only.
+    async def scenario(deployment: Deployment) -> None:
+        reports = _find_router(deployment).load_reports
+        client = await deployment.connect(BOUNDED)
+        executed = deployment.group.executed_statements
+        assert (await client.ask('READ a')).is_done
+        await curio.sleep(0.1)
+        assert (await client.ask('READ a')).is_done
+        first = executed[-1].server
+        busy = [first, 8, 12, 0.02, False, 0]
+        reports.record('n1', [busy], await curio.clock())
+        assert (await client.ask('READ a')).is_done
+        primary = deployment.group.primary.name
+        assert first != primary
+        assert executed[-1].server not in {first, primary}
+
+    run_scenario(scenario)
+
+
 def test_node_without_an_answer_is_asked_rarely() -> None:
     # Failure: a node that does not know AskLoad is asked for ever.
     async def scenario(deployment: Deployment) -> None:
@@ -107,8 +146,7 @@
     # Failure: a server that has recovered stays the last choice.
     async def scenario(deployment: Deployment) -> None:
         node = deployment.nodes[0].node
-        router = node._service_manager._executors[SERVICE]._router
-        reports = router.load_reports
+        reports = _find_router(deployment).load_reports
         client = await deployment.connect(BOUNDED)
         await client.ask('READ a')
         now = await curio.clock()
--- a/deckdrum/serving/tests/test_replica_waits.py
+++ b/deckdrum/serving/tests/test_replica_waits.py
@@ -1,5 +1,6 @@
 """Reads that wait for replicas, and the bound on reads at the primary."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -86,6 +87,29 @@
     run_scenario(scenario, capacities=UNEVEN)
 
 
+def test_answers_of_a_replica_show_that_it_has_caught_up() -> None:
+    # Failure: reads wait for the former lag after replication has recovered.
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(OWN_WRITES)
+        for number in range(4):
+            await client.ask(f'WRITE a {number}')
+            await client.ask('READ a')
+        deployment.group.lag = 0
+        await curio.sleep(0.1)
+        for number in range(10):
+            await client.ask(f'WRITE a {number}')
+            await client.ask('READ a')
+        primary = deployment.group.primary.name
+        reader = deployment.group.executed_statements[-1].server
+        assert reader != primary
+        handle = deployment.nodes[0].node.services[SERVICE].servers[reader]
+        expected = handle.replica_lag.find_expected(await curio.clock())
+        assert expected is not None
+        assert expected < 0.03
+
+    run_scenario(scenario, lag=0.05, capacities=UNEVEN)
+
+
 def test_expected_lag_falls_with_the_age_of_answers_and_expires() -> None:
     # Failure: reads avoid a replica for long after it has caught up.
     lag = ReplicaLag()
@@ -162,12 +186,20 @@
         assert refusal.code is Code.QUEUE_TIMEOUT
 
 
-@pytest.mark.parametrize('has_urgent_routes', [True, False])
-def test_other_reads_are_not_bounded(has_urgent_routes: bool) -> None:
-    # Failure: the bound holds back reads that need the primary, or applies to
-    # a group without urgent routes.
+@pytest.mark.parametrize(
+    ('has_urgent_routes', 'route'),
+    [
+        (True, URGENT),
+        (True, replace(BACKGROUND, priority=0)),
+        (False, BACKGROUND),
+    ],
+)
+def test_other_reads_are_not_bounded(
+    has_urgent_routes: bool, route: Route
+) -> None:
+    # Failure: the bound holds back reads that need the primary, urgent ones, or
+    # those of a group without urgent routes.
     reads = build_primary_reads(has_urgent_routes=has_urgent_routes)
-    route = URGENT if has_urgent_routes else BACKGROUND
     assert _ask_beside(reads, 3, 0.03, route) == (None, 0)
 
 
@@ -192,6 +224,30 @@
     run_virtual(scenario)
 
 
+def test_reads_held_back_go_on_once_others_have_ended() -> None:
+    # Failure: a read waits for those that were held back before it, for ever.
+    async def scenario() -> None:
+        reads = build_primary_reads()
+        urgent = build_attempt(was_sent=False)
+        running = build_attempt(was_sent=True)
+        with reads.track(urgent, URGENT, is_read=False):
+            with (
+                reads.track(running, BACKGROUND, is_read=True),
+                reads.track(running, BACKGROUND, is_read=True),
+            ):
+                asking = [
+                    await curio.spawn(_ask_for_primary, reads, BACKGROUND, 0.5)
+                    for _ in range(3)
+                ]
+                await curio.sleep(0.1)
+            for task in asking:
+                refusal, wait = await task.join()
+                assert refusal is None
+                assert 0.1 <= wait < 0.11
+
+    run_virtual(scenario)
+
+
 def test_bound_holds_for_statements_of_callers() -> None:
     # Failure: reads of callers do not pass the bound.
     async def scenario(deployment: Deployment) -> None:
