--- a/deckdrum/serving/allocation.py
+++ b/deckdrum/serving/allocation.py
@@ -196,7 +196,11 @@
     own: Member,
     members: Mapping[str, Member],
 ) -> dict[str, float]:
-    """Return the published capacities of all registered nodes, by name."""
+    """Return the published capacities of all registered nodes, by name.
+
+    Nodes that are leaving or gone are included, so that the weights of others
+    do not change while a node restarts.
+    """
     capacities = {name: member.capacity for name, member in members.items()}
     capacities[own.name] = own.capacity
     return capacities
