--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -9,14 +9,18 @@
 
 import curio
 
-from deckdrum.control import Member, Route
+from deckdrum.control import ConsistencyGuarantee, Member, Route
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.health import HEARTBEAT_TIMEOUT_S
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import Forward, ForwardAnswer
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.forwarding.encoding import decode_outcome, encode_forward
+from deckdrum.forwarding.holder_loads import HolderLoads
+from deckdrum.forwarding.shedding import LoadShedder
 from deckdrum.forwarding.transactions import RemoteTransaction
+from deckdrum.load.reports import IMMEDIATE_REJECTION_FRACTION
+from deckdrum.load.shedding import StatementKind
 from deckdrum.operations import Answer, Begin, Effect, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving.executor import UNRESPONSIVE_AFTER_S, StatementExecutor
@@ -84,6 +88,8 @@
         Refusal of the last holder that could not run it.
     may_have_run : bool
         Whether a holder may have run it.
+    next_holder : Member or None
+        Holder with free capacity to try after another one's queue was full.
     """
 
     request: Request
@@ -97,6 +103,16 @@
     tried: set[str] = field(default_factory=set)
     refusal: Refusal | None = None
     may_have_run: bool = False
+    next_holder: Member | None = None
+
+    @property
+    def uses_primary(self) -> bool:
+        """Whether only the primary can run it."""
+        is_read = (
+            self.is_repeatable if self.begin is None else self.begin.read_only
+        )
+        is_current = self.route.guarantee is ConsistencyGuarantee.CURRENT
+        return is_current or not is_read
 
     @classmethod
     async def start(
@@ -122,6 +138,15 @@
             deadline,
         )
 
+    @property
+    def kind(self) -> StatementKind:
+        """What decides whether load shedding applies to it."""
+        return StatementKind(
+            max(0, self.route.priority),
+            self.state.workspace,
+            needs_primary=self.uses_primary,
+        )
+
     async def make_remaining_route(self) -> Route:
         """Return the route with the remaining time as statement timeout."""
         left = self.deadline + FORWARD_MARGIN_S - await curio.clock()
@@ -142,6 +167,8 @@
 
 
 _RETRYABLE_CODES: Final = frozenset((Code.NOT_READY, Code.NO_PRIMARY))
+#: Codes of statements that a holder rejects because of its queue.
+_QUEUE_CODES: Final = frozenset((Code.QUEUE_FULL, Code.QUEUE_TIMEOUT))
 _NOT_SENT: Final = ForwardAttempt(None, None, was_sent=False)
 _NO_ANSWER: Final = ForwardAttempt(None, None, was_sent=True)
 
@@ -158,6 +185,8 @@
     local_executor : StatementExecutor
         Runs statements on this node, over connections from the unallocated
         reserve, if no holder can be reached.
+    data_centre : str
+        Data centre of this node.
     """
 
     def __init__(
@@ -165,15 +194,18 @@
         runtime: ServiceRuntime,
         peers: NodePeers,
         local_executor: StatementExecutor,
+        data_centre: str,
     ) -> None:
         self._local_execution = local_executor
         self._runtime = runtime
         self._peers = peers
         self._health = peers.health
         self._budget = RetryBudget()
+        self._shedder = LoadShedder(runtime)
         #: Time until which a holder that could not reach the primary is
         #: avoided, by name.
         self._backoff_until: dict[str, float] = {}
+        self._loads = HolderLoads(runtime, data_centre)
 
     async def run_autocommit(
         self,
@@ -260,6 +292,9 @@
                 continue
             if holder is None or now >= pending.deadline:
                 return self._refuse(pending)
+            shed = self._shed(holder, pending, now)
+            if shed is not None:
+                return shed
             pending.tried.add(holder.name)
             forwarded = await self._forward_to(
                 holder, pending, pending.deadline - now
@@ -267,6 +302,15 @@
             if forwarded is not None:
                 return forwarded
 
+    def _shed(
+        self, holder: Member, pending: PendingForward, now: float
+    ) -> Refusal | None:
+        """Return a refusal if the holder is known to reject the statement."""
+        if pending.may_have_run:
+            # A shed statement is reported as not run.
+            return None
+        return self._shedder.check(holder.name, pending.kind, now)
+
     async def _forward_to(
         self,
         holder: Member,
@@ -274,6 +318,7 @@
         timeout: float,
     ) -> ForwardResult | Refusal | None:
         """Forward a statement to a holder; None if another is to be tried."""
+        sent_at = await curio.clock()
         timeout = max(timeout, HEARTBEAT_TIMEOUT_S)
         message = pending.encode(timeout)
         attempt = await self._attempt(
@@ -288,17 +333,33 @@
                 else None
             )
         outcome = decode_outcome(attempt.answer)
-        if not _is_retryable(outcome):
-            self._budget.record_success()
-            return ForwardResult(outcome, attempt.channel, holder)
-        until = await curio.clock() + HOLDER_BACKOFF_S
-        self._backoff_until[holder.name] = until
-        pending.refusal = outcome
+        await self._shedder.record(holder.name, pending.kind, outcome, sent_at)
+        now = await curio.clock()
+        if _is_retryable(outcome):
+            self._backoff_until[holder.name] = now + HOLDER_BACKOFF_S
+            pending.refusal = outcome
+        else:
+            if isinstance(outcome, Answer) or outcome.code in _QUEUE_CODES:
+                self._loads.record(holder, attempt.answer.load, now)
+            if not self._find_free_holder(pending, outcome, now):
+                self._budget.record_success()
+                return ForwardResult(outcome, attempt.channel, holder)
         await self._peers.forward_streams.put_back(
             holder.endpoint, attempt.channel
         )
         return None
 
+    def _list_candidates(self, pending: PendingForward) -> list[Member]:
+        """Return the holders that may be tried, the preferred one first."""
+        return [
+            holder
+            for holder in self._runtime.allocator.find_holders(
+                pending.state.workspace
+            )
+            if holder.name not in pending.tried
+            and not self._health.is_unresponsive(holder.name)
+        ]
+
     def _choose_holder(
         self, pending: PendingForward, now: float
     ) -> Member | None:
@@ -306,25 +367,55 @@
         tried = pending.tried
         if len(tried) >= MAX_HOLDER_ATTEMPTS:
             return None
-        candidates = [
-            holder
-            for holder in self._runtime.allocator.find_holders(
-                pending.state.workspace
-            )
-            if holder.name not in tried
-            and not self._health.is_unresponsive(holder.name)
-        ]
+        free = pending.next_holder
+        if free is not None and free.name not in tried:
+            return free
+        candidates = self._list_candidates(pending)
         preferred = [
             holder
             for holder in candidates
             if self._backoff_until.get(holder.name, 0) <= now
         ]
         if preferred:
-            return preferred[0]
+            return self._loads.choose(
+                preferred,
+                pending.state.workspace,
+                now,
+                uses_primary=pending.uses_primary,
+            )
         # No candidate could reach the primary lately: try one anyway, but only
         # on the first attempt.
         return candidates[0] if candidates and not tried else None
 
+    def _find_free_holder(
+        self, pending: PendingForward, outcome: Outcome, now: float
+    ) -> bool:
+        """Return whether a statement goes to one more holder.
+
+        That is if a holder has rejected it at once because of its queue, and
+        another one has reported free capacity.
+        """
+        if isinstance(outcome, Answer) or outcome.code not in _QUEUE_CODES:
+            return False
+        if pending.next_holder is not None:
+            return False
+        objective = pending.route.latency_objective
+        elapsed = now - pending.began
+        if elapsed > objective * IMMEDIATE_REJECTION_FRACTION:
+            return False
+        pending.next_holder = self._loads.find_free(
+            self._list_candidates(pending),
+            pending.state.workspace,
+            now,
+            objective - elapsed,
+            uses_primary=pending.uses_primary,
+        )
+        if pending.next_holder is None:
+            return False
+        pending.refusal = outcome
+        self._runtime.counters.count('rejections_forwarded')
+        return True
+
     async def _wait_for_restarting_holders(
         self, pending: PendingForward, now: float
     ) -> bool:
--- a/deckdrum/load/tests/test_capacity.py
+++ b/deckdrum/load/tests/test_capacity.py
@@ -15,6 +15,7 @@
 from deckdrum.fleet.update_following import choose_feeders
 from deckdrum.leadership.state import LeadershipState
 from deckdrum.limits import LimitCounter
+from deckdrum.limits.shares import LimitShares
 from deckdrum.load.allocation import allocate_connections, select_holders
 from deckdrum.load.capacity import MAX_WEIGHT, compute_weights
 from deckdrum.load.rate_limits import DEFAULT_TOLERANCE, select_coordinators
@@ -246,7 +247,8 @@
             entry = Entry(member.name, revision, member)
             await view.apply_entry(Kind.MEMBERS, entry)
         peers = UnreachablePeers()
-        counter = LimitCounter('n0', view, peers, DEFAULT_TOLERANCE)
+        shares = LimitShares('n0', view, peers, journal)
+        counter = LimitCounter('n0', view, peers, DEFAULT_TOLERANCE, shares)
         await counter.apply_members()
         assert large in counter.rank('growers')
         collectors = Counter(
--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -8,7 +8,13 @@
 
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
-from deckdrum.fleet.limit_messages import AskLimit
+from deckdrum.fleet.limit_messages import AskLimit, AskLimitShare
+from deckdrum.fleet.load_messages import (
+    AskLoad,
+    AskSlots,
+    LoadAnswer,
+    SlotsAnswer,
+)
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import (
     AskProof,
@@ -21,6 +27,7 @@
     TermEnded,
 )
 from deckdrum.limits import LimitCounter
+from deckdrum.serving.load_reports import build_load_answer
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import RECENT_ANSWER_WINDOW_S, ServerHandle
 
@@ -95,9 +102,24 @@
             return SampleAnswer(0, 0, -1)
         return await runtime.samples.share_sample()
 
+    async def _report_load(self, request: AskLoad) -> Message:
+        runtime = self._services.get(request.service)
+        if runtime is None:
+            return LoadAnswer()
+        return build_load_answer(runtime, await curio.clock())
+
     async def _count_operation(self, request: AskLimit) -> Message:
         return await self._limits.answer(request)
 
+    async def _lend_slots(self, request: AskSlots) -> Message:
+        runtime = self._services.get(request.service)
+        if runtime is None:
+            return SlotsAnswer(0, 0)
+        return await runtime.slots.answer(request)
+
+    async def _lend_limit_share(self, request: AskLimitShare) -> Message:
+        return await self._limits.shares.answer(request)
+
     async def _end_term(self, request: EndTerm) -> Message:
         runtime = self._services.get(request.service)
         if runtime is not None:
@@ -124,9 +146,12 @@
     {
         Heartbeat: PeerRequestHandler._echo,
         AskLimit: PeerRequestHandler._count_operation,
+        AskLoad: PeerRequestHandler._report_load,
+        AskLimitShare: PeerRequestHandler._lend_limit_share,
         AskProof: PeerRequestHandler._report_proof,
         AskSample: PeerRequestHandler._report_sample,
         AskServer: PeerRequestHandler._report_server,
+        AskSlots: PeerRequestHandler._lend_slots,
         EndTerm: PeerRequestHandler._end_term,
     },
 )
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Container
 from dataclasses import dataclass
+from operator import itemgetter
 from typing import Final
 
 import curio
@@ -10,6 +11,11 @@
 from deckdrum.control import ConsistencyGuarantee, Route
 from deckdrum.fleet.policies import Policy
 from deckdrum.load.allocation import rank_replicas
+from deckdrum.load.replica_reads import plan_replica_wait
+from deckdrum.outcomes import Refusal
+from deckdrum.serving.load_reports import LoadReports
+from deckdrum.serving.primary_reads import PrimaryReads
+from deckdrum.serving.replica_lag import find_creation
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.state import SessionState
@@ -32,6 +38,9 @@
 BORROWING_COST_S: Final = 0.005
 #: Cost of reading from the primary, which reserves its capacity for changes.
 PRIMARY_COST_S: Final = 0.05
+#: Cost of a server that other holders avoid after failures; more than any other
+#: cost, so that it is the last choice.
+AVOIDED_COST_S: Final = 10.0
 #: Expected time of a statement on a server without recent samples.
 _DEFAULT_STATEMENT_TIME_S: Final = 0.01
 #: Half-life of the mean statement time of a server that is not in use.
@@ -66,6 +75,10 @@
     def __init__(self, runtime: ServiceRuntime, data_centre: str) -> None:
         self._runtime = runtime
         self._data_centre = data_centre
+        #: Load of the servers as other holders see it.
+        self.load_reports = LoadReports()
+        #: Bounds the reads at the primary.
+        self.primary_reads = PrimaryReads(runtime)
 
     async def choose_primary(self, timeout: float) -> Target | None:
         """Return the primary once its proof is valid; None on timeout."""
@@ -80,9 +93,14 @@
         state: SessionState,
         excluded_servers: Container[str],
         timeout: float,
-    ) -> Target | None:
+        deadline: float,
+    ) -> Target | Refusal | None:
         """Return a server that can run a read; None on timeout.
 
+        In a fleet of uneven machines the read waits for a replica that lags, if
+        it can still be in time.  A refusal is returned at once if the read
+        cannot be in time because of more urgent statements.
+
         Parameters
         ----------
         route : Route
@@ -92,7 +110,9 @@
         excluded_servers : container of str
             Servers that are running the read or have failed to.
         timeout : float
-            Longest wait for the primary, in seconds.
+            Longest wait for a server, in seconds.
+        deadline : float
+            Time by which the answer must arrive to be in time.
         """
         if route.guarantee is ConsistencyGuarantee.CURRENT:
             return await self.choose_primary(timeout)
@@ -105,6 +125,7 @@
             async with curio.ignore_after(min(timeout, READ_SAMPLE_TIMEOUT_S)):
                 await self._runtime.samples.sample()
             min_position = await self._find_min_position(route, state)
+        gives_up_at = await curio.clock() + timeout
         if min_position is not None:
             replica = await self._pick_replica(
                 min_position,
@@ -114,7 +135,13 @@
             )
             if replica is not None:
                 return Target(replica, min_position, False, min_position.term)
-        return await self.choose_primary(timeout)
+            if self._runtime.is_uneven:
+                waited_for = await self._wait_for_replica(
+                    route, state, excluded_servers, min(deadline, gives_up_at)
+                )
+                if waited_for is not None:
+                    return waited_for
+        return await self._choose_primary_for_read(route, gives_up_at, deadline)
 
     async def refresh_sample(self, route: Route) -> None:
         """Sample the primary if the latest sample is about to be too old."""
@@ -136,6 +163,103 @@
             return max(min_position, state.min_position)
         return max(min_position, LOG_START)
 
+    async def _choose_primary_for_read(
+        self, route: Route, gives_up_at: float, deadline: float
+    ) -> Target | Refusal | None:
+        """Return the primary for a read that no replica can run."""
+        primary = self._runtime.primary
+        if primary is not None:
+            refusal = await self.primary_reads.wait_within_bound(
+                primary, route, deadline, gives_up_at
+            )
+            if refusal is not None:
+                return refusal
+        return await self.choose_primary(gives_up_at - await curio.clock())
+
+    async def _wait_for_replica(
+        self,
+        route: Route,
+        state: SessionState,
+        excluded_servers: Container[str],
+        deadline: float,
+    ) -> Target | None:
+        """Wait until a replica has caught up; None if the read does not wait.
+
+        It does not wait if the primary was preferred to a replica that does not
+        lag.
+        """
+        has_waited = False
+        while True:
+            # The position that the read needs may have changed meanwhile.
+            min_position = await self._find_min_position(route, state)
+            if min_position is None:
+                return None
+            now = await curio.clock()
+            if not has_waited and self._list_current(
+                min_position, excluded_servers, now
+            ):
+                return None
+            planned = self._plan_replica_wait(
+                min_position, excluded_servers, now, deadline
+            )
+            if planned is None:
+                return None
+            wait, replica = planned
+            if not wait:
+                return Target(replica, min_position, False, min_position.term)
+            self._runtime.counters.count('replica_waits')
+            await curio.sleep(wait)
+            has_waited = True
+
+    def _plan_replica_wait(
+        self,
+        min_position: Position,
+        excluded_servers: Container[str],
+        now: float,
+        deadline: float,
+    ) -> tuple[float, ServerHandle] | None:
+        """Return the replica that is the first to catch up, and the wait."""
+        created_at = find_creation(self._runtime.history, min_position)
+        if created_at is None:
+            return None
+        planned: list[tuple[float, ServerHandle]] = []
+        for handle in self._list_replicas(excluded_servers, now):
+            wait = plan_replica_wait(
+                created_at,
+                handle.replica_lag.find_expected(now) or math.inf,
+                handle.response_times.mean,
+                now,
+                deadline,
+            )
+            if wait is not None:
+                planned.append((wait, handle))
+        return min(planned, key=itemgetter(0), default=None)
+
+    def _list_replicas(
+        self, excluded_servers: Container[str], now: float
+    ) -> list[ServerHandle]:
+        """Return the replicas that can run reads if they do not lag."""
+        return [
+            handle
+            for handle in self._runtime.replicas
+            if handle.id not in excluded_servers
+            and not handle.server.is_draining
+            and not handle.is_backing_off(now)
+        ]
+
+    def _list_current(
+        self,
+        min_position: Position,
+        excluded_servers: Container[str],
+        now: float,
+    ) -> list[ServerHandle]:
+        """Return the replicas that were not found to lack a position."""
+        return [
+            handle
+            for handle in self._list_replicas(excluded_servers, now)
+            if not handle.replica_lag.is_behind(min_position, now)
+        ]
+
     async def _pick_replica(
         self,
         min_position: Position,
@@ -147,14 +271,7 @@
         remote_cost = min(REMOTE_COST_FRACTION * objective, MAX_REMOTE_COST_S)
         if Policy.NEAR_READS not in self._runtime.policies:
             remote_cost = 0
-        candidates = [
-            handle
-            for handle in self._runtime.replicas
-            if handle.id not in excluded_servers
-            and not handle.server.is_draining
-            and not handle.is_backing_off(now)
-            and not handle.replica_lag.is_behind(min_position, now)
-        ]
+        candidates = self._list_current(min_position, excluded_servers, now)
         primary = self._runtime.primary
         if not candidates:
             return None
@@ -193,15 +310,22 @@
         """Return the expected cost of a read in seconds.
 
         `remote_cost` is added for a server that is not preferred, and the time
-        to open a connection if the workspace has no idle one.
+        to open a connection if the workspace has no idle one.  The load that
+        other holders report counts like that of this node.
         """
         idle_time = max(0, now - handle.answered_at)
         decay = math.exp2(-idle_time / _STATEMENT_TIME_HALF_LIFE_S)
         expected = max(_DEFAULT_STATEMENT_TIME_S, handle.mean_time * decay)
+        others = self.load_reports.summarize(handle.id, now)
+        if idle_time > _STATEMENT_TIME_HALF_LIFE_S:
+            expected = max(expected, others.mean_time)
+        load = handle.load + others.load
         remote = 0 if self._is_preferred(handle, workspace) else remote_cost
         borrowing = 0 if handle.is_holder else BORROWING_COST_S
         connecting = _estimate_connect_time(handle, workspace)
-        return (handle.load + 1) * expected + remote + borrowing + connecting
+        if not handle.has_answered(others.failed_at):
+            remote += AVOIDED_COST_S
+        return (load + 1) * expected + remote + borrowing + connecting
 
 
 def _estimate_connect_time(handle: ServerHandle, workspace: str) -> float:
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -25,11 +25,12 @@
     MAX_BORROWED_CONNECTIONS,
     MIN_LOCAL_CONNECTIONS,
 )
-from deckdrum.members import GroupShare
+from deckdrum.members import COMMAND_GROUP, GroupShare
 from deckdrum.operations import Rejection
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.replica_lag import ReplicaLag
 from deckdrum.serving.response_times import ResponseTimes
+from deckdrum.serving.slots import GatedServer, NoSlotError
 from deckdrum.sessions import Position
 from deckdrum.utils.tasks import SharedCall
 
@@ -52,8 +53,6 @@
 #: Timeout for a connection if there are few, in seconds.  Idle transactions may
 #: hold them for longer: other lenders or servers are tried instead.
 SCARCE_CONNECTION_TIMEOUT_S: Final = 0.25
-#: Queue group of the proxy's own commands.
-_COMMAND_GROUP: Final = ''
 _SMOOTHING_FACTOR: Final = 0.2
 
 ServerLease = Lease[Backend, BackendLink]
@@ -70,7 +69,7 @@
     asked_at: float
 
 
-class ServerHandle:
+class ServerHandle(GatedServer):
     """Access of this node to one backend server.
 
     Points in time are those of `curio.clock`.
@@ -97,8 +96,8 @@
         shares: Mapping[str, GroupShare],
         policies: frozenset[Policy] = ALL_POLICIES,
     ) -> None:
+        super().__init__(own)
         self._policies = policies
-        self.own = own
         #: Own connections.
         self.pool: Pool[Backend, BackendLink] = Pool(own, slots, shares)
         #: Borrowed connections.
@@ -132,21 +131,13 @@
         self.mean_time: float = 0
         self._backoff_until = float('-inf')
         self._backoff = MIN_BACKOFF_S
+        #: When a request last failed, other than by the connection limit.
+        self._failed_at = float('-inf')
         #: Positions that its log was found to lack.
         self.replica_lag = ReplicaLag()
         #: Response times from sending a statement to its answer.
         self.response_times = ResponseTimes()
 
-    @property
-    def id(self) -> str:
-        """Id of the server."""
-        return self.own.server.id
-
-    @property
-    def server(self) -> BackendServer:
-        """Entry of the server in the directory."""
-        return self.own.server
-
     @property
     def load(self) -> int:
         """Number of local requests that hold or wait for a connection."""
@@ -184,6 +175,13 @@
         """Return whether requests should prefer other servers."""
         return now < self._backoff_until
 
+    def find_failure(self, now: float) -> float | None:
+        """Return when the failure was after which the server is avoided."""
+        is_avoided = self.is_backing_off(now) and not self.has_answered(
+            self._failed_at
+        )
+        return self._failed_at if is_avoided else None
+
     def has_recent_timeout(self, now: float) -> bool:
         """Return whether a recent request timed out without a later answer."""
         is_fresh = now - self.timed_out_at < RECENT_TIMEOUT_WINDOW_S
@@ -241,6 +239,8 @@
 
         Raises
         ------
+        NoSlotError
+            If the server has no slot for opening a connection.
         ConnectionError
             If the server cannot be reached.
         """
@@ -259,6 +259,8 @@
                 time_to_deadline,
                 workspace,
             )
+        except NoSlotError:
+            raise
         except ConnectionLimitError:
             # Connections of killed nodes may still use up the limit.
             return await self.loans.acquire(group, timeout, workspace=workspace)
@@ -330,7 +332,7 @@
             async with curio.timeout_after(timeout):
                 reply = await self._run_command(command, arguments)
         except curio.TaskTimeout:
-            self.last_error = self._describe_timeout(command, timeout)
+            self.last_error = _describe_timeout(self, command, timeout)
             self.record_timeout(await curio.clock())
             return None
         except ConnectionError as error:
@@ -353,28 +355,19 @@
             not self.is_holder or self.pool.queue.slots < MIN_LOCAL_CONNECTIONS
         )
 
-    def _describe_timeout(self, command: str, timeout: float) -> str:
-        """Return the log text for a command that timed out."""
-        queue = self.pool.queue
-        return (
-            f'no answer to {command} within {timeout} s, connections: '
-            f'{queue.held} of {queue.slots} in use, '
-            f'{queue.waiting} waiting, {self.pool.idle} idle, '
-            f'{self.loans.queue.held} borrowed'
-        )
-
     async def _run_command(
         self,
         command: str,
         arguments: tuple[int, ...],
     ) -> ServerStatus | Rejection:
         """Run a command on a pooled connection, or outside the pool if busy."""
-        lease = await self.acquire(_COMMAND_GROUP, COMMAND_POOL_TIMEOUT_S, {})
+        lease = await self.acquire(COMMAND_GROUP, COMMAND_POOL_TIMEOUT_S, {})
         if isinstance(lease, Refusal):
             return await self._call_unpooled(command, arguments)
         is_clean = False
         try:
-            reply = await _invoke(lease.link, command, arguments)
+            async with self.gate.count():
+                reply = await _invoke(lease.link, command, arguments)
             is_clean = True
         finally:
             await self.release(lease, is_clean)
@@ -390,7 +383,8 @@
         link = await backend.connect(COMMAND_TIMEOUT_S)
         is_complete = False
         try:
-            reply = await _invoke(link, command, arguments)
+            async with self.gate.count():
+                reply = await _invoke(link, command, arguments)
             is_complete = True
         finally:
             if not is_complete:
@@ -407,7 +401,9 @@
         """Borrow a connection if the few own ones are busy."""
         if Policy.BORROWING not in self._policies:
             return None
-        if not self._has_few_connections or not self.pool.queue.is_busy:
+        if not self._has_few_connections or not self.pool.queue.must_wait(
+            group
+        ):
             return None
         try:
             lease = await self.loans.acquire(
@@ -419,10 +415,24 @@
         return None if isinstance(lease, Refusal) else lease
 
     def _back_off(self, now: float) -> None:
+        self._failed_at = now
         self._backoff_until = now + self._backoff
         self._backoff = min(self._backoff * 2, MAX_BACKOFF_S)
 
 
+def _describe_timeout(
+    handle: ServerHandle, command: str, timeout: float
+) -> str:
+    """Return the log text for a command that timed out."""
+    queue = handle.pool.queue
+    return (
+        f'no answer to {command} within {timeout} s, connections: '
+        f'{queue.held} of {queue.slots} in use, '
+        f'{queue.waiting} waiting, {handle.pool.idle} idle, '
+        f'{handle.loans.queue.held} borrowed'
+    )
+
+
 async def _invoke(
     link: BackendLink,
     command: str,
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -11,14 +11,22 @@
     Begin,
     Commit,
     Rejection,
+    RejectionCause,
     Request,
     SetValue,
     TransactionState,
 )
 from deckdrum.outcomes import Code, Refusal, refuse
-from deckdrum.serving.attempts import prepare_link, release_link, run_on_link
+from deckdrum.serving.attempts import (
+    NO_SLOT_REASON,
+    compute_slot_timeout,
+    prepare_link,
+    release_link,
+    run_on_link,
+)
 from deckdrum.serving.executor import ANSWER_MARGIN_S
 from deckdrum.serving.host import Outcome, SessionHost
+from deckdrum.serving.slots import SlotPermit
 from deckdrum.serving.state import (
     ForwardedTransaction,
     PinnedConnection,
@@ -31,6 +39,9 @@
 #: rolled back, so the caller can safely retry it within its own deadline.
 PINNED_TIMEOUT_FACTOR: Final = 6
 MIN_PINNED_TIMEOUT_S: Final = 0.25
+#: Delays before a statement is repeated that a server was too busy to run.
+#: Repeating it costs less than running the whole transaction again.
+BUSY_RETRY_DELAYS_S: Final = (0.005, 0.01, 0.02, 0.04)
 
 
 class TransactionRunner:
@@ -172,28 +183,64 @@
         pin: PinnedConnection,
     ) -> Outcome:
         timeout = transaction.route.statement_timeout - ANSWER_MARGIN_S
+        deadline = await curio.clock() + timeout
+        gate = pin.handle.gate
+        permit = await gate.acquire(
+            transaction.route.priority,
+            await compute_slot_timeout(pin.handle, deadline),
+            is_open=True,
+        )
+        if permit is None:
+            # Also a COMMIT has not been sent, so nothing is kept.
+            return await self.fail(NO_SLOT_REASON)
+        try:
+            return await self._run_admitted(
+                request, transaction, pin, permit, deadline
+            )
+        finally:
+            await gate.release(permit)
+
+    async def _run_admitted(
+        self,
+        request: Request,
+        transaction: Transaction,
+        pin: PinnedConnection,
+        permit: SlotPermit,
+        deadline: float,
+    ) -> Outcome:
+        timeout = deadline - await curio.clock()
         if Policy.LOST_ANSWERS in self._host.policies:
             timeout = min(timeout, _compute_timeout(request, transaction, pin))
-        sent_at = await curio.clock()
         try:
             async with curio.timeout_after(timeout):
-                reply = await self._send_pinned(request, pin)
+                reply = await self._send_until_run(request, pin)
         except curio.TaskTimeout:
             pin.handle.record_timeout(await curio.clock())
             return await self._fail_pinned(request, 'no answer in time')
         except ConnectionError as error:
             pin.handle.record_failure(await curio.clock(), error)
             return await self._fail_pinned(request, repr(error))
-        now = await curio.clock()
-        pin.handle.record_answer(now)
-        if isinstance(reply, Answer):
-            pin.handle.response_times.record(now - sent_at)
+        await pin.handle.gate.release(permit)
+        pin.handle.record_answer(await curio.clock())
         if isinstance(reply, Rejection):
             return await self._reject_pinned(request, reply)
         if isinstance(request.operation, Commit):
             return await self._finish_commit(reply, transaction, pin)
         return reply
 
+    async def _send_until_run(
+        self,
+        request: Request,
+        pin: PinnedConnection,
+    ) -> Answer | Rejection:
+        """Send a statement; repeat it if the server was too busy to run it."""
+        for delay in BUSY_RETRY_DELAYS_S:
+            reply = await self._send_pinned(request, pin)
+            if not _can_repeat(reply):
+                return reply
+            await curio.sleep(delay)
+        return await self._send_pinned(request, pin)
+
     async def _send_pinned(
         self,
         request: Request,
@@ -203,12 +250,17 @@
         rejection = await prepare_link(link, self._state, request.operation)
         if rejection is not None:
             return rejection
-        return await run_on_link(
+        sent_at = await curio.clock()
+        reply = await run_on_link(
             link,
             self._state,
             request.operation,
             request.id,
         )
+        if isinstance(reply, Answer):
+            seconds = await curio.clock() - sent_at
+            pin.handle.response_times.record(seconds)
+        return reply
 
     async def _finish_commit(
         self,
@@ -264,6 +316,15 @@
         return await self.fail(rejection.text, rejection.transaction_state)
 
 
+def _can_repeat(reply: Answer | Rejection) -> bool:
+    """Return whether a statement was not run and its transaction is open."""
+    return (
+        isinstance(reply, Rejection)
+        and reply.cause is RejectionCause.OVERLOADED
+        and reply.transaction_state is TransactionState.OPEN
+    )
+
+
 def _compute_timeout(
     request: Request,
     transaction: Transaction,
--- a/deckdrum/utils/counters.py
+++ b/deckdrum/utils/counters.py
@@ -17,7 +17,9 @@
 _PREFIX: Final = 'deckdrum_node_'
 _SERVED_LABELS: Final = ('database', 'kind', 'role')
 _LATENCY_LABELS: Final = ('guarantee', 'outcome')
-_LIMIT_LABELS: Final = ('workspace', 'code')
+_LIMIT_LABELS: Final = ('workspace', 'code', 'priority')
+_TURNED_AWAY_LABELS: Final = ('priority', 'place')
+_SERVER_LABELS: Final = ('service', 'server')
 _CALL_LABELS: Final = ('call', 'kind', 'outcome')
 _OUTCOME_LABELS: Final = ('service', 'priority', 'outcome')
 
@@ -41,6 +43,9 @@
     is_cumulative: bool = False
 
 
+_ServerGauge = dict[tuple[str, str], Callable[[], float]]
+
+
 class Counters:
     """Counters, gauges and latency histograms of a node.
 
@@ -63,7 +68,11 @@
         self.events: Counter[str] = Counter()
         self.served: Counter[tuple[str, str, str]] = Counter()
         self.store_calls: Counter[tuple[str, str, str]] = Counter()
-        self.limited: Counter[tuple[str, str]] = Counter()
+        self.limited: Counter[tuple[str, str, str]] = Counter()
+        #: Statements rejected because of load, by priority and place.
+        self.turned_away: Counter[tuple[int, str]] = Counter()
+        #: Returns the number of waiting statements by priority.
+        self.count_waiting: Callable[[], Mapping[int, int]] = dict
         #: Statements by service, workspace and outcome.
         self.work: Counter[tuple[str, str, str]] = Counter()
         #: Statements by service, priority and outcome.
@@ -72,6 +81,8 @@
         self.labelled: dict[str, LabelledMetric] = {}
         #: Functions that return the current value of each gauge.
         self.gauges: dict[str, Callable[[], float]] = {}
+        #: The same by group and server, for each gauge with these labels.
+        self.server_gauges: defaultdict[str, _ServerGauge] = defaultdict(dict)
         self._latency: dict[tuple[str, str], list[int]] = {}
         self._latency_sums: defaultdict[tuple[str, str], float] = defaultdict(
             float
@@ -118,9 +129,12 @@
             for labels, number in sorted(self.work.items())
         }
 
-    def count_limited(self, workspace: str, code: str) -> None:
-        """Count an operation rejected by the limit of its workspace."""
-        self.limited[workspace, code] += 1
+    def count_limited(self, workspace: str, code: str, priority: int) -> None:
+        """Count an operation rejected by the limit of its workspace.
+
+        `priority` is 0 unless the configuration has urgent routes.
+        """
+        self.limited[workspace, code, str(priority)] += 1
 
     def describe_store_calls(self) -> dict[str, int]:
         """Return the number of store calls by label, as written to the log."""
@@ -150,9 +164,17 @@
 
         yield from self._collect_counters(core)
         yield self._collect_latency(core)
+        yield self._collect_waiting(core)
         for name, read in self.gauges.items():
             yield core.GaugeMetricFamily(_PREFIX + name, name, value=read())
         yield from self._collect_labelled(core)
+        for name, by_server in self.server_gauges.items():
+            family = core.GaugeMetricFamily(
+                _PREFIX + name, name, labels=_SERVER_LABELS
+            )
+            for labels, read in by_server.items():
+                family.add_metric(labels, read())
+            yield family
 
     def render(self) -> bytes:
         """Return the metrics in Prometheus text format."""
@@ -185,6 +207,15 @@
                 _LIMIT_LABELS,
                 self.limited,
             ),
+            (
+                'turned_away',
+                'Statements rejected because of load',
+                _TURNED_AWAY_LABELS,
+                {
+                    (str(priority), place): number
+                    for (priority, place), number in self.turned_away.items()
+                },
+            ),
             (
                 'outcomes',
                 'Statements of callers by priority and outcome',
@@ -216,6 +247,16 @@
     def _label_events(self) -> dict[tuple[str, ...], int]:
         return {(event,): number for event, number in self.events.items()}
 
+    def _collect_waiting(self, core: Any) -> Any:
+        family = core.GaugeMetricFamily(
+            f'{_PREFIX}waiting',
+            'Statements that wait for a connection',
+            labels=('priority',),
+        )
+        for priority, number in sorted(self.count_waiting().items()):
+            family.add_metric((str(priority),), number)
+        return family
+
     def _collect_latency(self, core: Any) -> Any:
         family = core.HistogramMetricFamily(
             f'{_PREFIX}request_seconds',
