Load figures by priority and of the slots of servers

Cause: load.figures had the totals of the pools only. Queues now count waiting and rejected statements by priority, and gates count statements in flight.

Change: the figures take these. Queues count rejections by priority for all groups together; they have the service *. Connections in use are shown beside the statements in flight.

The whole suite has not been run yet with this change.

--- a/deckdrum/commands/load_summary.py
+++ b/deckdrum/commands/load_summary.py
@@ -55,12 +55,15 @@
         Statements that it runs concurrently; 0 if unknown.
     most_in_flight : int
         Largest number of statements in flight.
+    most_connections : int
+        Largest number of connections in use, including idle transactions.
     """
 
     service: str
     server: str
     slots: int
     most_in_flight: int
+    most_connections: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,13 +115,13 @@
     --------
     >>> load = LoadSummary(
     ...     (ClassLoad('stalls', '0', {'done': 5}, {}, {'queue': 2}),),
-    ...     (ServerLoad('stalls', 'i-1', 4, 5),),
+    ...     (ServerLoad('stalls', 'i-1', 4, 5, 9),),
     ...     (NodeLoad('n1', 2.15, 5, 1.0),),
     ... )
     >>> for line in describe_load(load):
     ...     print(line)
     load: stalls priority 0: 5 done; rejected: none; most waiting: 2 queue
-    load: server stalls i-1: at most 5 in flight, 4 slots
+    load: server stalls i-1: 4 slots, at most 5 in flight, 9 connections
     load: node n1: capacity 2.15, 5 statements (1.0 of all)
     """
     classes = [
@@ -130,8 +133,9 @@
     ]
     servers = [
         f'load: server {each.service} {each.server}: '
+        f'{each.slots or "unknown"} slots, '
         f'at most {each.most_in_flight} in flight, '
-        f'{each.slots or "unknown"} slots'
+        f'{each.most_connections} connections'
         for each in load.servers
     ]
     nodes = [
@@ -189,6 +193,7 @@
             server,
             slots.get(f'{service}/{server}/slots', 0),
             peaks[f'{service}/{server}/in_flight'],
+            peaks[f'{service}/{server}/connections'],
         )
         for service, server in names
     )
--- a/deckdrum/commands/tests/test_reporting.py
+++ b/deckdrum/commands/tests/test_reporting.py
@@ -226,3 +226,4 @@
     server = load.servers[0]
     assert (server.service, server.server) == ('stalls', 'i-1')
     assert (server.slots, server.most_in_flight) == (4, 5)
+    assert server.most_connections == 0
--- a/deckdrum/node/load_figures.py
+++ b/deckdrum/node/load_figures.py
@@ -16,9 +16,13 @@
 
 #: Class of figures that are not counted by priority.
 ANY_PRIORITY: Final = 'any'
-#: Places where statements wait: for an own connection, and for a borrowed one.
+#: Service of figures that are not counted by service.
+ANY_SERVICE: Final = '*'
+#: Places where statements wait: for an own connection, for a borrowed one, and
+#: for a slot of a server.
 QUEUE: Final = 'queue'
 LOANS: Final = 'loans'
+GATE: Final = 'gate'
 _CLASS_LABELS: Final = ('service', 'priority', 'place')
 _SERVER_LABELS: Final = ('service', 'server', 'figure')
 
@@ -97,7 +101,8 @@
     ) -> None:
         #: Functions that add the figures of one part each.
         self.sources: list[LoadSource] = [
-            PoolLoadSource(services).add_figures,
+            ServerLoadSource(services).add_figures,
+            self._add_turned_away,
         ]
         self._capacity = capacity
         self._counters = counters
@@ -127,12 +132,17 @@
             add_figures(figures)
         return figures
 
+    def _add_turned_away(self, figures: LoadFigures) -> None:
+        """Add rejections by priority, which groups with urgent routes count."""
+        for (priority, place), number in self._counters.turned_away.items():
+            figures.rejected[ANY_SERVICE, str(priority), place] += number
 
-class PoolLoadSource:
-    """Adds the figures of the connection pools.
 
-    Pools do not count by priority.  A connection that is lent counts at the
-    lender only, so that the sum over all nodes is right.
+class ServerLoadSource:
+    """Adds the figures of the connection pools and gates of servers.
+
+    A connection that is lent counts at the lender only, so that the sum over
+    all nodes is right.
     """
 
     def __init__(self, services: Mapping[str, ServiceRuntime]) -> None:
@@ -146,17 +156,18 @@
         """Add waiting and rejected statements and connections in use."""
         for service, runtime in self._services.items():
             for server, handle in runtime.servers.items():
-                own = handle.pool.queue
-                self._add_queue(figures, (service, ANY_PRIORITY, QUEUE), own)
-                self._add_queue(
-                    figures,
-                    (service, ANY_PRIORITY, LOANS),
-                    handle.loans.queue,
-                )
+                self._add_queue(figures, service, QUEUE, handle.pool.queue)
+                self._add_queue(figures, service, LOANS, handle.loans.queue)
+                at_gate = handle.gate.waiting
+                figures.waiting[service, ANY_PRIORITY, GATE] += at_gate
                 figures.servers.update(
                     {
-                        (service, server, 'in_flight'): own.held,
-                        (service, server, 'waiting'): own.waiting,
+                        (service, server, 'in_flight'): handle.gate.in_flight,
+                        (
+                            service,
+                            server,
+                            'connections',
+                        ): handle.pool.queue.held,
                         (service, server, 'slots'): handle.server.slots,
                     }
                 )
@@ -165,10 +176,15 @@
     def _add_queue(
         self,
         figures: LoadFigures,
-        labels: tuple[str, str, str],
+        service: str,
+        place: str,
         queue: FairQueue,
     ) -> None:
-        figures.waiting[labels] += queue.waiting
+        by_priority = queue.count_waiting()
+        for priority, number in by_priority.items():
+            figures.waiting[service, str(priority), place] += number
+        labels = (service, ANY_PRIORITY, place)
+        figures.waiting[labels] += queue.waiting - by_priority.total()
         self._rejected[labels] += queue.rejected - self._counted.get(queue, 0)
         self._counted[queue] = queue.rejected
 
