Say when a slot is expected after a refusal

Cause: a statement without a slot was refused with the general delay of 1 s, while slots become free within some 10 ms.

Change: the delay is the expected wait at the gate, spread as for the queue for connections. Gates count rejected statements by priority, as a metric by server. A test covers the log events of a lost and regained slot coordinator.

--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -7,6 +7,7 @@
 import curio
 
 from deckdrum.backends import BackendLink, Call
+from deckdrum.load.queueing import compute_retry_after
 from deckdrum.operations import (
     Answer,
     Begin,
@@ -196,7 +197,7 @@
             is_up = self.handle.has_answered(now - RECENT_ANSWER_WINDOW_S)
             if self.lease is None and is_up and gate.is_full(now):
                 # It has waited for a slot, which is no failure of the server.
-                return refuse(Code.QUEUE_TIMEOUT, NO_SLOT_REASON)
+                return await refuse_without_slot(self.handle)
             self.handle.record_timeout(now)
             return await self._give_up('no connection in time', is_late=False)
         if refusal is not None:
@@ -210,7 +211,7 @@
         )
         if self.permit is None:
             await self._release_unsent()
-            return refuse(Code.QUEUE_TIMEOUT, NO_SLOT_REASON)
+            return await refuse_without_slot(self.handle)
         self.was_sent = True
         self.sent_at = await curio.clock()
         outcome = await run_on_link(
@@ -241,8 +242,8 @@
                 max(0, self.start_deadline - self.started_at),
                 self.state.workspace,
             )
-        except NoSlotError as error:
-            return refuse(Code.QUEUE_TIMEOUT, str(error))
+        except NoSlotError:
+            return await refuse_without_slot(self.handle)
         if isinstance(lease, Refusal):
             return lease
         self.lease = lease
@@ -293,6 +294,15 @@
     return remaining - min(handle.response_times.timeout, remaining / 2)
 
 
+async def refuse_without_slot(handle: ServerHandle) -> Refusal:
+    """Return a refusal with the time after which a slot is expected."""
+    gate = handle.gate
+    slots = max(1, gate.compute_limit(await curio.clock()))
+    wait = handle.response_times.mean * (gate.waiting + 1) / slots
+    retry_after = compute_retry_after(wait, gate.rejected.total())
+    return refuse(Code.QUEUE_TIMEOUT, NO_SLOT_REASON, retry_after)
+
+
 async def release_link(
     handle: ServerHandle,
     lease: ServerLease,
--- a/deckdrum/serving/slot_groups.py
+++ b/deckdrum/serving/slot_groups.py
@@ -29,6 +29,7 @@
         'server_part': lambda borrower: (
             borrower.terms.part if borrower.terms.is_bounded else 0
         ),
+        'server_rejected': lambda borrower: borrower.gate.rejected.total(),
         'server_borrowed': lambda borrower: borrower.granted,
     }
 )
--- a/deckdrum/serving/slots.py
+++ b/deckdrum/serving/slots.py
@@ -4,6 +4,7 @@
 a slot waits for a connection, so the two cannot deadlock.
 """
 
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -70,6 +71,8 @@
     in_flight : int
         Statements that have been sent, connections being opened and commands
         of the proxy itself.
+    rejected : Counter of int
+        Statements that got no slot in time, by priority.
     """
 
     def __init__(self) -> None:
@@ -78,6 +81,7 @@
         self.on_demand: Callable[[], Awaitable[None]] = _ignore_demand
         self.priorities: dict[str, int] = {}
         self.in_flight = 0
+        self.rejected: Counter[int] = Counter()
         self._urgent_in_flight = 0
         self._waiting: list[_Waiter] = []
         self._preferred = 0
@@ -148,6 +152,7 @@
             raise
         if waiter.permit is None:
             self._waiting.remove(waiter)
+            self.rejected[priority] += 1
         return waiter.permit
 
     async def release(self, permit: SlotPermit) -> None:
--- a/deckdrum/serving/tests/test_slot_permits.py
+++ b/deckdrum/serving/tests/test_slot_permits.py
@@ -134,11 +134,13 @@
         if in_transaction:
             await client.ask('BEGIN')
             assert (await client.ask('WRITE a 1')).is_done
-        await occupy_primary(deployment)
+        gate = await occupy_primary(deployment)
         began = await curio.clock()
         reply = await client.ask('COMMIT' if in_transaction else 'WRITE a 1')
         assert 'has no slot free' in reply.text
         assert 'not run' in reply.text
+        assert 'retry after 1000 ms' not in reply.text
+        assert gate.rejected == {0: 1}
         assert await curio.clock() - began < 0.6
         await curio.sleep(1)
         assert not deployment.group.primary.log
--- a/deckdrum/serving/tests/test_slots.py
+++ b/deckdrum/serving/tests/test_slots.py
@@ -1,5 +1,6 @@
 """The gate of a server and the leases of its spare slots, in virtual time."""
 
+import json
 from random import Random
 
 import curio
@@ -93,6 +94,18 @@
         await fleet[1].occupy(1)
         await curio.sleep(0.4)
         assert fleet[1].gate.in_flight == PART
+        fleet.unreachable.clear()
+        await curio.sleep(0.2)
+        assert fleet[1].gate.in_flight == PART + 2
+        # Changes of state are logged, not each request.
+        events = [
+            json.loads(line)['event']
+            for line in fleet[1].log.getvalue().splitlines()
+        ]
+        assert events == [
+            'slots.coordinator_lost',
+            'slots.coordinator_regained',
+        ]
 
     run_virtual(scenario)
 
--- a/deckdrum/testing/slots.py
+++ b/deckdrum/testing/slots.py
@@ -1,6 +1,7 @@
 """Holders of a group that share the slots of one server, in virtual time."""
 
 from collections.abc import Callable
+from io import StringIO
 from random import Random
 from types import SimpleNamespace
 from typing import Any, Final, cast
@@ -17,9 +18,8 @@
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.slot_groups import GroupSlots
 from deckdrum.serving.slots import GatedServer, SlotGate
-from deckdrum.utils import Address
+from deckdrum.utils import Address, open_journal
 from deckdrum.utils.counters import Counters
-from deckdrum.utils.journal import open_null_journal
 
 SERVICE: Final = 'stalls'
 SERVER: Final = 'i-1'
@@ -45,8 +45,9 @@
         self.sent: list[Message] = []
         self.is_killed = False
         self._fleet = fleet
+        self.log = StringIO()
         self.group = GroupSlots(
-            cast(Any, self), open_null_journal(name), Counters()
+            cast(Any, self), open_journal(name, self.log), Counters()
         )
         self._server = self._start_server(0, 0)
 
