--- a/deckdrum/serving/tests/test_slots.py
+++ b/deckdrum/serving/tests/test_slots.py
@@ -8,6 +8,7 @@
 
 from deckdrum.fleet.load_messages import AskSlots
 from deckdrum.load.slots import LEASE_LIFETIME_S, compute_bound
+from deckdrum.serving.slot_leases import SlotTerms
 from deckdrum.serving.slots import NoSlotError, SlotGate
 from deckdrum.testing.slots import SERVER, SERVICE, SlotFleet
 from deckdrum.utils.virtualtime import run_virtual
@@ -329,3 +330,8 @@
         assert gate.in_flight == 0
 
     run_virtual(scenario)
+
+
+def test_node_that_is_no_holder_runs_one_statement_at_a_time() -> None:
+    terms = SlotTerms(4, 1, 'other', ('n0', 'n1', 'n2'))
+    assert (terms.part, terms.spare) == (1, 0)
