--- a/deckdrum/serving/tests/test_slots.py
+++ b/deckdrum/serving/tests/test_slots.py
@@ -1,5 +1,6 @@
 """The gate of a server and the leases of its spare slots, in virtual time."""
 
+import json
 from random import Random
 
 import curio
@@ -7,6 +8,7 @@
 
 from deckdrum.fleet.load_messages import AskSlots
 from deckdrum.load.slots import LEASE_LIFETIME_S, compute_bound
+from deckdrum.serving.slot_leases import SlotTerms
 from deckdrum.serving.slots import NoSlotError, SlotGate
 from deckdrum.testing.slots import SERVER, SERVICE, SlotFleet
 from deckdrum.utils.virtualtime import run_virtual
@@ -93,6 +95,18 @@
         await fleet[1].occupy(1)
         await curio.sleep(0.4)
         assert fleet[1].gate.in_flight == PART
+        fleet.unreachable.clear()
+        await curio.sleep(0.2)
+        assert fleet[1].gate.in_flight == PART + 2
+        # Changes of state are logged, not each request.
+        events = [
+            json.loads(line)['event']
+            for line in fleet[1].log.getvalue().splitlines()
+        ]
+        assert events == [
+            'slots.coordinator_lost',
+            'slots.coordinator_regained',
+        ]
 
     run_virtual(scenario)
 
@@ -316,3 +330,8 @@
         assert gate.in_flight == 0
 
     run_virtual(scenario)
+
+
+def test_node_that_is_no_holder_runs_one_statement_at_a_time() -> None:
+    terms = SlotTerms(4, 1, 'other', ('n0', 'n1', 'n2'))
+    assert (terms.part, terms.spare) == (1, 0)
