Slots: a lost answer does not keep its slot

Cause: a holder whose part of a server is one slot sent nothing to it while one answer was lost, up to the time limit of a change.

Change: a statement without an answer for twice the time within which nearly every answer arrives is presumed to have left its slot.

--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -137,6 +137,7 @@
         self.replica_lag = ReplicaLag()
         #: Response times from sending a statement to its answer.
         self.response_times = ResponseTimes()
+        self.gate.compute_answer_timeout = self._get_answer_timeout
 
     @property
     def load(self) -> int:
@@ -414,6 +415,9 @@
             return None
         return None if isinstance(lease, Refusal) else lease
 
+    def _get_answer_timeout(self) -> float:
+        return self.response_times.timeout
+
     def _back_off(self, now: float) -> None:
         self._failed_at = now
         self._backoff_until = now + self._backoff
--- a/deckdrum/serving/slots.py
+++ b/deckdrum/serving/slots.py
@@ -25,6 +25,12 @@
 #: Longest wait of a new connection for a slot, in seconds.  An idle connection
 #: may become free meanwhile, and the statement has to wait for a slot again.
 OPENING_SLOT_TIMEOUT_S: Final = 0.15
+#: A statement without an answer for this multiple of the time within which
+#: nearly every answer arrives is presumed to have left its slot: its answer is
+#: lost.  Otherwise one lost answer would stop a holder with a part of 1.
+LOST_ANSWER_FACTOR: Final = 2
+#: Interval at which a waiting statement looks for lost answers.
+_RECHECK_INTERVAL_S: Final = 0.02
 #: Priority of connections that are opened for callers without a known route.
 _DEFAULT_PRIORITY: Final = 1
 
@@ -35,9 +41,13 @@
 
 @dataclass(slots=True, eq=False)
 class SlotPermit:
-    """The right to have one statement in flight, until `SlotGate.release`."""
+    """The right to have one statement in flight, until `SlotGate.release`.
+
+    `granted_at` is a time of `curio.clock`.
+    """
 
     priority: int
+    granted_at: float
     is_released: bool = False
 
 
@@ -52,6 +62,10 @@
     return float('inf')
 
 
+def _expect_any_time() -> float:
+    return float('inf')
+
+
 async def _ignore_demand() -> None:
     """Do nothing while no slots can be borrowed."""
 
@@ -65,6 +79,8 @@
         Number of statements in flight above which `on_demand` is called.
     compute_limit : callable
         Returns how many statements may be in flight at a time of `curio.clock`.
+    compute_answer_timeout : callable
+        Returns the time within which nearly every answer arrives, in seconds.
     on_demand : callable
         Called when a statement has to wait, or is admitted beyond `part`.
     priorities : dict of str to int
@@ -79,6 +95,7 @@
     def __init__(self) -> None:
         self.part = float('inf')
         self.compute_limit: Callable[[float], float] = _allow_any
+        self.compute_answer_timeout: Callable[[], float] = _expect_any_time
         self.on_demand: Callable[[], Awaitable[None]] = _ignore_demand
         self.priorities: dict[str, int] = {}
         self.in_flight = 0
@@ -86,6 +103,8 @@
         self._urgent_in_flight = 0
         self._waiting: list[_Waiter] = []
         self._preferred = 0
+        #: Permits in the order in which they were granted.
+        self._permits: dict[int, SlotPermit] = {}
 
     @property
     def waiting(self) -> int:
@@ -111,6 +130,7 @@
 
     def is_full(self, now: float) -> bool:
         """Return whether a statement would have to wait."""
+        self._discard_lost(now)
         return self.in_flight >= self.compute_limit(now)
 
     async def acquire(
@@ -138,7 +158,7 @@
         """
         now = await curio.clock()
         if not self._waiting and not self.is_full(now):
-            permit = self._admit(priority)
+            permit = self._admit(priority, now)
             await self._report_demand(permit)
             return permit
         waiter = _Waiter(GateEntry(priority, is_open))
@@ -160,9 +180,7 @@
         """Return a slot; a second call does nothing."""
         if permit.is_released:
             return
-        permit.is_released = True
-        self.in_flight -= 1
-        self._urgent_in_flight -= not permit.priority
+        self._remove(permit)
         await self.admit_waiting()
 
     async def admit_waiting(self) -> None:
@@ -173,13 +191,13 @@
             index = select_admitted(entries, self._preferred)
             self._preferred = count_preferred(entries, index, self._preferred)
             waiter = self._waiting.pop(index)
-            waiter.permit = self._admit(waiter.entry.priority)
+            waiter.permit = self._admit(waiter.entry.priority, now)
             await waiter.ready.set()
 
     @asynccontextmanager
     async def count(self) -> AsyncIterator[None]:
         """Count a command of the proxy itself, which never waits."""
-        permit = self._admit(_DEFAULT_PRIORITY)
+        permit = self._admit(_DEFAULT_PRIORITY, await curio.clock())
         try:
             yield
         finally:
@@ -210,10 +228,27 @@
         finally:
             await self.release(permit)
 
-    def _admit(self, priority: int) -> SlotPermit:
+    def _admit(self, priority: int, now: float) -> SlotPermit:
         self.in_flight += 1
         self._urgent_in_flight += not priority
-        return SlotPermit(priority)
+        permit = SlotPermit(priority, now)
+        self._permits[id(permit)] = permit
+        return permit
+
+    def _remove(self, permit: SlotPermit) -> None:
+        permit.is_released = True
+        self._permits.pop(id(permit))
+        self.in_flight -= 1
+        self._urgent_in_flight -= not permit.priority
+
+    def _discard_lost(self, now: float) -> None:
+        """Return the slots of statements whose answers are presumed lost."""
+        lost_after = self.compute_answer_timeout() * LOST_ANSWER_FACTOR
+        while self._permits:
+            oldest = next(iter(self._permits.values()))
+            if now < oldest.granted_at + lost_after:
+                return
+            self._remove(oldest)
 
     async def _report_demand(self, permit: SlotPermit) -> None:
         """Report a statement that uses a borrowed slot."""
@@ -228,7 +263,10 @@
     async def _wait(self, waiter: _Waiter, timeout: float) -> None:
         await self.on_demand()
         async with curio.ignore_after(timeout):
-            await waiter.ready.wait()
+            while waiter.permit is None:
+                async with curio.ignore_after(_RECHECK_INTERVAL_S):
+                    await waiter.ready.wait()
+                await self.admit_waiting()
 
 
 class GatedServer:
--- a/deckdrum/serving/tests/test_slot_permits.py
+++ b/deckdrum/serving/tests/test_slot_permits.py
@@ -16,6 +16,7 @@
     build_route,
     run_scenario,
 )
+from deckdrum.utils.virtualtime import run_virtual
 
 #: Longer than the statement timeout of the routes.
 SETTLE_TIME_S = 3.0
@@ -241,3 +242,21 @@
         assert f'deckdrum_node_server_waiting{labels} 0.0' in metrics
 
     run_scenario(scenario)
+
+
+def test_lost_answer_does_not_keep_a_slot() -> None:
+    """Guards against a holder that one lost answer stops until its time-out."""
+
+    async def scenario() -> None:
+        gate = SlotGate()
+        gate.compute_limit = lambda _: 1
+        gate.compute_answer_timeout = lambda: 0.05
+        lost = await gate.acquire(1, timeout=1)
+        assert lost is not None
+        assert await gate.acquire(1, timeout=0.05) is None
+        assert await gate.acquire(1, timeout=0.08) is not None
+        assert gate.in_flight == 1
+        await gate.release(lost)
+        assert gate.in_flight == 1
+
+    run_virtual(scenario)
