Limits: test that a renewed lease outlives an older refusal

Cause: of nine changes made on trial to the code of shares, one was noticed by no test: ending the lease of a borrower that started again after its connection was refused.

Change: an example of OwnShare.end_lease.

Measured: the example fails with that change; the other eight changes each fail 1 to 3 tests.

--- a/deckdrum/load/limit_shares.py
+++ b/deckdrum/load/limit_shares.py
@@ -154,6 +154,17 @@
 
         `sent_at` is when the connection was requested.  A process that has
         started since then may have borrowed the share anew.
+
+        Examples
+        --------
+        >>> share = OwnShare(since=0)
+        >>> loan = share.lend('n1', now=1)
+        >>> share.end_lease('n1', sent_at=0.9, now=1.1)
+        >>> share.list_borrowers(now=1.1)
+        ['n1']
+        >>> share.end_lease('n1', sent_at=1.1, now=1.1)
+        >>> share.list_borrowers(now=1.1)
+        []
         """
         usable_from, expires_at = self._leases.get(borrower, (now, _LONG_AGO))
         if now < expires_at <= sent_at + LEASE_S:
