--- a/deckdrum/load/rate_limits.py
+++ b/deckdrum/load/rate_limits.py
@@ -47,7 +47,7 @@
 #: Urgent operations arrive at random, at 0.63 of the limit in a workspace at
 #: 4.7 times its limit: five tokens cover all but 0.3 % of their bursts.
 MAX_RESERVE: Final = 5.0
-#: Largest reserve of one level of priority, as a fraction of the burst.
+#: Largest reserve, as a fraction of the burst.
 RESERVE_FRACTION: Final = 0.2
 #: Part of the rate that less urgent operations keep if urgent ones alone reach
 #: the limit.
@@ -65,7 +65,6 @@
 #: How long the floor is kept without a less urgent request, and a small
 #: allowance for urgent operations after one of them was rejected, in seconds.
 PRIORITY_MEMORY_S: Final = 5.0
-_LEVELS_BELOW_URGENT: Final = 2
 _RANK_KEY: Final = 'limits'
 #: Leading bytes of a rank that are read as a number.
 _DRAW_BYTES: Final = 4
@@ -149,7 +148,7 @@
         self._level = level
         #: Tokens of the level that are kept for less urgent operations.
         self._floor: float = 0
-        #: How far the reserve of one level of priority has grown.
+        #: How far the reserve has grown.
         self._reserve: float = 0
         self._less_urgent_asked_at = float('-inf')
         self._urgent_rejected_at = float('-inf')
@@ -245,9 +244,7 @@
         if burst >= MIN_RESERVING_BURST:
             available -= self._floor
         if priority > URGENT_PRIORITY:
-            wait = self._compute_less_urgent_wait(
-                available, rate, burst, priority
-            )
+            wait = self._compute_less_urgent_wait(available, rate, burst)
         else:
             wait = _compute_wait(1 - available, rate)
             if wait:
@@ -267,7 +264,7 @@
         self._reserve = min(compute_reserve(burst), grown)
 
     def _compute_less_urgent_wait(
-        self, available: float, rate: float, burst: float, priority: int
+        self, available: float, rate: float, burst: float
     ) -> float:
         """Return the wait for a token above the reserve, or of the floor."""
         floor_wait = max(
@@ -277,9 +274,8 @@
         if not floor_wait:
             self._floor -= 1
             return 0
-        reserve = self._reserve * min(priority, _LEVELS_BELOW_URGENT)
         wait = _compute_wait(
-            1 + reserve - available, rate * (1 - FLOOR_FRACTION)
+            1 + self._reserve - available, rate * (1 - FLOOR_FRACTION)
         )
         if burst < MIN_RESERVING_BURST:
             urgent_age = self.asked_at - self._urgent_rejected_at
@@ -288,10 +284,9 @@
 
 
 def compute_reserve(burst: float) -> float:
-    """Return the tokens that one level of priority leaves to the one above.
+    """Return the tokens that less urgent operations leave to urgent ones.
 
-    Two levels and the floor leave a token of a full bucket to the least urgent
-    operations.
+    Reserve and floor leave a token of a full bucket to less urgent operations.
 
     Examples
     --------
@@ -301,8 +296,7 @@
     0
     """
     spare = burst - FLOOR_TOKENS - 1
-    most = spare / _LEVELS_BELOW_URGENT
-    return max(0, min(MAX_RESERVE, burst * RESERVE_FRACTION, most))
+    return max(0, min(MAX_RESERVE, burst * RESERVE_FRACTION, spare))
 
 
 def _compute_wait(missing: float, rate: float) -> float:
