Limits: do not count operations that no server ran

Change: an operation that was refused before it was sent is given back to the member of the panel that has counted it (ReturnToken). Reads refused by a queue are not, since a server may have run and failed one before.

--- a/deckdrum/fleet/limit_messages.py
+++ b/deckdrum/fleet/limit_messages.py
@@ -33,11 +33,22 @@
     """Whether the peer counts for the workspace, and the delay.
 
     `wait` is the time until an operation may begin, in seconds.  If it is 0,
-    the operation has been counted and may begin now.
+    the operation has been counted and may begin now.  `is_returnable` tells
+    that the peer itself has counted it and takes `ReturnToken` for it.
     """
 
     is_kept: bool
     wait: float
+    is_returnable: bool = False
+
+
+class ReturnToken(Message, frozen=True):
+    """Tells a coordinator that an operation it counted has run nowhere.
+
+    The answer is a `LimitAnswer`.  Losing it costs the workspace one operation.
+    """
+
+    workspace: str
 
 
 class AskLimitShare(Message, frozen=True):
--- a/deckdrum/fleet/messages.py
+++ b/deckdrum/fleet/messages.py
@@ -181,6 +181,7 @@
     load_messages.SlotsAnswer,
     load_messages.AskLoad,
     load_messages.LoadAnswer,
+    limit_messages.ReturnToken,
 )
 _TYPE_NUMBERS: Final = MappingProxyType(
     {
--- a/deckdrum/forwarding/handler.py
+++ b/deckdrum/forwarding/handler.py
@@ -85,6 +85,9 @@
     async def admit_operation(self, access: Access) -> Refusal | None:
         """Do nothing: the sender has counted the operation."""
 
+    async def withdraw_operation(self, access: Access) -> None:
+        """Do nothing: the sender has counted the operation."""
+
     def find_runner(
         self,
         service: str,
--- a/deckdrum/limits/client.py
+++ b/deckdrum/limits/client.py
@@ -5,7 +5,12 @@
 import curio
 
 from deckdrum.control import ControlView
-from deckdrum.fleet.limit_messages import AskLimit, LimitAnswer, LimitRole
+from deckdrum.fleet.limit_messages import (
+    AskLimit,
+    LimitAnswer,
+    LimitRole,
+    ReturnToken,
+)
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.limits.counter import LimitCounter
 from deckdrum.load.queueing import compute_retry_after
@@ -53,6 +58,8 @@
         self._counters = counters
         self._isolated_allowances: dict[str, TokenBucket] = {}
         self._refused_count = 0
+        #: Coordinator that has counted the latest operation, by workspace.
+        self._counted_by: dict[str, str] = {}
 
     async def try_begin(
         self, workspace: Workspace, priority: int = URGENT_PRIORITY
@@ -67,23 +74,48 @@
         configuration = self._view.configuration
         if configuration is None or not configuration.has_urgent_routes:
             priority = URGENT_PRIORITY
-        wait = await self._ask_coordinators(workspace, priority)
-        if wait is None:
+        answer = await self._ask_coordinators(workspace, priority)
+        if answer is None:
             return await self._use_isolated_allowance(workspace, priority)
-        if not wait:
+        if not answer.wait:
             return None
-        return self._refuse(Code.LIMIT_REACHED, workspace, priority, wait)
+        return self._refuse(
+            Code.LIMIT_REACHED, workspace, priority, answer.wait
+        )
+
+    async def return_token(self, workspace: Workspace) -> None:
+        """Return the token of an operation that has run nowhere.
+
+        Otherwise callers that retry while a group has no primary would use up
+        their limit with operations that no server runs.
+        """
+        configuration = self._view.configuration
+        if workspace.rate is None or configuration is None:
+            return
+        counted_by = self._counted_by.pop(workspace.name, '')
+        if not configuration.has_urgent_routes or not counted_by:
+            return
+        self._counters.count('limit_tokens_returned')
+        if counted_by == self._node:
+            self._counter.return_token(workspace.name)
+            return
+        coordinator = self._view.members.get(counted_by)
+        if coordinator is not None and coordinator.capacity:
+            await self._peers.ask(
+                coordinator.endpoint,
+                ReturnToken(workspace.name),
+                COORDINATOR_TIMEOUT_S,
+            )
 
     async def _ask_coordinators(
         self, workspace: Workspace, priority: int
-    ) -> float | None:
+    ) -> LimitAnswer | None:
         """Ask the coordinator or its stand-ins to count an operation.
 
         Returns
         -------
-        float or None
-            Time until the operation may begin, in seconds; 0 if it has been
-            counted, None if no coordinator answered.
+        LimitAnswer or None
+            None if no coordinator answered.
         """
         role = LimitRole.COORDINATOR
         attempts = 0
@@ -94,20 +126,29 @@
         )
         for name in self._counter.rank(workspace.name):
             if name == self._node:
-                return await self._counter.try_acquire(
+                answer = await self._counter.try_acquire(
                     workspace, role, priority
                 )
+                return self._record_counted(workspace, name, answer)
             if not self._peers.health.is_unresponsive(name):
                 if attempts >= max_attempts:
                     return None
                 attempts += 1
                 request = AskLimit(workspace.name, role, priority)
-                answer = await self._ask_coordinator(name, request)
-                if answer is not None and answer.is_kept:
-                    return answer.wait
+                reply = await self._ask_coordinator(name, request)
+                if reply is not None and reply.is_kept:
+                    return self._record_counted(workspace, name, reply)
             role = self._get_next_role(name, role)
         return None
 
+    def _record_counted(
+        self, workspace: Workspace, name: str, answer: LimitAnswer
+    ) -> LimitAnswer:
+        """Record which coordinator takes back the token of an operation."""
+        if answer.is_returnable:
+            self._counted_by[workspace.name] = name
+        return answer
+
     def _get_next_role(self, name: str, role: LimitRole) -> LimitRole:
         """Return the role of the next node, after one that does not count."""
         may_be_partitioned = self._peers.health.may_be_partitioned(name)
--- a/deckdrum/limits/counter.py
+++ b/deckdrum/limits/counter.py
@@ -33,6 +33,7 @@
 #: Age up to which a share counts as new, so that its holder may use the
 #: allowance of a deputy as well: tokens for usual work are there by then.
 NEW_SHARE_AGE_S: Final = 1.0
+_WAIT_FOR_SHARE: Final = LimitAnswer(is_kept=True, wait=LEASE_S)
 _NOT_COUNTED_HERE: Final = LimitAnswer(is_kept=False, wait=0)
 
 
@@ -134,15 +135,21 @@
             answer = await self._relay(request)
             if answer is not None:
                 return answer
-        return LimitAnswer(
-            is_kept=True,
-            wait=await self.try_acquire(workspace, role, request.priority),
-        )
+        return await self.try_acquire(workspace, role, request.priority)
+
+    def return_token(self, workspace: str) -> None:
+        """Undo the count of an operation that has run nowhere.
+
+        Ignored if this node has begun to count anew since then.
+        """
+        allowance = self._allowances.get(workspace)
+        if allowance is not None:
+            allowance.return_token()
 
     async def try_acquire(
         self, workspace: Workspace, role: LimitRole, priority: int
-    ) -> float:
-        """Count an operation if it may begin now.
+    ) -> LimitAnswer:
+        """Count an operation of this node if it may begin now.
 
         Parameters
         ----------
@@ -155,16 +162,22 @@
 
         Returns
         -------
-        float
-            Time until an operation may begin, in seconds; 0 if it has been
-            counted.
+        LimitAnswer
+            Whether it has been counted, or the time until it may begin.
         """
-        now = await curio.clock()
-        rate = workspace.rate or 0
         if self.shares.is_active:
             request = AskLimit(workspace.name, role, priority)
             answer = await self._answer_in_panel(workspace, request)
-            return answer.wait if answer.is_kept else LEASE_S
+            return answer if answer.is_kept else _WAIT_FOR_SHARE
+        wait = await self._spend_whole_limit(workspace, role, priority)
+        return LimitAnswer(is_kept=True, wait=wait)
+
+    async def _spend_whole_limit(
+        self, workspace: Workspace, role: LimitRole, priority: int
+    ) -> float:
+        """Count an operation where coordinators do not share limits."""
+        now = await curio.clock()
+        rate = workspace.rate or 0
         is_coordinator = self.rank(workspace.name)[:1] == [self._node]
         if is_coordinator or role is LimitRole.SUCCESSOR:
             allowance = self._get_allowance(
@@ -195,6 +208,7 @@
             wait = self._spend_shares(
                 workspace, usable, len(ranked), request.priority, now
             )
+            is_returnable = not wait
             if wait and now - max(usable) < NEW_SHARE_AGE_S:
                 # A new share brings no tokens.  The allowance of a deputy is
                 # counted apart, so that it may be used beside shares.
@@ -204,7 +218,7 @@
                         workspace, ranked, request.priority
                     ),
                 )
-            return LimitAnswer(is_kept=True, wait=wait)
+            return LimitAnswer(True, wait, is_returnable)
         # A request with this role has been relayed already.
         if request.asked_as != LimitRole.SUCCESSOR:
             holder = self._view.members.get(
@@ -214,7 +228,8 @@
                 holder, replace(request, asked_as=LimitRole.SUCCESSOR)
             )
             if answer is not None:
-                return answer
+                # The node that asks knows this one only.
+                return replace(answer, is_returnable=False)
         if self._node not in ranked:
             return _NOT_COUNTED_HERE
         wait = await self._spend_as_deputy(workspace, ranked, request.priority)
--- a/deckdrum/limits/tests/test_shares.py
+++ b/deckdrum/limits/tests/test_shares.py
@@ -449,3 +449,28 @@
 
     log = StringIO()
     run_scenario(scenario, capacities=(1, 1, 1), logs=[log])
+
+
+@pytest.mark.parametrize('has_urgent_routes', [True, False])
+def test_operations_that_ran_nowhere_do_not_use_up_the_limit(
+    has_urgent_routes: bool,
+) -> None:
+    """Retries during a failover left nothing of the limit for other groups."""
+
+    async def scenario() -> None:
+        fleet = LimitFleet(NODES, GROWERS, has_urgent_routes=has_urgent_routes)
+        await fleet.start()
+        await curio.sleep(2)
+        client = fleet.nodes[-1].limit_client
+        refusals = []
+        for _ in range(200):
+            refusals.append(await client.try_begin(GROWERS))
+            await client.return_token(GROWERS)
+        assert any(refusals) is not has_urgent_routes
+        # Nothing was gained either: the burst is as before.
+        for _ in range(200):
+            await fleet.send(NODES - 1)
+        allowed = DEFAULT_TOLERANCE.compute_allowed_excess(40, 40) / 4
+        assert len(fleet.begun) <= 40 + allowed + 40 * 0.6
+
+    run_virtual(scenario)
--- a/deckdrum/load/rate_limits.py
+++ b/deckdrum/load/rate_limits.py
@@ -155,6 +155,13 @@
         #: When a token was last requested, in kernel seconds.
         self.asked_at = since
 
+    def return_token(self) -> None:
+        """Undo the count of an operation that has run nowhere.
+
+        The level is bounded by the burst when it is next used.
+        """
+        self._level += 1
+
     def try_spend(
         self,
         rate: float,
--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -8,7 +8,12 @@
 
 from deckdrum.backends import ServerRole
 from deckdrum.fleet.base import Message
-from deckdrum.fleet.limit_messages import AskLimit, AskLimitShare
+from deckdrum.fleet.limit_messages import (
+    AskLimit,
+    AskLimitShare,
+    LimitAnswer,
+    ReturnToken,
+)
 from deckdrum.fleet.load_messages import (
     AskLoad,
     AskSlots,
@@ -117,6 +122,10 @@
             return SlotsAnswer(0, 0)
         return await runtime.slots.answer(request)
 
+    async def _take_back_token(self, request: ReturnToken) -> Message:
+        self._limits.return_token(request.workspace)
+        return LimitAnswer(is_kept=True, wait=0)
+
     async def _lend_limit_share(self, request: AskLimitShare) -> Message:
         return await self._limits.shares.answer(request)
 
@@ -148,6 +157,7 @@
         AskLimit: PeerRequestHandler._count_operation,
         AskLoad: PeerRequestHandler._report_load,
         AskLimitShare: PeerRequestHandler._lend_limit_share,
+        ReturnToken: PeerRequestHandler._take_back_token,
         AskProof: PeerRequestHandler._report_proof,
         AskSample: PeerRequestHandler._report_sample,
         AskServer: PeerRequestHandler._report_server,
--- a/deckdrum/node/session_host.py
+++ b/deckdrum/node/session_host.py
@@ -103,6 +103,10 @@
             access.workspace, access.route.priority
         )
 
+    async def withdraw_operation(self, access: Access) -> None:
+        """Return the token of an admitted operation that has run nowhere."""
+        await self._limits.return_token(access.workspace)
+
     def find_runner(
         self,
         service: str,
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -22,7 +22,7 @@
     TransactionState,
 )
 from deckdrum.outcomes import Code, Refusal, refuse
-from deckdrum.serving.host import Outcome, SessionHost
+from deckdrum.serving.host import Outcome, SessionHost, is_unsent
 from deckdrum.serving.state import (
     PreparedStatement,
     SessionState,
@@ -189,7 +189,12 @@
         )
         if runner is None:
             return refuse(Code.NOT_CONFIGURED, route.service)
-        return await runner.run_autocommit(request, effect, route, self.state)
+        outcome = await runner.run_autocommit(
+            request, effect, route, self.state
+        )
+        if is_unsent(outcome, is_read=effect is Effect.READ):
+            await self._host.withdraw_operation(access)
+        return outcome
 
     async def _run_in_transaction(
         self,
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -25,7 +25,7 @@
     run_on_link,
 )
 from deckdrum.serving.executor import ANSWER_MARGIN_S
-from deckdrum.serving.host import Outcome, SessionHost
+from deckdrum.serving.host import Outcome, SessionHost, is_unsent
 from deckdrum.serving.slots import SlotPermit
 from deckdrum.serving.state import (
     ForwardedTransaction,
@@ -146,6 +146,8 @@
         begun = await runner.begin(request, begin, route, self._state)
         if isinstance(begun, Refusal):
             transaction.is_failed = True
+            if is_unsent(begun, is_read=transaction.read_only):
+                await self._host.withdraw_operation(access)
             return begun
         transaction.pin = begun.pin
         transaction.forwarded = begun.forwarded
--- a/deckdrum/testing/limits.py
+++ b/deckdrum/testing/limits.py
@@ -12,7 +12,12 @@
 )
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.health import PeerHealth
-from deckdrum.fleet.limit_messages import AskLimit, AskLimitShare
+from deckdrum.fleet.limit_messages import (
+    AskLimit,
+    AskLimitShare,
+    LimitAnswer,
+    ReturnToken,
+)
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_peers import NodePeers, PeerAnswer
 from deckdrum.limits import LimitClient, LimitCounter, LimitShares
@@ -111,6 +116,9 @@
             return await self.counter.answer(question)
         if isinstance(question, AskLimitShare):
             return await self.shares.answer(question)
+        if isinstance(question, ReturnToken):
+            self.counter.return_token(question.workspace)
+            return LimitAnswer(is_kept=True, wait=0)
         return None
 
 
