Reject at once while a term cannot be proven, in urgent groups

Change: after a renewal without proof, statements of a group with urgent routes are rejected as not run for half a second, while further renewals run.

--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -47,6 +47,9 @@
         self.closed_term = 0
         #: Highest term that any server has reported.
         self.highest_seen_term = 0
+        #: When the latest renewal of the proof ended without any, in kernel
+        #: seconds.
+        self.renewal_failed_at = float('-inf')
         #: Set whenever the primary or its term changes.
         self.changed = curio.Event()
         self._journal = journal
--- a/deckdrum/leadership/tests/test_proof.py
+++ b/deckdrum/leadership/tests/test_proof.py
@@ -11,7 +11,13 @@
 from deckdrum.leadership.state import PROOF_LIFETIME_S, LeadershipState
 from deckdrum.sessions import Position
 from deckdrum.standins.users import StoreFault
-from deckdrum.testing.nodes import CURRENT, SERVICE, Deployment, run_scenario
+from deckdrum.testing.nodes import (
+    CURRENT,
+    SERVICE,
+    Deployment,
+    build_route,
+    run_scenario,
+)
 from deckdrum.utils.journal import open_null_journal
 
 
@@ -58,6 +64,38 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ('priority', 'limit'),
+    [(0, 0.05), (1, 2.5)],
+)
+def test_urgent_group_without_proof_rejects_at_once(
+    priority: int, limit: float
+) -> None:
+    """Each statement waited for a renewal, longer than urgent callers can."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await deployment.configure(
+            2, routes=[build_route(CURRENT, 'primary', priority=priority)]
+        )
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        for server in deployment.group.servers.values():
+            server.is_unresponsive = server is not deployment.group.primary
+        deployment.store.fault = StoreFault.SILENT
+        await curio.sleep(2 * PROOF_LIFETIME_S)
+        await client.ask('WRITE a 1')
+        began = await curio.clock()
+        reply = await client.ask('WRITE a 1')
+        waited = await curio.clock() - began
+        assert 'not run' in reply.text
+        assert waited < limit
+        assert (waited > 1) is (priority > 0)
+        deployment.store.fault = StoreFault.NONE
+        assert await client.write_until_done() < 1.0
+
+    run_scenario(scenario)
+
+
 def test_one_node_that_reaches_the_replicas_can_change_the_primary() -> None:
     """The other two nodes do not answer; their proof must expire first."""
 
--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -31,6 +31,8 @@
 SOURCE_TIMEOUT_S: Final = 0.08
 #: Timeout for proof once every source was queried.
 PROOF_TIMEOUT_S: Final = 0.3
+#: How long after a renewal without proof a term counts as unproven.
+UNPROVEN_TIME_S: Final = 0.5
 #: Interval between checks whether proof has arrived.
 _POLL_INTERVAL_S: Final = 0.005
 
@@ -159,6 +161,7 @@
                     await curio.sleep(_POLL_INTERVAL_S)
         finally:
             self._renewal = None
+            _record_renewal(self._leadership_state, await curio.clock())
 
     async def _fetch_proof_from_collector(self) -> None:
         collector = self.collector
@@ -208,6 +211,17 @@
             )
 
 
+def _record_renewal(leadership_state: LeadershipState, now: float) -> None:
+    """Record whether a renewal that has just ended has brought proof."""
+    has_proof = leadership_state.get_proof_expiry() > now
+    leadership_state.renewal_failed_at = float('-inf') if has_proof else now
+
+
+def is_unproven(leadership_state: LeadershipState, now: float) -> bool:
+    """Return whether the latest renewal has just ended without proof."""
+    return now - leadership_state.renewal_failed_at < UNPROVEN_TIME_S
+
+
 def _pick_collector(
     service: str,
     own: Member,
--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -12,7 +12,7 @@
 from deckdrum.serving.dispatches import Dispatch, FinishedAttempt
 from deckdrum.serving.replica_lag import find_creation
 from deckdrum.serving.routing import Target
-from deckdrum.serving.runtime import ServiceRuntime
+from deckdrum.serving.runtime import ServiceRuntime, is_rejecting_unproven
 
 #: Upper bound for the backoff between attempts on the primary.
 MAX_RETRY_BACKOFF_S: Final = 0.08
@@ -119,6 +119,8 @@
             return refuse(Code.NO_PRIMARY, f'service {self._runtime.name}')
         if primary.drain_status.is_past_cutoff(now):
             return refuse(Code.NO_PRIMARY, 'it has left, and none follows')
+        if is_rejecting_unproven(self._runtime, now):
+            return refuse(Code.NO_PRIMARY, 'its term is not proven here')
         code = Code.QUEUE_TIMEOUT
         if dispatch.is_read:
             code = Code.READ_NOT_POSSIBLE
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -28,7 +28,7 @@
     has_uneven_machines,
     list_remaining_nodes,
 )
-from deckdrum.serving.proofs import ProofQuery, ProofSources
+from deckdrum.serving.proofs import ProofQuery, ProofSources, is_unproven
 from deckdrum.serving.samples import SAMPLE_TIMEOUT_S, PrimarySampler
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.shares import RouteShares
@@ -322,7 +322,8 @@
         Returns
         -------
         ServerHandle or None
-            None if there is none within `timeout` seconds.
+            None if there is none within `timeout` seconds, or at once for
+            statements if `is_rejecting_unproven`.
         """
         deadline = await curio.clock() + timeout
         while True:
@@ -336,11 +337,10 @@
             ):
                 await self._proofs.renew_if_expiring(now)
                 return primary
-            # If no server accepts new statements, waiting is useless.
-            is_unavailable = for_statements and _have_all_left(
-                self.servers, now
-            )
-            if now >= deadline or is_unavailable:
+            is_useless = for_statements and _is_wait_useless(self, now)
+            if now >= deadline or is_useless:
+                if is_rejecting_unproven(self, now):
+                    await self._proofs.renew_if_expiring(now)
                 return None
             if is_past_cutoff:
                 await self.leadership_state.wait_for_change(
@@ -464,6 +464,25 @@
     return holders
 
 
+def is_rejecting_unproven(runtime: ServiceRuntime, now: float) -> bool:
+    """Return whether statements do not wait for proof of the primary's term.
+
+    In a group with urgent routes that has just failed to get proof, another
+    renewal takes longer than their objectives, and callers may reach the
+    primary through another node.
+    """
+    is_urgent = runtime.declaration.has_urgent_routes
+    is_known = runtime.primary is not None
+    return is_urgent and is_known and is_unproven(runtime.leadership_state, now)
+
+
+def _is_wait_useless(runtime: ServiceRuntime, now: float) -> bool:
+    """Return whether statements cannot get a primary in time by waiting."""
+    return _have_all_left(runtime.servers, now) or is_rejecting_unproven(
+        runtime, now
+    )
+
+
 def _has_left(handle: ServerHandle | None, now: float) -> bool:
     return handle is not None and handle.drain_status.is_past_cutoff(now)
 
