--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -330,17 +330,13 @@
             now = await curio.clock()
             primary = self.primary
             is_past_cutoff = for_statements and _has_left(primary, now)
-            if (
-                primary
-                and not is_past_cutoff
-                and self.leadership_state.is_primary_usable(now)
-            ):
+            is_proven = self.leadership_state.is_primary_usable(now)
+            if primary and is_proven and not is_past_cutoff:
                 await self._proofs.renew_if_expiring(now)
                 return primary
-            is_useless = for_statements and _is_wait_useless(self, now)
-            if now >= deadline or is_useless:
-                if is_rejecting_unproven(self, now):
-                    await self._proofs.renew_if_expiring(now)
+            if is_rejecting_unproven(self, now):
+                await self._proofs.renew_if_expiring(now)
+            if _is_wait_useless(self, now, deadline, for_statements):
                 return None
             if is_past_cutoff:
                 await self.leadership_state.wait_for_change(
@@ -476,10 +472,19 @@
     return is_urgent and is_known and is_unproven(runtime.leadership_state, now)
 
 
-def _is_wait_useless(runtime: ServiceRuntime, now: float) -> bool:
-    """Return whether statements cannot get a primary in time by waiting."""
-    return _have_all_left(runtime.servers, now) or is_rejecting_unproven(
-        runtime, now
+def _is_wait_useless(
+    runtime: ServiceRuntime,
+    now: float,
+    deadline: float,
+    for_statements: bool,
+) -> bool:
+    """Return whether no primary can be had in time by waiting."""
+    if not for_statements:
+        return now >= deadline
+    return (
+        now >= deadline
+        or _have_all_left(runtime.servers, now)
+        or is_rejecting_unproven(runtime, now)
     )
 
 
