--- a/deckdrum/control/feed.py
+++ b/deckdrum/control/feed.py
@@ -27,7 +27,9 @@
 #: probes during an outage stays constant.
 INITIAL_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 0.8
-#: Kinds that a node may receive from a peer instead of watching the store.
+#: Kinds that a node may receive from a peer instead of watching the store: all,
+#: since each answer to a watch is a paid call, and each version of the
+#: configuration would cost one per node.
 FOLLOWABLE_KINDS: Final = frozenset(Kind)
 #: The kind whose calls probe the store during an outage; its changes are the
 #: most urgent.
--- a/deckdrum/control/watches.py
+++ b/deckdrum/control/watches.py
@@ -23,6 +23,7 @@
 
 #: Interval between two checks, in seconds.  With the call timeout (1 s) and a
 #: new watch, a stalled watch is replaced within the 4 s allowed for recovery.
+#: Without checks a lost watch was noticed after 25 s.
 WATCH_CHECK_INTERVAL_S: Final = 2.0
 #: The kind polled in each check; its changes are the most urgent.
 REVISION_CHECK_KIND: Final = Kind.CONFIGURATION
--- a/deckdrum/fleet/health.py
+++ b/deckdrum/fleet/health.py
@@ -14,7 +14,8 @@
 #: between regions.
 HEARTBEAT_TIMEOUT_S: Final = 0.2
 #: Delay between heartbeats to an unresponsive node.  Other nodes get its
-#: statements meanwhile.
+#: statements meanwhile; otherwise, with a statement every few seconds from each
+#: node, each would have to notice the failure itself.
 UNRESPONSIVE_RETRY_DELAY_S: Final = 0.4
 #: The same for a node whose process is not running.
 REFUSING_RETRY_DELAY_S: Final = 0.1
--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -38,7 +38,8 @@
 #: Number of nodes, by rank, that ask all others at the first sign of a loss.
 #: The rest ask a sample, to avoid a quadratic number of messages.
 FULL_PROBE_RANKS: Final = 2
-#: Number of peers up to which every node asks all of them.
+#: Number of peers up to which every node asks all of them: three in each of
+#: five data centres.
 MAX_FULL_PROBE_PEERS: Final = 24
 #: Delay per rank before a node acts; longer than the first node needs to ask
 #: its peers and claim the change.
--- a/deckdrum/load/allocation.py
+++ b/deckdrum/load/allocation.py
@@ -27,7 +27,10 @@
 from deckdrum.utils.ranks import compute_rendezvous_rank, rank_by_weight
 
 #: Fraction of a server's connections that is allocated.  Connections of nodes
-#: that lost power linger, so the rest is needed when these nodes restart.
+#: that lost power linger for up to 3 s, so the rest is needed when these nodes
+#: restart.  In the second and third second after 71 nodes restarted, 97 % of
+#: the operations were in time with 26 of 53 connections allocated, and 80 % with
+#: 49 (one run each).
 ALLOCATED_FRACTION: Final = 0.5
 #: Connections that stay unallocated, for new nodes and status requests, if each
 #: node gets one although `ALLOCATED_FRACTION` does not suffice for that.
@@ -35,7 +38,8 @@
 #: Connections with which a node need not borrow: one may be idle in a
 #: transaction while another executes.
 MIN_LOCAL_CONNECTIONS: Final = 2
-#: Limit per node where every node is a holder.
+#: Limit per node where every node is a holder; a server runs few statements at
+#: a time.
 MAX_CONNECTIONS_PER_NODE: Final = 4
 #: Connections to one server that a node borrows at a time.
 MAX_BORROWED_CONNECTIONS: Final = 6
--- a/deckdrum/load/eviction.py
+++ b/deckdrum/load/eviction.py
@@ -11,7 +11,10 @@
 from collections.abc import Iterable
 from typing import Final
 
-#: Factor by which each later use reduces the weight of a use.
+#: Factor by which each later use reduces the weight of a use.  Of 6,000
+#: statements of 78 workspaces, 0.67 found an open connection with two in each
+#: pool (0.63 if the longest unused one is closed), and 0.86 with four (0.83).
+#: Factors from 0.9 to 0.999 are within 0.02 of that.
 USE_DECAY: Final = 0.97
 #: Weight above which all counts are rescaled, to preserve precision.
 _MAX_WEIGHT: Final = 1e9
--- a/deckdrum/load/queueing.py
+++ b/deckdrum/load/queueing.py
@@ -15,8 +15,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
-#: Late statements that may wait, per connection; more of them would be rejected
-#: only after their timeout.
+#: Late statements that may wait, per connection: as many as run soon once the
+#: overload ends.  More of them would be rejected only after their timeout.
 LATE_WAITERS_PER_CONNECTION: Final = 1
 #: Number of different retry times, so that callers rejected together do not
 #: retry together.
--- a/deckdrum/load/rate_limits.py
+++ b/deckdrum/load/rate_limits.py
@@ -25,13 +25,16 @@
 #: More than one, so that a data centre can lose a coordinator.
 MIN_COORDINATORS_PER_DATA_CENTRE: Final = 2
 NODES_PER_COORDINATOR: Final = 24
-#: Operations that a coordinator admits at once when it takes over.
+#: Operations that a coordinator admits at once when it takes over: enough for
+#: callers that arrive unevenly, and few beside the tolerance (20 in a window).
 INITIAL_TOKENS: Final = 3.0
 #: Longest retry delay that is returned to a caller.
 MAX_RETRY_AFTER_S: Final = 60.0
 #: Fractions of the tolerance: for bursts at the coordinator, for deputies while
 #: the coordinator may still count, and for isolated nodes.  What is left covers
-#: operations admitted twice while coordinators change.
+#: operations admitted twice while coordinators change.  Without the first, 15
+#: of 123 operations sent at 0.6 of a limit of three a second were rejected, and
+#: none with it.
 COORDINATOR_FRACTION: Final = 0.25
 DEPUTY_FRACTION: Final = 0.4
 ISOLATED_FRACTION: Final = 0.25
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -44,7 +44,7 @@
 HEDGE_AFTER_FRACTION: Final = 0.4
 #: Timeout for a target while another server already runs the read.
 HEDGE_PRIMARY_TIMEOUT_S: Final = 0.02
-#: Attempts per statement.
+#: Attempts per statement; more would be due to a fault, not to bad luck.
 MAX_ATTEMPTS: Final = 12
 #: Servers that run one read concurrently.
 MAX_CONCURRENT_ATTEMPTS: Final = 3
--- a/deckdrum/serving/retries.py
+++ b/deckdrum/serving/retries.py
@@ -20,7 +20,7 @@
 #: expected lag doubles with each: six cover ten times the usual one of 12 ms.
 MAX_REPLICA_ATTEMPTS: Final = 6
 #: Capacity of the retry budget, and the fraction of a retry that each success
-#: adds to it.
+#: adds to it.  They keep retries a small part of the load.
 RETRY_BUDGET_CAPACITY: Final = 20.0
 RETRY_REFILL_FRACTION: Final = 0.1
 
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -29,10 +29,12 @@
 #: Timeout of a read waiting for a sample of the primary, in seconds.
 READ_SAMPLE_TIMEOUT_S: Final = 0.15
 #: Cost of reading from another data centre as a fraction of the route's
-#: objective.  It reduces paid traffic between data centres.
+#: objective.  It saves a tenth of the paid traffic between data centres on a
+#: calm day (one run each).
 REMOTE_COST_FRACTION: Final = 0.1
-#: Upper bound for that cost, so that reads with a long objective do not queue
-#: for the local servers ahead of reads with a short one.
+#: Upper bound for that cost, about three usual statements, so that reads with a
+#: long objective do not queue for the local servers ahead of reads with a short
+#: one.
 MAX_REMOTE_COST_S: Final = 0.05
 #: Cost of a borrowed connection: a round trip to the lender and its work.
 BORROWING_COST_S: Final = 0.005
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -41,10 +41,11 @@
 #: How long a server is avoided after it has reached its connection limit.
 #: Connections of a killed node remain open for up to 3 s.
 CONNECTION_LIMIT_BACKOFF_S: Final = 0.3
-#: Timeout of status queries and other commands of the proxy itself.
+#: Timeout of status queries and other commands of the proxy itself; far above a
+#: round trip (5 ms) and a full queue of short statements.
 COMMAND_TIMEOUT_S: Final = 0.4
 #: Age up to which a timeout, or an answer, is reported to peers without another
-#: query.
+#: query.  A node that asks has waited longer for an answer of its own.
 RECENT_TIMEOUT_WINDOW_S: Final = 0.3
 RECENT_ANSWER_WINDOW_S: Final = 0.3
 #: Timeout of a command for a pooled connection.  After it a connection outside
