--- a/deckdrum/load/allocation.py
+++ b/deckdrum/load/allocation.py
@@ -29,8 +29,8 @@
 #: Fraction of a server's connections that is allocated.  Connections of nodes
 #: that lost power linger for up to 3 s, so the rest is needed when these nodes
 #: restart.  In the second and third second after 71 nodes restarted, 97 % of
-#: the operations were in time with 26 of 53 connections allocated, and 80 % with
-#: 49 (one run each).
+#: the operations were in time with 26 of 53 connections allocated, and 80 %
+#: with 49 (one run each).
 ALLOCATED_FRACTION: Final = 0.5
 #: Connections that stay unallocated, for new nodes and status requests, if each
 #: node gets one although `ALLOCATED_FRACTION` does not suffice for that.
--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -24,8 +24,9 @@
 ProofQuery = Callable[[], Awaitable[object]]
 #: Number of nodes in a data centre from which one of them, the collector,
 #: fetches proof and samples for all.  Messages within a data centre cost next
-#: to nothing, while a query takes a slot of a server.  Sharing saves four tenths
-#: of the queries of seven nodes in three data centres (one calm day each).
+#: to nothing, while a query takes a slot of a server.  Sharing saves four
+#: tenths of the queries of seven nodes in three data centres (one calm day
+#: each).
 MIN_NODES_FOR_COLLECTOR: Final = 2
 #: Age up to which a proof or sample is passed to peers without a new query.
 MAX_SHARED_AGE_S: Final = 0.3
