--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -4,23 +4,27 @@
 lasting effect.  One that was not sent is forwarded to the next holder.
 """
 
-from dataclasses import dataclass, field, replace
 from typing import Any, Final, TypeGuard
 
 import curio
 
-from deckdrum.control import ConsistencyGuarantee, Member, Route
+from deckdrum.control import Member, Route
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.health import HEARTBEAT_TIMEOUT_S
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import Forward, ForwardAnswer
 from deckdrum.fleet.node_peers import NodePeers
-from deckdrum.forwarding.encoding import decode_outcome, encode_forward
+from deckdrum.forwarding.encoding import decode_outcome
 from deckdrum.forwarding.holder_loads import HolderLoads
+from deckdrum.forwarding.pending import (
+    FORWARD_MARGIN_S,
+    ForwardAttempt,
+    ForwardResult,
+    PendingForward,
+)
 from deckdrum.forwarding.shedding import LoadShedder
 from deckdrum.forwarding.transactions import RemoteTransaction
 from deckdrum.load.reports import IMMEDIATE_REJECTION_FRACTION
-from deckdrum.load.shedding import StatementKind
 from deckdrum.operations import Answer, Begin, Effect, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving.executor import UNRESPONSIVE_AFTER_S, StatementExecutor
@@ -30,9 +34,6 @@
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.state import SessionState
 
-#: Part of a statement's timeout reserved for the response to arrive; less than
-#: the holder's own reserve, so that the holder reports a timeout first.
-FORWARD_MARGIN_S: Final = 0.02
 #: Fraction of the timeout after which a repeatable statement is forwarded to
 #: another holder even if the first is alive, since its stream may be broken.
 ATTEMPT_TIMEOUT_FRACTION: Final = 0.4
@@ -46,126 +47,6 @@
 HOLDER_BACKOFF_S: Final = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardAttempt:
-    """Result of one attempt: the answer and its stream, or neither.
-
-    `was_sent` tells whether the statement may have run.
-    """
-
-    answer: ForwardAnswer | None
-    channel: StreamChannel | None
-    was_sent: bool
-
-
-@dataclass(frozen=True, slots=True)
-class ForwardResult:
-    """Outcome of a statement, with the holder and the stream it came from."""
-
-    outcome: Outcome
-    channel: StreamChannel
-    holder: Member
-
-
-@dataclass(slots=True)
-class PendingForward:
-    """A statement that is being forwarded.
-
-    Attributes
-    ----------
-    request, begin, route, state
-        The statement, the transaction that it opens, its route, and its
-        caller's session state.
-    version : int
-        Version of the configuration that provided the route.
-    is_repeatable : bool
-        Whether an attempt without an answer has no lasting effect.
-    began, deadline : float
-        Times of its start and its deadline, in seconds of the curio clock.
-    tried : set of str
-        Names of the holders tried so far.
-    refusal : Refusal or None
-        Refusal of the last holder that could not run it.
-    may_have_run : bool
-        Whether a holder may have run it.
-    next_holder : Member or None
-        Holder with free capacity to try after another one's queue was full.
-    """
-
-    request: Request
-    begin: Begin | None
-    route: Route
-    state: SessionState
-    version: int
-    is_repeatable: bool
-    began: float
-    deadline: float
-    tried: set[str] = field(default_factory=set)
-    refusal: Refusal | None = None
-    may_have_run: bool = False
-    next_holder: Member | None = None
-
-    @property
-    def uses_primary(self) -> bool:
-        """Whether only the primary can run it."""
-        is_read = (
-            self.is_repeatable if self.begin is None else self.begin.read_only
-        )
-        is_current = self.route.guarantee is ConsistencyGuarantee.CURRENT
-        return is_current or not is_read
-
-    @classmethod
-    async def start(
-        cls,
-        request: Request,
-        begin: Begin | None,
-        route: Route,
-        state: SessionState,
-        version: int,
-        is_repeatable: bool,
-    ) -> 'PendingForward':
-        """Return a forward that starts now."""
-        began: float = await curio.clock()
-        deadline = began + route.statement_timeout - FORWARD_MARGIN_S
-        return cls(
-            request,
-            begin,
-            route,
-            state,
-            version,
-            is_repeatable,
-            began,
-            deadline,
-        )
-
-    @property
-    def kind(self) -> StatementKind:
-        """What decides whether load shedding applies to it."""
-        return StatementKind(
-            max(0, self.route.priority),
-            self.state.workspace,
-            needs_primary=self.uses_primary,
-        )
-
-    async def make_remaining_route(self) -> Route:
-        """Return the route with the remaining time as statement timeout."""
-        left = self.deadline + FORWARD_MARGIN_S - await curio.clock()
-        return replace(
-            self.route, statement_timeout=max(left, FORWARD_MARGIN_S)
-        )
-
-    def encode(self, timeout: float) -> Forward:
-        """Return the message that gives a holder `timeout` seconds."""
-        route = replace(self.route, statement_timeout=timeout)
-        return encode_forward(
-            self.request,
-            route,
-            self.state,
-            self.begin,
-            self.version,
-        )
-
-
 _RETRYABLE_CODES: Final = frozenset((Code.NOT_READY, Code.NO_PRIMARY))
 #: Codes of statements that a holder rejects because of its queue.
 _QUEUE_CODES: Final = frozenset((Code.QUEUE_FULL, Code.QUEUE_TIMEOUT))
