--- a/deckdrum/load/slots.py
+++ b/deckdrum/load/slots.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from deckdrum.load.urgency import GUARANTEED_INTERVAL
+
 #: Statements in flight beyond the slots, as a fraction of them.  With 10 ms of
 #: work and 1.8 ms of round trip, a fifth of the time of a slot is idle unless
 #: the next statement is in transit.
@@ -25,9 +27,8 @@
 #: if they need them, but own parts remain usable.
 LEASE_LIFETIME_S: Final = 0.25
 #: Where less urgent statements wait, one of them is admitted after this many
-#: more urgent ones: an eighth of the slots is enough for background work with a
-#: time limit of 1.5 s to complete.
-MAX_PREFERRED_IN_A_ROW: Final = 7
+#: more urgent ones, as in queues for connections.
+MAX_PREFERRED_IN_A_ROW: Final = GUARANTEED_INTERVAL - 1
 
 
 def compute_bound(slots: int, holders: int) -> int:
