--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -74,7 +74,13 @@
     for seed in range(options.first, options.first + options.seeds):
         folder = options.output / f'soak-{seed}'
         folder.mkdir(parents=True, exist_ok=True)
-        plan = SoakPlan(seed, options.seconds, options.nodes, options.callers)
+        plan = SoakPlan(
+            seed,
+            options.seconds,
+            options.nodes,
+            options.callers,
+            has_urgent_routes=options.urgent,
+        )
         report = curio.run(run_soak, plan, folder)
         print_lines(*_describe_soak(seed, report))
         has_failed = has_failed or bool(report.violations)
@@ -192,6 +198,11 @@
     parser.add_argument('--seconds', type=float, default=plan.seconds)
     parser.add_argument('--nodes', type=int, default=plan.nodes)
     parser.add_argument('--callers', type=int, default=plan.callers)
+    parser.add_argument(
+        '--urgent',
+        action='store_true',
+        help='routes of priority 0 to 2, and machines of uneven capacity',
+    )
     parser.add_argument(
         '--output',
         type=Path,
--- a/deckdrum/soak/environment.py
+++ b/deckdrum/soak/environment.py
@@ -4,12 +4,16 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
+from typing import Any, Final
 
 from deckdrum.soak.links import FaultLink, LinkState
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.standins.users import DatabaseGroup, DatabaseServer, StandinStore
 from deckdrum.testing.nodes import SERVICE, ZONES, build_config
 
+#: Cores of the first node's machine if machines are uneven; others have one.
+_LARGE_MACHINE_CORES: Final = 4
+
 
 @dataclass(slots=True)
 class SoakEnvironment:
@@ -33,6 +37,9 @@
         Version of the latest configuration.
     faulty_servers : set of str
         Ids of the databases on which a fault is active.
+    has_urgent_routes : bool
+        Whether the routes have the priorities 0, 1 and 2, and the first node a
+        larger machine than the others.
     """
 
     folder: Path
@@ -43,19 +50,28 @@
     links: dict[str, FaultLink] = field(default_factory=dict)
     version: int = 1
     faulty_servers: set[str] = field(default_factory=set)
+    has_urgent_routes: bool = False
 
     def __post_init__(self) -> None:
         self.group = DatabaseGroup(SERVICE, self.store, synchronous_replicas=1)
 
     async def start(self, nodes: int) -> None:
         """Start databases, links, store and node processes."""
-        await self.store.write('config', 'main', build_config())
+        await self.store.write('config', 'main', self.build_config())
         await self.group.start(ZONES)
         for server in self.group.servers.values():
             await self._publish_through_link(server)
         for number in range(nodes):
             await self._start_node(number)
 
+    def build_config(self) -> dict[str, Any]:
+        """Return the configuration of the latest version."""
+        config = build_config(self.version)
+        if self.has_urgent_routes:
+            for priority, route in enumerate(config['routes']):
+                route['priority'] = priority
+        return config
+
     async def close(self) -> None:
         """Stop the nodes and close links, databases and store."""
         for node in self.nodes:
@@ -110,6 +126,12 @@
         server.advertised_address = link.address
         await server.publish()
 
+    def _choose_limits(self, number: int) -> dict[str, float]:
+        """Return the limits of a node's machine; empty if it publishes none."""
+        if not self.has_urgent_routes:
+            return {}
+        return {'cpuQuota': 0.5, 'cores': 1 if number else _LARGE_MACHINE_CORES}
+
     async def _start_node(self, number: int) -> None:
         node = NodeProcess(
             number,
@@ -117,6 +139,7 @@
             await self.store.open_endpoint(f'n{number}'),
             self.group.promotion_address,
             self.folder,
+            self._choose_limits(number),
         )
         self.nodes.append(node)
         node.start()
--- a/deckdrum/soak/faults.py
+++ b/deckdrum/soak/faults.py
@@ -9,7 +9,7 @@
 from deckdrum.soak.environment import SoakEnvironment
 from deckdrum.soak.links import LinkState
 from deckdrum.standins.users import StoreFault
-from deckdrum.testing.nodes import build_config, build_route
+from deckdrum.testing.nodes import build_route
 
 #: Faults end before or after a leadership proof expires (1.2 s), but before an
 #: unfinished primary change is taken over (5 s).
@@ -211,7 +211,7 @@
         environment.version += environment.randomness.randint(
             1, _MAX_VERSION_STEP
         )
-        config = build_config(environment.version)
+        config = environment.build_config()
         config['routes'].append(
             build_route(f'db-{environment.version}', 'primary')
         )
--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -6,7 +6,9 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import Final
 
 import curio
@@ -30,6 +32,9 @@
 _HEXADECIMAL_BASE: Final = 16
 
 
+_NO_LIMITS: Final[Mapping[str, float]] = MappingProxyType({})
+
+
 class NodeProcess:
     """Process of one node: ``python -m deckdrum.platform.program``.
 
@@ -43,6 +48,8 @@
         Addresses of this node's store endpoint and of the promotion API.
     folder : Path
         Directory for the node's settings and log.
+    limits : mapping of str to float
+        Limits of the machine, as in the settings.
     """
 
     def __init__(
@@ -52,6 +59,7 @@
         store: Address,
         promotion_address: Address,
         folder: Path,
+        limits: Mapping[str, float] = _NO_LIMITS,
     ) -> None:
         self.name = f'n{number}'
         self.host = f'127.2.{os.getpid() % _NETWORK_COUNT}.{number + 1}'
@@ -61,9 +69,9 @@
         self._settings_path = folder / f'{self.name}.json'
         self._process: subprocess.Popen[bytes] | None = None
         self._is_termination_requested = False
-        self._settings_path.write_text(
-            json.dumps(self._build_settings(centre, store, promotion_address)),
-        )
+        settings = self._build_settings(centre, store, promotion_address)
+        settings['limits'] = dict(limits)
+        self._settings_path.write_text(json.dumps(settings))
         # Leaves no node process running if the soak test is interrupted.
         atexit.register(self.kill)
 
--- a/deckdrum/soak/runner.py
+++ b/deckdrum/soak/runner.py
@@ -42,6 +42,9 @@
         Numbers of node processes and of callers.
     series : int
         Number of concurrent series of faults.
+    has_urgent_routes : bool
+        Whether a route has priority 0 and machines are uneven, which turns on
+        scheduling under overload.
     """
 
     seed: int
@@ -49,6 +52,7 @@
     nodes: int = 5
     callers: int = 8
     series: int = 2
+    has_urgent_routes: bool = False
 
 
 @dataclass(slots=True)
@@ -80,7 +84,9 @@
         self._plan = plan
         self._randomness = Random(plan.seed)
         self._environment = SoakEnvironment(
-            folder, Random(self._randomness.random())
+            folder,
+            Random(self._randomness.random()),
+            has_urgent_routes=plan.has_urgent_routes,
         )
         self._report = SoakReport()
         self._callers: list[Caller] = []
--- a/deckdrum/soak/tests/test_soak.py
+++ b/deckdrum/soak/tests/test_soak.py
@@ -12,6 +12,7 @@
     SoakPlan(seed=1, seconds=6, nodes=4, callers=6),
     # SIGHUP during startup terminated nodes.
     SoakPlan(seed=112, seconds=10),
+    SoakPlan(seed=2001, seconds=8, has_urgent_routes=True),
 )
 
 
