Enable urgency by the settings; limits at once after a restart of all nodes

Change: NodeSettings.is_urgency_enabled, from the contract pressure; without it a node takes no route as urgent. A new member of a panel lists all others as borrowers, lends its share from 0.2 s before its start, and asks as soon as it knows its panel.

--- a/deckdrum/control/records.py
+++ b/deckdrum/control/records.py
@@ -1,7 +1,7 @@
 """Typed records of the control plane.  Times are in seconds."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Final
 
@@ -115,6 +115,14 @@
         """Whether a route has priority 0."""
         return any(each.has_urgent_routes for each in self.services.values())
 
+    def without_urgency(self) -> 'Configuration':
+        """Return the configuration with priorities as weights only."""
+        services = {
+            name: replace(each, has_urgent_routes=False)
+            for name, each in self.services.items()
+        }
+        return replace(self, services=services)
+
 
 class Member(msgspec.Struct, frozen=True):
     """The registration of one node.
--- a/deckdrum/control/tests/test_view.py
+++ b/deckdrum/control/tests/test_view.py
@@ -6,7 +6,8 @@
 import curio
 import pytest
 
-from deckdrum.control import Kind
+from deckdrum.control import ControlView, Kind
+from deckdrum.platform.configuration import decode_configuration
 from deckdrum.platform.records import KIND_NAMES
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.nodes import (
@@ -18,6 +19,8 @@
     build_route,
     run_scenario,
 )
+from deckdrum.utils.journal import open_null_journal
+from deckdrum.utils.virtualtime import run_virtual
 
 #: Time limit for applying a configuration on all nodes, in seconds.
 APPLY_TIMEOUT_S = 3.0
@@ -242,3 +245,24 @@
     ]
     assert sum(event['count'] for event in listed) >= 12
     assert len(listed) <= 6
+
+
+@pytest.mark.parametrize('is_enabled', [True, False])
+def test_urgent_routes_count_only_where_settings_enable_them(
+    is_enabled: bool,
+) -> None:
+    """Unused routes of priority 0 turned the parts on in every deployment."""
+    routes = [build_route('db', 'primary', priority=0)]
+    encoded = json.dumps(build_config(2, routes=routes)).encode()
+
+    async def scenario() -> None:
+        view = ControlView(
+            None,  # type: ignore[arg-type]
+            open_null_journal('test'),
+            is_urgency_enabled=is_enabled,
+        )
+        await view.apply_configuration(decode_configuration(encoded))
+        assert view.configuration is not None
+        assert view.configuration.has_urgent_routes is is_enabled
+
+    run_virtual(scenario)
--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -68,8 +68,11 @@
         store: ControlStore,
         journal: Journal,
         drain_time: float = DEFAULT_DRAIN_TIME_S,
+        *,
+        is_urgency_enabled: bool = True,
     ) -> None:
         self.store = store
+        self._is_urgency_enabled = is_urgency_enabled
         self.configuration: Configuration | None = None
         #: Callbacks run after each change of the view.
         self.on_change: list[_ChangeCallback] = []
@@ -226,6 +229,8 @@
             routes=len(configuration.routes),
             services=len(configuration.services),
         )
+        if not self._is_urgency_enabled:
+            configuration = configuration.without_urgency()
         self.configuration = configuration
         await self._notify(Kind.CONFIGURATION)
         return True
--- a/deckdrum/fleet/limit_messages.py
+++ b/deckdrum/fleet/limit_messages.py
@@ -69,7 +69,7 @@
         Whether the sender lends its share.
     usable_after : float
         Seconds until the borrower may use it, counted from the arrival of the
-        answer.
+        answer; negative if nobody has used it for that time.
     lifetime : float
         Seconds for which it is lent, counted from when the borrower asked.
     lent_to : sequence of str
--- a/deckdrum/fleet/settings.py
+++ b/deckdrum/fleet/settings.py
@@ -33,6 +33,9 @@
         seconds.
     capacity : float
         Processing capacity of the machine in cores; 0 if unknown.
+    is_urgency_enabled : bool
+        Whether routes of priority 0 go before others.  Otherwise priorities are
+        weights of shares only.
     """
 
     name: str
@@ -44,3 +47,4 @@
     limit_tolerance: Tolerance = DEFAULT_TOLERANCE
     drain_time: float = DEFAULT_DRAIN_TIME_S
     capacity: float = 0
+    is_urgency_enabled: bool = True
--- a/deckdrum/limits/counter.py
+++ b/deckdrum/limits/counter.py
@@ -11,7 +11,7 @@
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.limits.shares import LimitShares
 from deckdrum.load.capacity import compute_weights
-from deckdrum.load.limit_shares import LEASE_S
+from deckdrum.load.limit_shares import LEASE_S, START_UP_TIME_S
 from deckdrum.load.rate_limits import (
     INITIAL_TOKENS,
     TokenBucket,
@@ -246,7 +246,8 @@
     ) -> float:
         allowance = self._allowances.get(workspace.name)
         if allowance is None:
-            allowance = TokenBucket(0, self._coordinating_since)
+            counted_from = self._coordinating_since - START_UP_TIME_S
+            allowance = TokenBucket(0, counted_from)
             self._allowances[workspace.name] = allowance
         rate, burst = self._compute_share(workspace, members)
         return allowance.try_spend_shares(usable, rate, burst, now, priority)
--- a/deckdrum/limits/shares.py
+++ b/deckdrum/limits/shares.py
@@ -25,6 +25,10 @@
 #: Time between two requests to the same member: a lease survives the loss of
 #: one answer.
 ASK_INTERVAL_S: Final = 0.15
+#: How long a new node looks often whether it is a member of a panel.  After a
+#: restart of all nodes every limit waits for that.
+START_TIMEOUT_S: Final = 2.0
+_START_POLL_INTERVAL_S: Final = 0.02
 _NOT_LENT: Final = LimitShareAnswer(is_lent=False)
 
 
@@ -146,7 +150,7 @@
         contacts = list(self._contacts.values())
         if self._own is None or not is_member or is_cut_off(contacts, now):
             return _NOT_LENT
-        loan = self._own.lend(request.borrower, now)
+        loan = self._own.lend(request.borrower, now, self._contacts.keys())
         return LimitShareAnswer(
             is_lent=True,
             usable_after=loan.usable_after,
@@ -156,12 +160,20 @@
 
     async def run(self) -> None:
         """Borrow the shares of the other members, without end."""
+        await self._wait_for_membership()
         while True:
-            await curio.sleep(ASK_INTERVAL_S)
             if self._own is not None and not self.is_stopping:
                 for name in list(self._contacts):
                     await curio.spawn(self._ask, name, daemon=True)
             self._update_figures(await curio.clock())
+            await curio.sleep(ASK_INTERVAL_S)
+
+    async def _wait_for_membership(self) -> None:
+        """Wait until this node knows its panel, for a short time."""
+        async with curio.ignore_after(START_TIMEOUT_S):
+            await curio.sleep(_START_POLL_INTERVAL_S)
+            while self._own is None:
+                await curio.sleep(_START_POLL_INTERVAL_S)
 
     async def _ask(self, name: str) -> None:
         member = self._view.members.get(name)
--- a/deckdrum/limits/tests/test_shares.py
+++ b/deckdrum/limits/tests/test_shares.py
@@ -474,3 +474,26 @@
         assert len(fleet.begun) <= 40 + allowed + 40 * 0.6
 
     run_virtual(scenario)
+
+
+def test_limit_is_usable_at_once_after_a_restart_of_all_nodes() -> None:
+    """Each member waited for the lease of the one that had asked first."""
+
+    async def scenario() -> None:
+        fleet = LimitFleet(NODES, GROWERS, has_urgent_routes=True)
+        await fleet.start()
+        await curio.sleep(2)
+        fleet.dead.update(range(NODES))
+        await curio.sleep(1)
+        for number in range(NODES):
+            await fleet.restart(number)
+        await curio.sleep(0.1)
+        first = fleet.nodes[_list_panel(fleet)[0]]
+        ranked = first.counter.rank('growers')
+        usable = first.shares.list_usable(ranked, await curio.clock())
+        assert len(usable) == len(ranked) - 1
+        await curio.sleep(LEASE_S)
+        usable = first.shares.list_usable(ranked, await curio.clock())
+        assert len(usable) == len(ranked)
+
+    run_virtual(scenario)
--- a/deckdrum/load/limit_shares.py
+++ b/deckdrum/load/limit_shares.py
@@ -24,6 +24,10 @@
 #: How long a share is lent, in seconds: a usual operation has an objective of
 #: 0.2 s and a time limit of 0.6 s, in which a retry finds the new borrower.
 LEASE_S: Final = 0.4
+#: Time before its start for which a new member lends its share: a process takes
+#: at least that long to start, and nobody uses the share meanwhile.  Callers
+#: that retry after a restart of all nodes need these tokens at once.
+START_UP_TIME_S: Final = 0.2
 #: How long a member that reaches less than half of the others uses its share,
 #: in seconds: others mark it as gone and replace it after 10 s.
 CUT_OFF_TIMEOUT_S: Final = 8.0
@@ -99,7 +103,8 @@
     Attributes
     ----------
     usable_after : float
-        Time until it may be used, from the arrival of the answer.
+        Time until it may be used, from the arrival of the answer; negative if
+        nobody has used it for that time.
     lifetime : float
         Time for which it is lent, from the sending of the request.
     lent_to : tuple of str
@@ -137,21 +142,40 @@
         #: Start of use and end of each lease, by borrower.
         self._leases: dict[str, tuple[float, float]] = {}
 
-    def lend(self, borrower: str, now: float) -> Loan:
+    def lend(
+        self, borrower: str, now: float, members: Collection[str] = ()
+    ) -> Loan:
         """Lend the share, or renew the lease of a borrower.
 
         A new process lends at once: starting it takes about as long as a lease
-        of the former process lasts.
+        of the former process lasts.  It cannot know which other members run, so
+        it lists all of them; otherwise, after a restart of all nodes, each
+        borrower would wait for the lease of the one that asked first.
+
+        Parameters
+        ----------
+        borrower : str
+            Name of the node that asks.
+        now : float
+            Current time, in kernel seconds.
+        members : collection of str
+            Other members of the panels.
         """
-        lent_to = tuple(
-            name for name in self.list_borrowers(now) if name != borrower
-        )
+        is_new = now < self._free_from and borrower in members
+        listed = set(self.list_borrowers(now))
+        if is_new:
+            listed.update(members)
+        listed.discard(borrower)
         usable_from, expires_at = self._leases.get(borrower, (now, _LONG_AGO))
         if expires_at <= now:
-            ends = [self._leases[name][1] for name in lent_to]
+            ends = [
+                self._leases[name][1] for name in listed & self._leases.keys()
+            ]
             usable_from = max([now, *ends])
+            if is_new:
+                usable_from = self._free_from - LEASE_S - START_UP_TIME_S
         self._leases[borrower] = (usable_from, now + LEASE_S)
-        return Loan(max(0, usable_from - now), LEASE_S, lent_to)
+        return Loan(usable_from - now, LEASE_S, tuple(sorted(listed)))
 
     def end_lease(self, borrower: str, sent_at: float, now: float) -> None:
         """End the lease of a borrower that refuses connections.
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -78,7 +78,12 @@
         self._store = store
         self._dialer = DetourDialer(dial_direct)
         self._randomness = Random(settings.seed or None)
-        self.view = ControlView(store, journal, settings.drain_time)
+        self.view = ControlView(
+            store,
+            journal,
+            settings.drain_time,
+            is_urgency_enabled=settings.is_urgency_enabled,
+        )
         self.view.on_change.append(self._handle_view_change)
         self.feed = StoreFeed(self.view, store, journal, self._randomness)
         self.peers = NodePeers(
--- a/deckdrum/platform/settings.py
+++ b/deckdrum/platform/settings.py
@@ -18,6 +18,8 @@
 #: Port of the metrics endpoint.  Keep it equal to the one in
 #: `deploy/system.toml` and outside the port ranges that deployments assign.
 METRICS_PORT: Final = 9464
+#: Contract of deployments whose callers compete for too little capacity.
+_URGENCY_CONTRACT: Final = 'pressure'
 _MS: Final = 1000
 
 
@@ -81,6 +83,8 @@
     seeds: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _MachineLimits = msgspec.field(default_factory=_MachineLimits)
+    #: Parts of the platform's rules that are in force.
+    contracts: list[str] = []
 
     @property
     def peer_port(self) -> int:
@@ -139,6 +143,7 @@
             ),
             drain_time=self.bounds.drain_ms / _MS,
             capacity=self.limits.cpu_quota * self.limits.cores,
+            is_urgency_enabled=_URGENCY_CONTRACT in self.contracts,
         )
 
 
--- a/deckdrum/platform/tests/test_settings.py
+++ b/deckdrum/platform/tests/test_settings.py
@@ -39,6 +39,19 @@
     assert settings.make_node_settings().drain_time == drain_time
 
 
+@pytest.mark.parametrize(
+    ('contracts', 'is_enabled'),
+    [({'contracts': ['base', 'pressure']}, True), ({'contracts': []}, False)],
+)
+def test_urgency_is_enabled_by_a_contract(
+    contracts: dict[str, list[str]],
+    is_enabled: bool,
+) -> None:
+    """Deployments without it have routes of priority 0 that nobody uses."""
+    settings = decode_settings(build_platform_settings(**contracts), 'n.json')
+    assert settings.make_node_settings().is_urgency_enabled is is_enabled
+
+
 @pytest.mark.parametrize(
     ('limits', 'capacity'),
     [({'cpuQuota': 0.5, 'cores': 3}, 1.5), ({}, 0)],
--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -71,6 +71,7 @@
         self._is_termination_requested = False
         settings = self._build_settings(centre, store, promotion_address)
         settings['limits'] = dict(limits)
+        settings['contracts'] = ['pressure'] if limits else []
         self._settings_path.write_text(json.dumps(settings))
         # Leaves no node process running if the soak test is interrupted.
         atexit.register(self.kill)
