Log on which proof a node uses a primary, and promotions not seen to work

Cause: the log of a node did not tell on which proof it used a primary in a term, nor what a driver knew of a promotion whose effect it did not see, so a stale proof could not be told from a term that nobody had ended.

Change: leadership.used (first use of a primary in its term), and the kind, source and age of the latest proof with leadership.adopted, .ended and .primary_lost; leadership.order_unseen. Proofs are kept in a class of their own. No decision changes.

--- a/deckdrum/leadership/server_promotion.py
+++ b/deckdrum/leadership/server_promotion.py
@@ -110,9 +110,31 @@
                 handle, claim.record.term, timeout
             ):
                 return True
+            self._log_unseen(request, handle, outcome)
             if is_accepted:
                 return False
 
+    def _log_unseen(
+        self,
+        request: PromotionRequest,
+        handle: ServerHandle,
+        outcome: PromotionOutcome,
+    ) -> None:
+        """Log a promotion that may have taken effect and was not seen."""
+        state = self._runtime.leadership_state
+        self._runtime.journal.record(
+            'leadership.order_unseen',
+            service=request.service,
+            server=request.server,
+            fence=request.fencing_token,
+            outcome=outcome,
+            reachable=handle.status is not None,
+            reason=handle.last_error,
+            listed_as=handle.server.role,
+            known_term=state.term,
+            known_primary=state.primary,
+        )
+
     async def _wait_until_primary(
         self,
         handle: ServerHandle,
--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -15,6 +15,10 @@
 import curio
 
 from deckdrum.backends.base import ServerRole, ServerStatus
+from deckdrum.leadership.proof import (
+    ProofKind,
+    TermProofs,
+)
 from deckdrum.store.records import GroupRecord, Phase
 from deckdrum.utils import Journal
 
@@ -57,10 +61,9 @@
         self._record: GroupRecord | None = None
         #: Fencing token of the latest claim that ended a term on this node.
         self._ending_token = 0
-        #: When each replica was last asked and reported no fence.
-        self._replica_proofs: dict[str, float] = {}
-        #: Time of the latest proof from the store or from a peer.
-        self._external_proof_at = float('-inf')
+        self._proofs = TermProofs()
+        #: Whether the first use of the primary in its term has been logged.
+        self._is_use_logged = False
         self._servers: frozenset[str] = frozenset()
         #: Start times of the servers, in Unix ms; 0 if unknown.
         self._start_times: dict[str, int] = {}
@@ -101,19 +104,10 @@
 
     def get_proof_expiry(self) -> float:
         """Return when the current proof expires, in kernel seconds."""
-        needed = self.required_proofs
-        if not needed:
+        if not self.required_proofs:
             return float('inf')
-        times = sorted(
-            (
-                asked_at
-                for name, asked_at in self._replica_proofs.items()
-                if name != self.primary
-            ),
-            reverse=True,
-        )
-        proven = times[needed - 1] if len(times) >= needed else float('-inf')
-        return max(proven, self._external_proof_at) + PROOF_LIFETIME_S
+        proof = self._proofs.find(self.primary)
+        return proof.asked_at + PROOF_LIFETIME_S
 
     def is_primary_usable(self, now: float) -> bool:
         """Return whether the primary may be used at `now`."""
@@ -141,9 +135,8 @@
         self._servers = frozenset(names)
         for name, started_at in start_times.items():
             await self._record_start(name, started_at)
-        for name in list(self._replica_proofs):
-            if name not in self._servers:
-                self._replica_proofs.pop(name)
+        self._proofs.required = self.required_proofs
+        self._proofs.retain_replicas(self._servers)
         if self.primary and self.primary not in self._servers:
             await self.clear_primary(
                 self.primary, 'removed from the server directory'
@@ -175,9 +168,9 @@
             # The replica follows a primary that this node does not know yet.
             await self.end_term(status.term - 1, f'{name} follows a later term')
         if max(status.term, status.fenced_term) <= self.term:
-            self._record_proof(name, asked_at)
+            self._proofs.record_replica(ProofKind.STATUS, name, asked_at)
         else:
-            self._replica_proofs.pop(name, None)
+            self._proofs.drop_replica(name)
 
     def record_replicated_change(
         self, name: str, term: int, since: float
@@ -188,7 +181,7 @@
         status request at `since`, and saves status requests under load.
         """
         if term == self.term and name != self.primary:
-            self._record_proof(name, since)
+            self._proofs.record_replica(ProofKind.REPLICATION, name, since)
 
     async def record_store_answer(
         self,
@@ -201,7 +194,7 @@
             await self.apply_record(revision, record)
         if record is None or record.phase is Phase.SETTLED:
             if record is None or record.term <= self.term:
-                self._external_proof_at = max(self._external_proof_at, asked_at)
+                self._proofs.record_external(ProofKind.STORE, asked_at)
 
     async def apply_record(self, revision: int, record: GroupRecord) -> None:
         """Apply the leadership record if it is newer than the known one."""
@@ -227,12 +220,25 @@
     def record_peer_proof(self, term: int, asked_at: float) -> None:
         """Record a proof that a peer obtained at `asked_at`."""
         if term == self.term and self.has_primary:
-            self._external_proof_at = max(self._external_proof_at, asked_at)
+            self._proofs.record_external(ProofKind.PEER, asked_at)
 
     def get_proof_age(self, now: float) -> float:
         """Return the age of the current proof in seconds."""
         return now - (self.get_proof_expiry() - PROOF_LIFETIME_S)
 
+    def log_use(self, now: float) -> None:
+        """Log the first use of the primary in its term, and the proof of it."""
+        if self._is_use_logged:
+            return
+        self._is_use_logged = True
+        self._journal.record(
+            'leadership.used',
+            service=self.service,
+            term=self.term,
+            primary=self.primary,
+            **self._proofs.describe(self.primary, now),
+        )
+
     async def end_term(
         self, term: int, reason: str, fencing_token: int = 0
     ) -> None:
@@ -247,14 +253,15 @@
         had_primary = self.has_primary
         self.ended_term = term
         if had_primary and not self.has_primary:
-            self._external_proof_at = float('-inf')
             self._journal.record(
                 'leadership.ended',
                 service=self.service,
                 term=term,
                 primary=self.primary,
                 reason=reason,
+                **self._proofs.describe(self.primary, await curio.clock()),
             )
+            self._proofs.drop_external()
             await self.changed.set()
 
     async def clear_primary(self, name: str, reason: str) -> None:
@@ -267,6 +274,7 @@
             term=self.term,
             primary=name,
             reason=reason,
+            **self._proofs.describe(self.primary, await curio.clock()),
         )
         self.primary = ''
         await self.changed.set()
@@ -289,10 +297,6 @@
                 record.term, record.primary, 'primary change abandoned'
             )
 
-    def _record_proof(self, name: str, asked_at: float) -> None:
-        known = self._replica_proofs.get(name, float('-inf'))
-        self._replica_proofs[name] = max(known, asked_at)
-
     async def _record_start(self, name: str, started_at: int) -> None:
         """Record when a server started; a restart empties its log."""
         record = self._record
@@ -309,7 +313,7 @@
             self.highest_seen_term,
             recorded,
         )
-        self._replica_proofs.pop(name, None)
+        self._proofs.drop_replica(name)
         self._journal.record(
             'server.restarted',
             service=self.service,
@@ -334,10 +338,12 @@
             former_term=self.term,
             former=self.primary,
             reason=reason,
+            **self._proofs.describe(self.primary, await curio.clock()),
         )
         if term != self.term:
-            self._external_proof_at = float('-inf')
+            self._proofs.drop_external()
+        self._is_use_logged = False
         self.term = term
         self.primary = name
-        self._replica_proofs.pop(name, None)
+        self._proofs.drop_replica(name)
         await self.changed.set()
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -146,6 +146,7 @@
                 ended_term=leadership_state.ended_term,
                 closed_term=leadership_state.closed_term,
                 proof_until=leadership_state.get_proof_expiry(),
+                primary=leadership_state.primary,
             )
             return refuse(Code.UNCONFIRMED, f'term {term} has ended')
         state.record_change(answer)
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -332,6 +332,7 @@
             is_past_cutoff = for_statements and _has_left(primary, now)
             is_proven = self.leadership_state.is_primary_usable(now)
             if primary and is_proven and not is_past_cutoff:
+                self.leadership_state.log_use(now)
                 await self._proofs.renew_if_expiring(now)
                 return primary
             if is_rejecting_unproven(self, now):
