Stand-in: a replaced primary continues until it learns of its successor

The stand-in's replaced primary stepped down at the moment another was promoted, so no test could see a write that a node sent to it afterwards. By the protocol it continues until DEMOTE, or until a second after it can reach the new primary; a crashed one keeps its log and returns as a replica if another was promoted meanwhile.

The group now records when each change was committed and where, and when each promotion took effect. A promotion of a server that stops before it takes effect has none, and one of the present primary changes nothing. A commit that waits for synchronous replicas fails if the primary steps down meanwhile, instead of waiting forever.

--- a/deckdrum/standins/users/databases.py
+++ b/deckdrum/standins/users/databases.py
@@ -7,7 +7,12 @@
 
 import curio
 
-from deckdrum.standins.users.records import Entry, ExecutedStatement
+from deckdrum.standins.users.records import (
+    Commit,
+    Entry,
+    ExecutedStatement,
+    Takeover,
+)
 from deckdrum.standins.users.servers import (
     PRIMARY,
     REPLICA,
@@ -20,6 +25,9 @@
 
 _CONFLICT: Final = 409
 _REPLICATION_POLL_INTERVAL_S: Final = 0.002
+#: How long a replaced primary continues once it can reach its successor.
+STEP_DOWN_DELAY_S: Final = 1.0
+_STEP_DOWN_POLL_INTERVAL_S: Final = 0.02
 
 
 @dataclass(slots=True)
@@ -49,6 +57,10 @@
         Executed statements of all databases, in order.
     promotions : list of tuple
         Promotion calls in order: server, holder and fencing token.
+    commits : list of Commit
+        Changes that any database appended to its log as primary, in order.
+    takeovers : list of Takeover
+        Promotions that took effect, in order.
     unanswered_promotions : int
         Number of upcoming promotion calls that take effect without an answer.
     """
@@ -63,6 +75,8 @@
     servers: dict[str, DatabaseServer] = field(default_factory=dict)
     executed_statements: list[ExecutedStatement] = field(default_factory=list)
     promotions: list[tuple[str, str, int]] = field(default_factory=list)
+    commits: list[Commit] = field(default_factory=list)
+    takeovers: list[Takeover] = field(default_factory=list)
     unanswered_promotions: int = 0
     _promotion_server: HttpServer | None = None
 
@@ -76,10 +90,10 @@
     @property
     def primary(self) -> DatabaseServer:
         """The primary with the highest term, running or not."""
-        primaries = [
-            server for server in self.servers.values() if server.role == PRIMARY
-        ]
-        return max(primaries, key=lambda server: server.term)
+        primary = self._find_primary()
+        if primary is None:
+            raise RuntimeError('no database has the primary role')
+        return primary
 
     async def start(self, zones: Iterable[str]) -> None:
         """Start one database per zone, the first as primary."""
@@ -116,15 +130,23 @@
         self,
         primary: DatabaseServer,
         writes: tuple[tuple[str, str], ...],
-    ) -> None:
-        """Append a change to the log of the primary and replicate it."""
+    ) -> bool:
+        """Append a change to the log of the primary and replicate it.
+
+        Returns whether the change is still in the log once enough replicas
+        have received it: a primary that steps down meanwhile rolls it back.
+        """
         entry = Entry(primary.term, len(primary.log) + 1, writes)
         primary.log.append(entry)
+        self.commits.append(Commit(primary.name, entry, await curio.clock()))
         for server in self.servers.values():
             if server is not primary:
                 await curio.spawn(self._replicate, primary, server, daemon=True)
         while self._count_received(primary, entry) < self.synchronous_replicas:
+            if entry not in primary.log[entry.number - 1 : entry.number]:
+                return False
             await curio.sleep(_REPLICATION_POLL_INTERVAL_S)
+        return True
 
     async def catch_up(self, server: DatabaseServer) -> None:
         """Replicate the log of the running primary to a replica."""
@@ -137,13 +159,25 @@
             primary = max(primaries, key=lambda each: each.term)
             await self._replicate(primary, server)
 
+    def is_replaced(self, server: DatabaseServer) -> bool:
+        """Return whether another database became primary of a later term."""
+        primary = self._find_primary()
+        return primary is not None and primary.term > server.term
+
     async def rejoin(self, server: DatabaseServer) -> None:
         """Wait for a primary and let a recovered database follow it."""
-        while not any(each.role == PRIMARY for each in self.servers.values()):
+        while self._find_primary() is None:
             await curio.sleep(_REPLICATION_POLL_INTERVAL_S)
         if self.primary is not server:
             await server.follow(self.primary.term, self.primary.log)
 
+    def _find_primary(self) -> DatabaseServer | None:
+        """Return the primary with the highest term, if there is any."""
+        primaries = [
+            server for server in self.servers.values() if server.role == PRIMARY
+        ]
+        return max(primaries, key=lambda server: server.term, default=None)
+
     def _count_received(self, primary: DatabaseServer, entry: Entry) -> int:
         """Return the number of replicas that have received a change."""
         return sum(
@@ -175,7 +209,7 @@
         if server is None or not server.can_be_reached:
             return Reply.from_text('not running', _CONFLICT)
         self.promotions.append((server.name, holder, fencing_token))
-        if server.role != PRIMARY:
+        if server is not self._find_primary():
             await curio.spawn(self._complete_promotion, server, daemon=True)
         if self.unanswered_promotions:
             self.unanswered_promotions -= 1
@@ -184,11 +218,32 @@
 
     async def _complete_promotion(self, server: DatabaseServer) -> None:
         await curio.sleep(self.promotion_time)
+        if not server.is_running or server is self._find_primary():
+            return
         term = max(each.term for each in self.servers.values()) + 1
         await server.become_primary(term)
+        self.takeovers.append(Takeover(server.name, term, await curio.clock()))
         for other in self.servers.values():
-            if other is server or not other.can_be_reached:
-                continue
-            if other.fenced_term:
+            if other is server:
                 continue
-            await other.follow(term, server.log)
+            if other.role == PRIMARY:
+                await curio.spawn(self._step_down, other, daemon=True)
+            elif other.can_be_reached and not other.fenced_term:
+                await other.follow(term, server.log)
+
+    async def _step_down(self, server: DatabaseServer) -> None:
+        """Make a replaced primary follow its successor.
+
+        It continues until it has been able to reach its successor for
+        `STEP_DOWN_DELAY_S`, unless it is demoted or restarts before.
+        """
+        reached_since = float('inf')
+        while server.role == PRIMARY and self.is_replaced(server):
+            now: float = await curio.clock()
+            is_connected = server.can_be_reached and self.primary.can_be_reached
+            reached_since = min(reached_since, now)
+            if not is_connected:
+                reached_since = float('inf')
+            elif now - reached_since >= STEP_DOWN_DELAY_S:
+                await server.follow(self.primary.term, self.primary.log)
+            await curio.sleep(_STEP_DOWN_POLL_INTERVAL_S)
--- a/deckdrum/standins/users/records.py
+++ b/deckdrum/standins/users/records.py
@@ -1,4 +1,4 @@
-"""Log entries, and executed statements for the checks of tests."""
+"""Log entries, and events of the databases for the checks of tests."""
 
 from dataclasses import dataclass
 
@@ -23,3 +23,27 @@
     values: tuple[tuple[str, str], ...] = ()
     #: Workspace for which its connection was opened.
     who: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """A change that a database appended to its log as primary.
+
+    `committed_at` is in kernel seconds.
+    """
+
+    server: str
+    entry: Entry
+    committed_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Takeover:
+    """A promotion that took effect: the server became primary of `term`.
+
+    `took_effect_at` is in kernel seconds.
+    """
+
+    server: str
+    term: int
+    took_effect_at: float
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -76,8 +76,16 @@
         self,
         primary: 'DatabaseServer',
         writes: tuple[tuple[str, str], ...],
-    ) -> None:
-        """Append a change to the log of the primary and replicate it."""
+    ) -> bool:
+        """Append a change to the log of the primary and replicate it.
+
+        Returns whether the change was received by enough replicas before the
+        primary stepped down.
+        """
+
+    @abstractmethod
+    def is_replaced(self, server: 'DatabaseServer') -> bool:
+        """Return whether another database became primary of a later term."""
 
     @abstractmethod
     async def catch_up(self, server: 'DatabaseServer') -> None:
@@ -177,12 +185,15 @@
         return self.is_running and is_connected and not self.is_unresponsive
 
     async def start(self) -> None:
-        """Start listening and publish the directory entry."""
-        self._listener = Listener(self._address, self._serve)
-        await self._listener.start()
-        self._address = self._listener.address
-        self.fenced_term = 0
-        await self.publish()
+        """Start listening and publish the directory entry.
+
+        A crashed primary keeps its log and returns as a replica if another
+        database was promoted meanwhile.
+        """
+        if self.role == PRIMARY and self.group.is_replaced(self):
+            self.role = REPLICA
+        await self._listen()
+        await curio.spawn(self.group.catch_up, self, daemon=True)
 
     async def crash(self) -> None:
         """Stop at once: connections are closed, new ones refused."""
@@ -201,7 +212,7 @@
         self.role = role
         self.term = 1
         self.log = []
-        await self.start()
+        await self._listen()
 
     async def publish(self) -> None:
         """Write the directory entry, if listed."""
@@ -248,6 +259,13 @@
         self.log = list(log)
         await self.publish()
 
+    async def _listen(self) -> None:
+        self._listener = Listener(self._address, self._serve)
+        await self._listener.start()
+        self._address = self._listener.address
+        self.fenced_term = 0
+        await self.publish()
+
     async def _serve(self, stream: Stream) -> None:
         buffer = bytearray()
         line = await read_line(stream, buffer)
@@ -350,6 +368,7 @@
         elif command == 'DEMOTE' and int(arguments) > self.term:
             self.role = REPLICA
             await self.publish()
+            await curio.spawn(self.group.catch_up, self, daemon=True)
         count = len(self._connections)
         row = (
             f'{self.role} {self.term} {self.log_end} {self.fenced_term} '
@@ -380,8 +399,8 @@
             return 'COMPLETE -\r\n'
         if writes and self.role != PRIMARY:
             return self._reject(connection, 'READONLY')
-        if writes:
-            await self.group.commit(self, tuple(writes))
+        if writes and not await self.group.commit(self, tuple(writes)):
+            return self._reject(connection, 'FAILED')
         return self._record_execution(connection, request_id, command)
 
     async def _execute_statement(
@@ -404,7 +423,8 @@
             if not connection.transaction:
                 writes = tuple(connection.writes)
                 connection.writes = []
-                await self.group.commit(self, writes)
+                if not await self.group.commit(self, writes):
+                    return self._reject(connection, 'FAILED')
             return self._record_execution(connection, request_id, text)
         if connection.transaction == 'WRITE' and self.role != PRIMARY:
             return self._reject(connection, 'READONLY')
