--- a/deckdrum/fleet/detours.py
+++ b/deckdrum/fleet/detours.py
@@ -30,46 +30,53 @@
     Parameters
     ----------
     dial_direct : callable
-        Opens a direct connection to an address within a timeout in seconds.
+        Opens a direct connection to the address of a server within a timeout
+        in seconds; tests replace it to simulate link failures.
+    dial_peer : callable
+        The same for the address of a node.
     """
 
-    def __init__(self, dial_direct: Dial = dial) -> None:
+    def __init__(
+        self, dial_direct: Dial = dial, dial_peer: Dial = dial
+    ) -> None:
         #: Addresses of the relaying peers by server id.
         self.detours: dict[str, Address] = {}
         self.dial_direct = dial_direct
+        self.dial_peer = dial_peer
 
     async def dial(self, server: BackendServer, timeout: float) -> Stream:
         """Open a connection, or raise `ConnectionError` after `timeout` s."""
         peer = self.detours.get(server.id)
         if peer is None:
             return await self.dial_direct(server.address, timeout)
-        return await open_detour(peer, server.id, timeout)
-
-
-async def open_detour(peer: Address, server: str, timeout: float) -> Stream:
-    """Open a connection to a server through a peer.
-
-    Raises
-    ------
-    ConnectionError
-        If the peer or the server does not answer within `timeout` seconds.
-    """
-    stream = await dial(peer, timeout)
-    channel = StreamChannel(stream)
-    try:
-        async with curio.timeout_after(timeout):
-            await channel.send(OpenDetour(server))
-            answer = await channel.receive()
-    except curio.TaskTimeout as error:
-        await stream.close()
-        raise ConnectionAbortedError(f'{peer} opens no detour') from error
-    except (ConnectionError, curio.CancelledError):
-        await stream.close()
-        raise
-    if not isinstance(answer, DetourOpened) or not answer.is_open:
-        await stream.close()
-        raise ConnectionAbortedError(f'{peer} does not reach {server}')
-    return stream
+        return await self._open_detour(peer, server.id, timeout)
+
+    async def _open_detour(
+        self, peer: Address, server: str, timeout: float
+    ) -> Stream:
+        """Open a connection to a server through a peer.
+
+        Raises
+        ------
+        ConnectionError
+            If the peer or the server does not answer within `timeout` seconds.
+        """
+        stream = await self.dial_peer(peer, timeout)
+        channel = StreamChannel(stream)
+        try:
+            async with curio.timeout_after(timeout):
+                await channel.send(OpenDetour(server))
+                answer = await channel.receive()
+        except curio.TaskTimeout as error:
+            await stream.close()
+            raise ConnectionAbortedError(f'{peer} opens no detour') from error
+        except (ConnectionError, curio.CancelledError):
+            await stream.close()
+            raise
+        if not isinstance(answer, DetourOpened) or not answer.is_open:
+            await stream.close()
+            raise ConnectionAbortedError(f'{peer} does not reach {server}')
+        return stream
 
 
 class DetourRelay:
--- a/deckdrum/fleet/node_peers.py
+++ b/deckdrum/fleet/node_peers.py
@@ -75,7 +75,7 @@
     store : ControlStore
         Decodes configurations received from peers.
     dialer : DetourDialer
-        Opens connections to servers on behalf of peers.
+        Opens connections to peers, and to servers on behalf of peers.
     journal : Journal
         Logs updates that cannot be decoded, and unresponsive nodes.
     randomness : random.Random
@@ -105,10 +105,10 @@
         self._journal = journal
         self._randomness = randomness
         #: Streams over which connections are borrowed.
-        self.loan_streams = StreamPool()
+        self.loan_streams = StreamPool(dialer.dial_peer)
         #: Streams over which statements are forwarded.
-        self.forward_streams = StreamPool()
-        self._streams = StreamPool()
+        self.forward_streams = StreamPool(dialer.dial_peer)
+        self._streams = StreamPool(dialer.dial_peer)
         #: Version of the current configuration, and its compressed encoding.
         self._compressed_configuration = (0, b'')
         self._detours = DetourRelay(view, dialer, journal)
--- a/deckdrum/fleet/peers.py
+++ b/deckdrum/fleet/peers.py
@@ -7,6 +7,7 @@
 
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.channels import StreamChannel
+from deckdrum.fleet.detours import Dial
 from deckdrum.fleet.membership import Membership
 from deckdrum.fleet.messages import (
     AskConfiguration,
@@ -27,9 +28,16 @@
 
 
 class StreamPool:
-    """Pool of idle streams to peers."""
+    """Pool of idle streams to peers.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    dial_peer : callable
+        Opens a connection to an address within a timeout in seconds.
+    """
+
+    def __init__(self, dial_peer: Dial = dial) -> None:
+        self._dial = dial_peer
         self._idle: dict[Address, list[StreamChannel]] = {}
 
     async def open(self, address: Address) -> StreamChannel:
@@ -46,7 +54,7 @@
             if channel.is_usable:
                 return channel
             await channel.close()
-        return StreamChannel(await dial(address, DIAL_TIMEOUT_S))
+        return StreamChannel(await self._dial(address, DIAL_TIMEOUT_S))
 
     async def put_back(self, address: Address, channel: StreamChannel) -> None:
         """Put an idle stream back, or close it if the pool is full."""
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -9,7 +9,7 @@
 
 from deckdrum.backends import Backend
 from deckdrum.control import ControlStore, ControlView, Kind, StoreFeed
-from deckdrum.fleet.detours import DetourDialer, Dial
+from deckdrum.fleet.detours import DetourDialer
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.fleet.settings import NodeSettings
 from deckdrum.fleet.update_following import UpdateFollower
@@ -24,7 +24,7 @@
 from deckdrum.node.session_host import NodeHost
 from deckdrum.node.sessions import SessionManager
 from deckdrum.serving import CallerSession, ServiceRuntime
-from deckdrum.utils import Journal, dial
+from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.tasks import keep_running
 
@@ -54,9 +54,8 @@
         Log of the node.
     counters : Counters
         Metrics of the node.
-    dial_straight : callable
-        Opens direct connections to server addresses; tests replace it to
-        simulate link failures.
+    dialer : DetourDialer, optional
+        Opens connections to servers and nodes.
     """
 
     def __init__(
@@ -67,7 +66,7 @@
         make_backend: BackendFactory,
         journal: Journal,
         counters: Counters,
-        dial_direct: Dial = dial,
+        dialer: DetourDialer | None = None,
     ) -> None:
         self.settings = settings
         self.journal = journal
@@ -76,7 +75,7 @@
         #: Whether sessions are closed as soon as they are idle.
         self.is_closing_sessions = False
         self._store = store
-        self._dialer = DetourDialer(dial_direct)
+        self._dialer = dialer or DetourDialer()
         self._randomness = Random(settings.seed or None)
         self.view = ControlView(
             store,
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from deckdrum.fleet.detours import DetourDialer
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
 from deckdrum.node import Node, NodeSettings
 from deckdrum.platform.backends import PlatformBackend
@@ -211,6 +212,8 @@
         self.store = StandinStore()
         self.group = DatabaseGroup(SERVICE, self.store, **group)
         self.nodes: list[RunningNode] = []
+        #: Numbers of the nodes by their addresses for peers.
+        self.peer_numbers: dict[Address, int] = {}
         self._count = nodes
         self._settle = settle
         self._centres = centres
@@ -256,10 +259,12 @@
             open_journal(name, lines) if lines else open_null_journal(name)
         )
         store = PlatformStore(endpoint, journal, counters)
+        peer_address = allocate_address()
+        self.peer_numbers[peer_address] = number
         settings = NodeSettings(
             name=name,
             data_centre=ZONES[number % self._centres],
-            peer_address=allocate_address(),
+            peer_address=peer_address,
             seeds=seeds,
             seed=number + 1,
             policies=self._policies,
@@ -272,7 +277,10 @@
             partial(PlatformBackend, node=name),
             journal,
             counters,
-            partial(self._dial, number),
+            DetourDialer(
+                partial(self._dial, number),
+                partial(self._dial_peer, number),
+            ),
         )
         frontend = Frontend(node, allocate_address())
         await node.start()
@@ -362,6 +370,15 @@
             )
         return await dial(address, timeout)
 
+    async def _dial_peer(
+        self,
+        number: int,
+        address: Address,
+        timeout: float,
+    ) -> Stream:
+        """Connect node `number` to another node."""
+        return await dial(address, timeout)
+
     def _is_ready(self) -> bool:
         return all(
             running.node.is_ready and _has_primary(running.node)
