Order no second server after a promotion that was not seen to work

Cause: a driver whose order was accepted, or had no answer, and that did not see the server lead ordered the next candidate under the same claim. Nobody ended the term that the first server had begun; nodes that reached it went on with valid proof, given by the very replica that was ordered next. An order whose effect the driver had not seen was taken for an order without effect.

Evidence: two leadership.ordered with one fence; leadership.used and .adopted show valid proof of that term as the second server takes over.

Change: a claim goes on to the next candidate only if the platform refused the first with its first answer. A driver that gets no status of the ordered server asks its peers, and settles the record with the server if one sees it lead a later term than it followed when it was fenced. If nobody does, the claim stays unfinished and a new one is needed, which ends the term.

Why it works: two servers can lead only for two claims, and a later claim ends the terms before it at all nodes, and fences, before it orders.

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from typing import Final
 
 import curio
@@ -21,6 +22,22 @@
 FENCE_CHECK_TIMEOUT_S: Final = 0.4
 
 
+@dataclass(frozen=True, slots=True)
+class PromotionCandidate:
+    """A fenced replica that may be promoted.
+
+    Attributes
+    ----------
+    handle : ServerHandle
+        The replica.
+    status : ServerStatus
+        Its status when it was fenced.
+    """
+
+    handle: ServerHandle
+    status: ServerStatus
+
+
 class ReplicaFencing:
     """Fences the replicas of one group.
 
@@ -121,7 +138,7 @@
     runtime: ServiceRuntime,
     fenced: dict[str, ServerStatus],
     former: str,
-) -> list[ServerHandle]:
+) -> list[PromotionCandidate]:
     """Return the replicas that may be promoted, the best first.
 
     The most advanced log comes first; among equals, servers that are not
@@ -135,20 +152,22 @@
     end = max((each.received for each in eligible.values()), default=None)
     ranked = sorted(
         (
-            handle
+            PromotionCandidate(handle, eligible[name])
             for name, handle in runtime.servers.items()
             if name in eligible and name != former
         ),
-        key=lambda handle: (
-            -fenced[handle.id].received.term,
-            -fenced[handle.id].received.offset,
-            handle.server.is_draining,
-            handle.id,
-        ),
+        key=_get_rank,
     )
     if not runtime.declaration.synchronous_replicas:
         return ranked
-    return [handle for handle in ranked if fenced[handle.id].received == end]
+    return [each for each in ranked if each.status.received == end]
+
+
+def _get_rank(candidate: PromotionCandidate) -> tuple[int, int, bool, str]:
+    received = candidate.status.received
+    handle = candidate.handle
+    is_draining = handle.server.is_draining
+    return -received.term, -received.offset, is_draining, handle.id
 
 
 def _describe_state(handle: ServerHandle) -> str:
--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -17,6 +17,7 @@
 )
 from deckdrum.fleet.policies import Policy
 from deckdrum.leadership.context import LeadershipContext, PrimaryChangeReport
+from deckdrum.leadership.peer_observation import PeerObserver
 from deckdrum.leadership.primary_change import PrimaryChanger
 from deckdrum.leadership.record_store import (
     CLAIM_TAKEOVER_DELAY_S,
@@ -82,6 +83,7 @@
         self._context = context
         self._primary_changer = PrimaryChanger(runtime, context)
         self._records = LeadershipRecordStore(runtime, context)
+        self._observer = PeerObserver(runtime, context.peers)
         self._next_record_at = float('-inf')
         self._missing_since: float | None = None
         self._claim_first_seen: tuple[str, float] = ('', 0)
@@ -216,7 +218,7 @@
         """Replace the primary if neither this node nor a peer reaches it."""
         if await self._is_responsive(primary):
             return CHECK_INTERVAL_S
-        peer_count = len(self._list_peers())
+        peer_count = len(self._observer.list_observers())
         is_full_probe_rank = self._rank() < FULL_PROBE_RANKS
         ask_all = is_full_probe_rank or peer_count <= MAX_FULL_PROBE_PEERS
         if await self._is_reached_by_peers(primary, ask_all=ask_all):
@@ -252,7 +254,7 @@
         self._context.dialer.detours.pop(primary.id, None)
         question = AskServer(self._runtime.name, primary.id)
         peers = self._context.peers
-        asked = self._list_peers()
+        asked = self._observer.list_observers()
         if not ask_all:
             count = min(PROBE_SAMPLE_SIZE, len(asked))
             asked = self._context.randomness.sample(asked, count)
@@ -342,7 +344,7 @@
         """Return whether another node reaches a primary."""
         question = AskServer(self._runtime.name, former)
         answers = await self._context.peers.ask_each(
-            self._list_peers(),
+            self._observer.list_observers(),
             question,
         )
         reaching = [
@@ -384,16 +386,12 @@
         self._reconcile_until = await curio.clock() + RECONCILE_DURATION_S
         return CHECK_INTERVAL_S
 
-    def _list_peers(self) -> list[Member]:
-        """Return the other nodes that connect to the group's servers."""
-        return self._runtime.allocator.others or self._context.peers.others
-
     def _rank(self, unresponsive: Container[str] = ()) -> int:
         """Return how many nodes other than unresponsive ones act earlier."""
         record = self._runtime.leadership_state.record
         names = {
             member.name
-            for member in self._list_peers()
+            for member in self._observer.list_observers()
             if member.name not in unresponsive
         }
         names.add(self._context.node)
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -11,7 +11,9 @@
    can get new proof and the replicas' positions are final.
 5. *wait* until existing proof has expired, unless every node has confirmed.
 6. *promote* the most advanced replica, if the replicas are still fenced, and
-   *settle* the record.
+   *settle* the record.  A replica that was told to lead and is not seen to may
+   lead all the same: another one is promoted only for a new claim, which ends
+   that term first.
 
 Proof of a term comes from a majority of the servers or from the store.  Once
 the record is claimed and the replicas are fenced, no node can get any, even one
@@ -38,9 +40,11 @@
     TermEndVotes,
 )
 from deckdrum.leadership.fencing import (
+    PromotionCandidate,
     ReplicaFencing,
     rank_promotion_candidates,
 )
+from deckdrum.leadership.peer_observation import Leader
 from deckdrum.leadership.record_store import LeadershipRecordStore
 from deckdrum.leadership.server_promotion import ServerPromoter
 from deckdrum.leadership.state import PROOF_LIFETIME_S
@@ -108,25 +112,34 @@
             return False
         await report.record_phase('claim')
         try:
-            candidates = await self._prepare(report, claim)
-            if candidates is None:
+            prepared = await self._prepare(report, claim)
+            if prepared is None:
                 return await self._abandon(report, claim)
-            promoted = await self._promoter.promote(report, claim, candidates)
+            leader = await self._promoter.promote(report, claim, prepared)
         except StoreError as error:
             self._log('leadership.change_failed', report, str(error))
             return False
-        if promoted is None:
+        if leader is None:
             self._log(
                 'leadership.change_failed',
                 report,
                 'no candidate became primary',
             )
             return False
-        await self._records.settle(report, claim, promoted)
+        await self._finish(report, claim, leader)
+        return True
+
+    async def _finish(
+        self,
+        report: PrimaryChangeReport,
+        claim: LeadershipClaim,
+        leader: Leader,
+    ) -> None:
+        """Record the new primary and make the servers follow it."""
+        await self._records.settle(report, claim, leader)
         await report.record_phase('settle')
         await self.reconcile_servers()
         self._log('leadership.changed', report, report.reason)
-        return True
 
     async def _can_succeed(self, former: str) -> bool:
         """Return whether enough replicas, or enough nodes, answer now."""
@@ -160,7 +173,7 @@
         self,
         report: PrimaryChangeReport,
         claim: LeadershipClaim,
-    ) -> list[ServerHandle] | None:
+    ) -> list[PromotionCandidate] | None:
         """End the old term safely; return the candidates, the best first."""
         term = claim.record.term
         former = self._runtime.servers.get(report.former)
--- a/deckdrum/leadership/record_store.py
+++ b/deckdrum/leadership/record_store.py
@@ -12,6 +12,7 @@
     LeadershipContext,
     PrimaryChangeReport,
 )
+from deckdrum.leadership.peer_observation import Leader
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.store.records import GroupRecord, Phase
@@ -90,19 +91,19 @@
         self,
         report: PrimaryChangeReport,
         claim: LeadershipClaim,
-        primary: str,
+        leader: Leader,
     ) -> None:
         """Store the new primary."""
         record = GroupRecord(
             service=claim.record.service,
-            term=self._runtime.leadership_state.term,
-            primary=primary,
+            term=leader.term,
+            primary=leader.server,
             phase=Phase.SETTLED,
             operation=claim.record.operation,
             driver=self._context.node,
             former=report.former,
             primary_started_at=self._runtime.leadership_state.get_start_time(
-                primary
+                leader.server
             ),
         )
         await self._put(record, claim.fencing_token)
