Claim a later term over a claim that was not finished

What callers saw: writes acknowledged at a server that had been replaced, in a test (not in a report): a dead driver's promotion took effect where only one node saw it, and the takeover of its claim promoted another server.

Cause: a claim over an unfinished claim announced the same term, so it ended the term before, not the one that the first claim's server may lead; and a replica fenced for that same term counts as proof of it.

Change: the new claim announces the term above. Whoever takes it over first asks the peers whether a server leads the claimed term or a later one, and settles the record with it.

Why it works: no node has proof of the claimed term once replicas are fenced for the term above and proof has run out.

--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -17,7 +17,7 @@
 )
 from deckdrum.fleet.policies import Policy
 from deckdrum.leadership.context import LeadershipContext, PrimaryChangeReport
-from deckdrum.leadership.peer_observation import PeerObserver
+from deckdrum.leadership.peer_observation import Leader, PeerObserver
 from deckdrum.leadership.primary_change import PrimaryChanger
 from deckdrum.leadership.record_store import (
     CLAIM_TAKEOVER_DELAY_S,
@@ -169,9 +169,9 @@
             delay = 0
         if now - self._claim_first_seen[1] < delay:
             return CHECK_INTERVAL_S
-        await self._runtime.discover_primary()
-        if self._records.is_completed(record):
-            await self._records.settle_completed(record)
+        leader = await self._find_promoted(record)
+        if leader is not None:
+            await self._records.settle_completed(record, leader)
             return RETRY_DELAY_S
         return await self._change(
             record.former,
@@ -179,6 +179,16 @@
             is_takeover=True,
         )
 
+    async def _find_promoted(self, claimed: GroupRecord) -> Leader | None:
+        """Return the primary that an unfinished change has promoted, if any."""
+        await self._runtime.discover_primary()
+        state = self._runtime.leadership_state
+        if self._records.is_completed(claimed):
+            return Leader(state.primary, state.term)
+        return await self._observer.find_leader(
+            self._runtime.servers, claimed.term
+        )
+
     async def _check_missing_primary(self) -> float:
         """Search for a primary; promote one if none is found in time."""
         now = await curio.clock()
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -21,7 +21,8 @@
 few replicas are fenced, or if the change is planned and can be postponed.
 Nothing is claimed before enough replicas or nodes have answered.
 
-If a driver dies, another node takes over its claim.
+If a driver dies, another node takes over its claim.  It announces a later term,
+and looks for a server that the claim before has promoted.
 """
 
 from typing import Final
@@ -136,6 +137,12 @@
         leader: Leader,
     ) -> None:
         """Record the new primary and make the servers follow it."""
+        report.promoted = leader.server
+        if not self._records.is_superseded(claim):
+            state = self._runtime.leadership_state
+            await state.resume_term(
+                leader.term, leader.server, 'promoted by this node'
+            )
         await self._records.settle(report, claim, leader)
         await report.record_phase('settle')
         await self.reconcile_servers()
--- a/deckdrum/leadership/record_store.py
+++ b/deckdrum/leadership/record_store.py
@@ -59,8 +59,10 @@
         sent_at = await curio.clock()
         # A replica accepts a fence only for a term above the one it follows.
         term = max(state.term, state.ended_term, state.highest_seen_term) + 1
-        if known is not None and known[1].phase is Phase.FENCING:
-            term = max(term, known[1].term)
+        if known is not None:
+            # Above a claim that was not finished, since a server may lead the
+            # term that it announced.
+            term = max(term, known[1].term + 1)
         number = self._context.randomness.getrandbits(_OPERATION_ID_BITS)
         record = GroupRecord(
             service=self._runtime.name,
@@ -70,6 +72,7 @@
             operation=str(uuid.UUID(int=number)),
             driver=self._context.node,
             former=report.former,
+            former_term=self._find_former_term(report, term),
         )
         revision = await self._put(record, known[0] if known else 0)
         if revision is None:
@@ -78,9 +81,13 @@
         return LeadershipClaim(record, revision, sent_at)
 
     def is_completed(self, record: GroupRecord) -> bool:
-        """Return whether a claimed change already has a new primary."""
+        """Return whether a claimed change already has a new primary.
+
+        The claim has ended the terms before it, so a primary that may be used
+        was promoted for it.
+        """
         state = self._runtime.leadership_state
-        return state.has_primary and state.term >= record.term
+        return state.has_primary and state.term > record.former_term
 
     def is_superseded(self, claim: LeadershipClaim) -> bool:
         """Return whether the record was updated after the claim."""
@@ -108,7 +115,9 @@
         )
         await self._put(record, claim.fencing_token)
 
-    async def settle_completed(self, claimed: GroupRecord) -> None:
+    async def settle_completed(
+        self, claimed: GroupRecord, leader: Leader
+    ) -> None:
         """Settle a completed change whose record would block every later one.
 
         A newer claim is left to its own driver.
@@ -119,10 +128,11 @@
         state = self._runtime.leadership_state
         record = replace(
             claimed,
-            term=state.term,
-            primary=state.primary,
+            term=leader.term,
+            primary=leader.server,
             phase=Phase.SETTLED,
-            primary_started_at=state.get_start_time(state.primary),
+            former_term=0,
+            primary_started_at=state.get_start_time(leader.server),
         )
         await self._put(record, known[0])
 
@@ -150,7 +160,7 @@
         former = '' if is_restarted else report.former
         record = GroupRecord(
             service=claim.record.service,
-            term=claim.record.term - 1,
+            term=claim.record.former_term,
             primary=former,
             phase=Phase.SETTLED,
             operation=claim.record.operation,
@@ -159,6 +169,14 @@
         )
         await self._put(record, claim.fencing_token)
 
+    def _find_former_term(self, report: PrimaryChangeReport, term: int) -> int:
+        """Return the term that the former primary led."""
+        state = self._runtime.leadership_state
+        known = self._context.view.get_leadership(self._runtime.name)
+        if known is not None and known[1].phase is Phase.FENCING:
+            return known[1].former_term or known[1].term - 1
+        return state.term if state.primary == report.former else term - 1
+
     def _find_conflict(self, report: PrimaryChangeReport) -> str:
         """Return what made the change obsolete since the decision, if any."""
         state = self._runtime.leadership_state
--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -214,8 +214,24 @@
                 await self._set_primary(
                     record.term, record.primary, 'leadership record'
                 )
-        elif record.term == self.ended_term and revision > self._ending_token:
-            await self._resume_term(record)
+        elif record.term <= self.ended_term and revision > self._ending_token:
+            await self.resume_term(
+                record.term, record.primary, 'settled after a claim'
+            )
+
+    async def resume_term(self, term: int, primary: str, reason: str) -> None:
+        """Use a term that a claim has ended, or only announced.
+
+        The change was abandoned, or the promoted server leads an earlier term
+        than was claimed: a server counts terms, not claims.  `primary` is
+        empty if unknown; the servers report it.
+        """
+        if self.highest_seen_term > term:
+            return
+        self.ended_term = min(self.ended_term, term - 1)
+        self.closed_term = min(self.closed_term, self.ended_term)
+        if primary:
+            await self._set_primary(term, primary, reason)
 
     def record_peer_proof(self, term: int, asked_at: float) -> None:
         """Record a proof that a peer obtained at `asked_at`."""
@@ -285,18 +301,6 @@
             await self.changed.wait()
         self.changed.clear()
 
-    async def _resume_term(self, record: GroupRecord) -> None:
-        """Resume a term whose primary change was abandoned."""
-        if self.highest_seen_term > record.term:
-            return
-        self.ended_term = record.term - 1
-        self.closed_term = min(self.closed_term, self.ended_term)
-        # A driver that knew no primary records none; the servers report it.
-        if record.primary:
-            await self._set_primary(
-                record.term, record.primary, 'primary change abandoned'
-            )
-
     async def _record_start(self, name: str, started_at: int) -> None:
         """Record when a server started; a restart empties its log."""
         record = self._record
--- a/deckdrum/leadership/tests/test_unfinished_changes.py
+++ b/deckdrum/leadership/tests/test_unfinished_changes.py
@@ -11,6 +11,7 @@
 import curio
 import pytest
 
+from deckdrum.leadership.peer_observation import Leader
 from deckdrum.leadership.record_store import LeadershipRecordStore
 from deckdrum.standins.users import DatabaseServer, StoreFault
 from deckdrum.store.records import Phase
@@ -173,7 +174,7 @@
         records = LeadershipRecordStore(node.services[SERVICE], node.tools)
         await _record(deployment, term=2, phase='fencing', operation='second')
         await curio.sleep(0.05)
-        await records.settle_completed(known[1])
+        await records.settle_completed(known[1], Leader('i-stalls-1', 1))
         assert _read_record(deployment)['operation'] == 'second'
         assert _read_record(deployment)['phase'] == Phase.FENCING.value
 
--- a/deckdrum/store/records.py
+++ b/deckdrum/store/records.py
@@ -47,9 +47,10 @@
 
     `operation` identifies the write, so that a writer whose response was lost
     can recognize its own record.  `driver` runs the primary change in progress,
-    and `former` is the primary before it.  `primary_started_at` is the start
-    time of the primary in Unix ms, or 0 if unknown.  It identifies the
-    incarnation, since a server has no data after a restart.
+    `former` is the primary before it, and `former_term` the term that it led
+    or 0 if unknown.  `primary_started_at` is the start time of the primary in
+    Unix ms, or 0 if unknown.  It identifies the incarnation, since a server has
+    no data after a restart.
     """
 
     service: str
@@ -60,6 +61,7 @@
     driver: str = ''
     former: str = ''
     primary_started_at: int = 0
+    former_term: int = 0
 
     @property
     def path(self) -> str:
