Settle a change with the primary of its term that is in use already

What callers saw: a healthy primary replaced 0.8 s after it took over, and what it had acknowledged rolled back, in a test.

Cause: a driver that found the primary of its claimed term in use, by itself or at a peer, went on all the same: it fenced, gave up for want of replicas and put the old term back. A peer's TermEnded confirmed the end of a term although the peer used a later one, and with all peers confirming the wait for proof was skipped. A node without a primary asked its peers about the former one only, not whether they reach another.

Change: TermEnded names the later term and primary that the peer uses; a driver that hears of one, or has adopted one itself, settles the record with it. A node without a primary starts no change if a peer sees any server lead a term that has not ended.

Why it works: such a primary can only have been promoted after the term that the claim ends.

--- a/deckdrum/fleet/node_messages.py
+++ b/deckdrum/fleet/node_messages.py
@@ -85,10 +85,16 @@
 
 
 class TermEnded(Message, frozen=True):
-    """Confirms that the peer acknowledges no more changes of the term."""
+    """Confirms that the peer acknowledges no more changes of the term.
+
+    `later_term` and `later_primary` are set if it uses a primary of a later
+    term.
+    """
 
     service: str
     term: int
+    later_term: int = 0
+    later_primary: str = ''
 
 
 class OpenDetour(Message, frozen=True):
--- a/deckdrum/leadership/context.py
+++ b/deckdrum/leadership/context.py
@@ -10,6 +10,7 @@
 from deckdrum.fleet.detours import DetourDialer
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
+from deckdrum.leadership.peer_observation import Leader
 from deckdrum.leadership.promotion_client import PromotionClient
 from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
@@ -95,11 +96,14 @@
         Whether every node that was asked has stopped, and none is missing.
     asked : frozenset of str
         The nodes that were asked, including this one.
+    leader : Leader or None
+        A primary of a later term that a node uses.
     """
 
     has_majority: bool
     is_unanimous: bool
     asked: frozenset[str]
+    leader: Leader | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -351,25 +351,22 @@
         return CHECK_INTERVAL_S
 
     async def _is_reached_elsewhere(self, former: str) -> bool:
-        """Return whether another node reaches a primary."""
-        question = AskServer(self._runtime.name, former)
-        answers = await self._context.peers.ask_each(
-            self._observer.list_observers(),
-            question,
+        """Return whether another node reaches the former or a later primary."""
+        leader = await self._observer.find_leader(
+            {former, *self._runtime.servers}, min_term=1
         )
-        reaching = [
-            name
-            for name, answer in answers.items()
-            if isinstance(answer, ServerAnswer) and answer.reached
-        ]
-        if reaching:
-            self._runtime.journal.record(
-                'leadership.change_vetoed',
-                service=self._runtime.name,
-                primary=former,
-                reached_by=reaching[:8],
-            )
-        return bool(reaching)
+        if leader is None:
+            return False
+        state = self._runtime.leadership_state
+        if leader.server != former and leader.term <= state.ended_term:
+            return False
+        self._runtime.journal.record(
+            'leadership.change_vetoed',
+            service=self._runtime.name,
+            primary=leader.server,
+            term=leader.term,
+        )
+        return True
 
     async def _change(
         self,
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -25,6 +25,7 @@
 and looks for a server that the claim before has promoted.
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 import curio
@@ -33,6 +34,7 @@
 from deckdrum.control import Kind
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import EndTerm, TermEnded
+from deckdrum.fleet.node_peers import PeerAnswer
 from deckdrum.leadership.context import (
     POLL_INTERVAL_S,
     LeadershipClaim,
@@ -116,7 +118,11 @@
             prepared = await self._prepare(report, claim)
             if prepared is None:
                 return await self._abandon(report, claim)
-            leader = await self._promoter.promote(report, claim, prepared)
+            leader = (
+                prepared
+                if isinstance(prepared, Leader)
+                else await self._promoter.promote(report, claim, prepared)
+            )
         except StoreError as error:
             self._log('leadership.change_failed', report, str(error))
             return False
@@ -180,13 +186,17 @@
         self,
         report: PrimaryChangeReport,
         claim: LeadershipClaim,
-    ) -> list[PromotionCandidate] | None:
-        """End the old term safely; return the candidates, the best first."""
+    ) -> list[PromotionCandidate] | Leader | None:
+        """End the old term safely; return the candidates, the best first.
+
+        If a node uses a primary of the claimed term already, this one is
+        returned instead.
+        """
         term = claim.record.term
         former = self._runtime.servers.get(report.former)
         ended = await self._stop_old_term(report, claim)
-        if ended is None:
-            return None
+        if ended is None or isinstance(ended, Leader):
+            return ended
         fenced, votes = ended
         fenced_at = await curio.clock()
         all_ended = await self._has_ended_everywhere(votes)
@@ -223,15 +233,19 @@
         self,
         report: PrimaryChangeReport,
         claim: LeadershipClaim,
-    ) -> tuple[dict[str, ServerStatus], TermEndVotes] | None:
+    ) -> tuple[dict[str, ServerStatus], TermEndVotes] | Leader | None:
         """End the old term at nodes, primary and replicas.
 
-        Returns the fenced replicas and the votes; None if they are too few.
+        Returns the fenced replicas and the votes; None if they are too few, or
+        a primary that a node uses in a later term.
         """
         term = claim.record.term
         ending = await curio.spawn(self._end_term, report, claim)
         if report.is_planned:
-            if not (await ending.join()).has_majority:
+            planned: TermEndVotes = await ending.join()
+            if planned.leader is not None:
+                return planned.leader
+            if not planned.has_majority:
                 report.failure_detail = (
                     'no majority of the nodes has ended the term'
                 )
@@ -242,6 +256,9 @@
         await report.record_phase('hold')
         votes: TermEndVotes = await ending.join()
         await report.record_phase('end term')
+        leader = self._find_own_leader() or votes.leader
+        if leader is not None:
+            return leader
         if fenced is None:
             report.failure_detail = (
                 f'too few replicas fenced: {self._fencing.describe()}'
@@ -255,6 +272,13 @@
             return None
         return fenced, votes
 
+    def _find_own_leader(self) -> Leader | None:
+        """Return the primary of the claimed term that this node has found."""
+        state = self._runtime.leadership_state
+        if not state.has_primary:
+            return None
+        return Leader(state.primary, state.term)
+
     async def _step_down(
         self,
         report: PrimaryChangeReport,
@@ -310,8 +334,12 @@
         is_unanimous = (
             not unresponsive and not self._context.peers.has_gone_members
         )
-        asked = frozenset((self._context.node, *answers))
-        return TermEndVotes(has_majority, is_unanimous, asked)
+        return TermEndVotes(
+            has_majority,
+            is_unanimous,
+            frozenset((self._context.node, *answers)),
+            _find_later_leader(answers.values()),
+        )
 
     async def _has_ended_everywhere(self, votes: TermEndVotes) -> bool:
         """Return whether no node has proof of the old term any more.
@@ -368,3 +396,13 @@
         self, event: str, report: PrimaryChangeReport, reason: str
     ) -> None:
         report.log(self._runtime.journal, event, reason)
+
+
+def _find_later_leader(answers: Iterable[PeerAnswer]) -> Leader | None:
+    """Return the latest primary that nodes use in a later term, if any."""
+    leaders = [
+        Leader(answer.later_primary, answer.later_term)
+        for answer in answers
+        if isinstance(answer, TermEnded) and answer.later_term
+    ]
+    return max(leaders, key=lambda leader: leader.term, default=None)
--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -137,6 +137,11 @@
                 request.may_finish,
                 request.fence,
             )
+            state = runtime.leadership_state
+            if state.has_primary:
+                return TermEnded(
+                    request.service, request.term, state.term, state.primary
+                )
         return TermEnded(request.service, request.term)
 
 
