Keep the former primary if a change has no candidate

What callers saw: no primary until the next change, in a test.

Cause: a change made the former primary step down before it looked for a candidate; without one it put the former term back, which nobody led any more.

Evidence: test_change_without_a_candidate_does_not_demote_the_primary fails on the parent: the former primary is a replica.

Change: candidates are ranked first.

Why it works: whatever ends without an order leaves the former primary as it was, and its term may resume.

Measured: the test failed before and passes.

--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -209,11 +209,6 @@
                 f'no longer fenced: {self._fencing.describe()}'
             )
             return None
-        if former is not None:
-            # It may be reachable again; the promotion ends its term.
-            await former.execute_command(
-                'step_down', term, timeout=POLL_INTERVAL_S
-            )
         self._log(
             'leadership.prepared',
             report,
@@ -227,7 +222,13 @@
             report.failure_detail = (
                 f'no replica has the complete log: {self._fencing.describe()}'
             )
-        return candidates or None
+            return None
+        if former is not None:
+            # It may be reachable again; the promotion ends its term.
+            await former.execute_command(
+                'step_down', term, timeout=POLL_INTERVAL_S
+            )
+        return candidates
 
     async def _stop_old_term(
         self,
--- a/deckdrum/leadership/tests/test_restarted_servers.py
+++ b/deckdrum/leadership/tests/test_restarted_servers.py
@@ -8,6 +8,8 @@
 import curio
 import pytest
 
+from deckdrum.leadership.context import PrimaryChangeReport
+from deckdrum.leadership.primary_change import PrimaryChanger
 from deckdrum.standins.users import DatabaseServer
 from deckdrum.testing.nodes import (
     CURRENT,
@@ -174,3 +176,22 @@
         ]
 
     run_scenario(scenario, nodes=30, max_connections=12)
+
+
+def test_change_without_a_candidate_does_not_demote_the_primary() -> None:
+    async def scenario(deployment: Deployment) -> None:
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        former = deployment.group.primary
+        for server in deployment.group.servers.values():
+            if server is not former:
+                server.is_replication_blocked = True
+                await server.restart_empty()
+        await curio.sleep(1)
+        node = deployment.nodes[0].node
+        change = PrimaryChanger(node.services[SERVICE], node.tools)
+        report = PrimaryChangeReport(SERVICE, former.name, 'test', False)
+        assert not await change.run(report)
+        assert former.role == 'primary'
+
+    run_scenario(scenario)
