Do not resume a term that an unfinished claim may have replaced

What callers saw: nothing in a report; in a test nodes were told to use a primary that had been replaced.

Cause: a node that took a claim over and found too few servers, or no complete log, settled the record with the former primary, as proof for all nodes. The driver before may have promoted a server that this node does not see: an order whose effect is not seen was taken for an order without effect.

Change: a takeover resumes the former term only if every server but the former primary was fenced, that is seen as a replica, and still was at the end. Otherwise the claim stays unfinished and is taken over again.

Why it works: a server that leads cannot be fenced.

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -117,6 +117,14 @@
             return state.required_fenced_replicas
         return max(state.required_fenced_replicas, replicas - synchronous + 1)
 
+    def covers_all_replicas(
+        self, fenced: Mapping[str, ServerStatus], former: str
+    ) -> bool:
+        """Return whether every server but the former primary is fenced."""
+        return all(
+            handle.id in fenced for handle in self._list_replicas(former)
+        )
+
     def _list_replicas(self, former: str) -> list[ServerHandle]:
         return [
             handle
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -204,7 +204,9 @@
             await curio.sleep(PROOF_LIFETIME_S)
             await report.record_phase('wait')
         if not await self._fencing.are_still_fenced(fenced, term):
-            # A replica that restarted may have given proof of the old term.
+            # A replica that restarted may have given proof of the old term, and
+            # one that leads is not fenced any more.
+            report.may_resume = not report.is_takeover
             report.failure_detail = (
                 f'no longer fenced: {self._fencing.describe()}'
             )
@@ -260,6 +262,11 @@
         leader = self._find_own_leader() or votes.leader
         if leader is not None:
             return leader
+        # An earlier claim may have promoted a replica that is not seen here.
+        report.may_resume = not report.is_takeover or (
+            fenced is not None
+            and self._fencing.covers_all_replicas(fenced, report.former)
+        )
         if fenced is None:
             report.failure_detail = (
                 f'too few replicas fenced: {self._fencing.describe()}'
@@ -376,10 +383,10 @@
     async def _abandon(
         self, report: PrimaryChangeReport, claim: LeadershipClaim
     ) -> bool:
-        """Release the fences and resume the old term; nothing was promoted."""
+        """Release the fences; resume the old term if nothing was promoted."""
         for handle in list(self._runtime.servers.values()):
             await handle.execute_command('release_hold')
-        if not report.step_down_requested:
+        if report.may_resume and not report.step_down_requested:
             await self._records.revert(report, claim)
         self._log('leadership.change_given_up', report, report.reason)
         return False
--- a/deckdrum/leadership/tests/test_claim_terms.py
+++ b/deckdrum/leadership/tests/test_claim_terms.py
@@ -46,11 +46,14 @@
         await deployment.cut_node_link(2, other)
 
 
-async def _promote_unseen(deployment: LinkedDeployment) -> None:
+async def _promote_unseen(
+    deployment: LinkedDeployment, *, is_former_down: bool = True
+) -> None:
     """Let a dead driver's promotion take effect where one node sees it."""
     await deployment.store.write('deckdrum-leadership', SERVICE, _build_claim())
     await curio.sleep(0.1)
-    await deployment.group.servers[_FORMER].crash()
+    if is_former_down:
+        await deployment.group.servers[_FORMER].crash()
     # Fenced by the dead driver, and cut off from the log of the new primary.
     other = deployment.group.servers[_OTHER]
     other.fenced_term = 2
@@ -94,3 +97,18 @@
         assert (record['phase'], record['term']) == (Phase.SETTLED.value, 2)
 
     run_linked_scenario(scenario)
+
+
+def test_failed_takeover_does_not_resume_a_term_that_may_be_replaced() -> None:
+    """Nodes would use the former primary beside the one that another sees."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        group = deployment.group
+        group.servers[_FORMER].is_replication_blocked = True
+        await group.servers[_OTHER].restart_empty()
+        await _promote_unseen(deployment, is_former_down=False)
+        await curio.sleep(_TAKEOVER_S)
+        record = deployment.store.read('deckdrum-leadership', SERVICE)
+        assert record['primary'] != _FORMER
+
+    run_linked_scenario(scenario)
