Take over only the claim that was found unfinished

What callers saw: nothing in a report; in a test two nodes changed one group's primary in turns, 0.2 s apart (rule ONE, in touch, within leaseMs).

Cause: the age of a claim was checked first, then up to a second passed while the node looked for a primary; the claim was then made over whatever unfinished claim the record held, also over a new one of a node that had just taken it over, or over a record that had been settled meanwhile.

Change: the change carries the operation of the claim that it takes over, and is outdated if the record holds another one.

Why it works: the new claim has an age of its own, and a conditional update decides between two nodes that take the same one over.

--- a/deckdrum/leadership/context.py
+++ b/deckdrum/leadership/context.py
@@ -33,8 +33,9 @@
         Why it is replaced.
     is_planned : bool
         Whether the former primary still works and can hand over.
-    is_takeover : bool
-        Whether another node claimed the change and did not finish it.
+    unfinished_operation : str
+        Operation of the unfinished claim that this change takes over; empty if
+        it takes over none.
     term : int
         Term of the new primary; 0 before the claim.
     promoted : str
@@ -55,7 +56,7 @@
     former: str
     reason: str
     is_planned: bool
-    is_takeover: bool = False
+    unfinished_operation: str = ''
     term: int = 0
     promoted: str = ''
     step_down_requested: bool = False
@@ -63,6 +64,11 @@
     may_resume: bool = True
     phases: dict[str, float] = field(default_factory=dict)
 
+    @property
+    def is_takeover(self) -> bool:
+        """Whether the change was claimed before and not finished."""
+        return bool(self.unfinished_operation)
+
     async def record_phase(self, phase: str) -> None:
         """Record that a step has just ended."""
         self.phases[phase] = await curio.clock()
--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -176,7 +176,7 @@
         return await self._change(
             record.former,
             'its driver did not finish the change',
-            is_takeover=True,
+            unfinished_operation=record.operation,
         )
 
     async def _find_promoted(self, claimed: GroupRecord) -> Leader | None:
@@ -374,14 +374,14 @@
         reason: str,
         *,
         is_planned: bool = False,
-        is_takeover: bool = False,
+        unfinished_operation: str = '',
     ) -> float:
         report = PrimaryChangeReport(
             self._runtime.name,
             former,
             reason,
             is_planned,
-            is_takeover,
+            unfinished_operation,
         )
         report.phases['decide'] = await curio.clock()
         is_done = await self._primary_changer.run(report)
--- a/deckdrum/leadership/record_store.py
+++ b/deckdrum/leadership/record_store.py
@@ -187,8 +187,11 @@
             return ''
         record = known[1]
         found = f'record: primary {record.primary or "none"}, {record.phase}'
-        if record.phase is Phase.FENCING:
-            return '' if report.is_takeover else f'{found} by {record.driver}'
+        if record.phase is Phase.FENCING or report.is_takeover:
+            # A later claim than the one decided about has a driver of its own.
+            is_same = record.operation == report.unfinished_operation
+            is_unfinished = is_same and record.phase is Phase.FENCING
+            return '' if is_unfinished else f'{found} by {record.driver}'
         # An abandoned change may leave a record without a primary.
         return '' if record.primary in {'', report.former} else found
 
