Promotion: no request is sent, or delivered, after its claim has expired

Cause: the driver checks its claim's lifetime, then connects to the platform, which takes up to 0.4 s, or as long as the process is stopped. The request went out whenever the connection stood; by then another node may have taken the claim over, and a platform that checks no fences carries out the lower token after the higher one. A cancelled call closed its connection in order, which delivers what was not sent yet; a stopped or killed process left up to 3 s of retransmissions.

Change: the request carries the end of the claim's lifetime, which the client compares with the clock just before it sends. A call that fails or is cancelled resets its connection; for a promotion the kernel does so too when the process ends, and drops what the platform has not acknowledged within the call's timeout.

Not covered: bytes that the platform's machine has received are read even after a reset (seen with a listener that reads late), so a request without an answer may still take effect; the interface says so now.

--- a/deckdrum/leadership/promotion_client.py
+++ b/deckdrum/leadership/promotion_client.py
@@ -32,12 +32,16 @@
     fencing_token : int
         Fencing token of the claim; the platform refuses tokens lower than the
         highest that it has seen.
+    send_before : float
+        End of the claim's lifetime, in kernel seconds: the request is not sent
+        later, even if connecting took long or the process was stopped.
     """
 
     service: str
     server: str
     requested_by: str
     fencing_token: int
+    send_before: float
 
 
 class PromotionClient(ABC):
@@ -51,5 +55,8 @@
     ) -> PromotionOutcome:
         """Request a promotion and wait up to `timeout` seconds for the result.
 
-        A timeout resets the connection, so the request cannot arrive later.
+        A request that was not sent before its `send_before` has the outcome
+        `PromotionOutcome.NOT_ATTEMPTED`.  A timeout resets the connection, so
+        the request cannot arrive later.  A platform that had received it, but
+        reads it late, may still carry it out.
         """
--- a/deckdrum/leadership/server_promotion.py
+++ b/deckdrum/leadership/server_promotion.py
@@ -106,6 +106,7 @@
             candidate.handle.id,
             self._context.node,
             claim.fencing_token,
+            claim.sent_at + CLAIM_LIFETIME_S,
         )
         may_have_effect = False
         while await self._may_request(claim):
--- a/deckdrum/leadership/tests/test_claim_terms.py
+++ b/deckdrum/leadership/tests/test_claim_terms.py
@@ -1,5 +1,6 @@
 """Claims over a claim that was not finished, and whose server may lead."""
 
+import math
 from typing import Any
 
 import curio
@@ -60,7 +61,8 @@
     other.is_replication_blocked = True
     await _isolate_user(deployment)
     client = PlatformPromotionClient(deployment.group.promotion_address)
-    await client.promote(PromotionRequest(SERVICE, _PROMOTED, 'n9', 1), 1)
+    request = PromotionRequest(SERVICE, _PROMOTED, 'n9', 1, math.inf)
+    await client.promote(request, 1)
 
 
 def test_takeover_ends_the_term_that_an_unseen_promotion_began() -> None:
--- a/deckdrum/leadership/tests/test_terms_in_use.py
+++ b/deckdrum/leadership/tests/test_terms_in_use.py
@@ -1,5 +1,7 @@
 """Claims of a term that other nodes use already."""
 
+import math
+
 import curio
 import pytest
 
@@ -34,7 +36,8 @@
         await deployment.cut_link(number, _PROMOTED)
         await group.servers[_FORMER].crash()
         client = PlatformPromotionClient(group.promotion_address)
-        await client.promote(PromotionRequest(SERVICE, _PROMOTED, 'n9', 1), 1)
+        request = PromotionRequest(SERVICE, _PROMOTED, 'n9', 1, math.inf)
+        await client.promote(request, 1)
         await curio.sleep(_OBSERVATION_TIME_S)
         acknowledged: dict[str, float] = {}
         for writer in writers:
--- a/deckdrum/platform/promotion_client.py
+++ b/deckdrum/platform/promotion_client.py
@@ -11,7 +11,7 @@
     PromotionRequest,
 )
 from deckdrum.utils import Address
-from deckdrum.utils.http import HttpClient, Request
+from deckdrum.utils.http import HttpClient, Request, RequestNotSentError
 
 PROMOTION_CONNECT_TIMEOUT_S: Final = 0.4
 _HOLDER_HEADER: Final = 'X-Deckdrum-Holder'
@@ -59,8 +59,10 @@
         }
         http_request = Request('POST', '/promote', {}, headers, body)
         try:
-            reply = await client.call(http_request, timeout)
-        except ConnectionRefusedError:
+            reply = await client.call(
+                http_request, timeout, request.send_before
+            )
+        except (ConnectionRefusedError, RequestNotSentError):
             return PromotionOutcome.NOT_ATTEMPTED
         except ConnectionError:
             # The server may have been promoted; its status will show it.
--- a/deckdrum/utils/http.py
+++ b/deckdrum/utils/http.py
@@ -1,6 +1,7 @@
 """Small HTTP/1.1 client and server on curio, with `h11` as the codec."""
 
 import json
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
@@ -57,6 +58,10 @@
         return json.loads(self.body)
 
 
+class RequestNotSentError(ConnectionAbortedError):
+    """No byte of the request was sent, so it has no effect."""
+
+
 class HttpClient:
     """Sends requests to one address over persistent connections.
 
@@ -73,34 +78,52 @@
         self._connect_timeout = connect_timeout
         self._idle: list[tuple[Stream, h11.Connection]] = []
 
-    async def call(self, request: Request, timeout: float) -> Reply:
+    async def call(
+        self,
+        request: Request,
+        timeout: float,
+        send_before: float = math.inf,
+    ) -> Reply:
         """Send a request and return its reply.
 
+        A call that fails or is cancelled resets the connection, which discards
+        what has not arrived.  The server may still read what has.
+
         Parameters
         ----------
         request : Request
             The request; `path` must include the encoded query.
         timeout : float
             Timeout for the reply, in seconds.
+        send_before : float
+            Time after which the request is not sent any more, in kernel
+            seconds.
 
         Raises
         ------
+        ConnectionRefusedError
+            If nothing listens on the address.
+        RequestNotSentError
+            If the connection stands only after `send_before`.
         ConnectionError
-            If the server is unreachable or does not reply in time; it may have
-            processed the request.
+            If the server does not reply in time; it may have processed the
+            request.
         """
         stream, codec = await self._acquire()
+        if send_before < math.inf:
+            stream.limit_delivery(timeout)
         try:
             async with curio.timeout_after(timeout):
-                reply = await self._exchange(stream, codec, request)
+                reply = await self._exchange(
+                    stream, codec, request, send_before
+                )
         except (curio.TaskTimeout, h11.ProtocolError) as error:
-            # Discards data in flight: the request must not be processed later.
             await stream.abort()
             raise ConnectionAbortedError(
                 f'no reply from {self.address}: {error!r}, {codec.states}',
             ) from error
         except (ConnectionError, curio.CancelledError):
-            await stream.close()
+            await stream.abort()
             raise
         await self._release(stream, codec)
         return reply
@@ -133,6 +156,7 @@
         stream: Stream,
         codec: h11.Connection,
         request: Request,
+        send_before: float,
     ) -> Reply:
         headers = {
             'host': str(self.address),
@@ -147,6 +171,11 @@
         payload = codec.send(request_head) or b''
         payload += codec.send(h11.Data(data=request.body)) or b''
         payload += codec.send(h11.EndOfMessage()) or b''
+        late = await curio.clock() - send_before
+        if late >= 0:
+            raise RequestNotSentError(
+                f'connected to {self.address} {late:.3f} s too late',
+            )
         await stream.send(payload)
         head, body = await _read_message(stream, codec)
         return Reply(head.status_code, body, _decode_headers(head.headers))
--- a/deckdrum/utils/streams.py
+++ b/deckdrum/utils/streams.py
@@ -13,6 +13,7 @@
 #: Buffer size of one receive call.
 RECEIVE_BYTES: Final = 65536
 _BACKLOG: Final = 512
+_MS_PER_S: Final = 1000
 #: Time after which a connection with unacknowledged data is closed; the same as
 #: the timeout of the database servers.
 TCP_USER_TIMEOUT_MS: Final = 3000
@@ -146,11 +147,28 @@
         await self._wait_until_unwatched()
         await self._sock.close()
 
+    def limit_delivery(self, timeout: float) -> None:
+        """Discard sent data that the peer does not acknowledge in time.
+
+        The kernel does so also while this process is stopped, and when it ends
+        without closing the connection.
+
+        Parameters
+        ----------
+        timeout : float
+            Longest time that sent data waits for the peer, in seconds.
+        """
+        self._raw.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            round(timeout * _MS_PER_S),
+        )
+        self._reset_on_close()
+
     async def abort(self) -> None:
         """Reset the connection and discard data in flight."""
         if not self.closed:
-            linger = struct.pack('ii', 1, 0)
-            self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self._reset_on_close()
             self.closed = True
             try:
                 # Wakes tasks that wait for data, without sending a FIN.
@@ -161,6 +179,10 @@
             await self._wait_until_unwatched()
             await self._sock.close()
 
+    def _reset_on_close(self) -> None:
+        linger = struct.pack('ii', 1, 0)
+        self._raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def _wait_until_unwatched(self) -> None:
         """Wait until the curio kernel has unregistered the descriptor.
 
