Promotion: a failed connect is an order that was not attempted

Cause: a connect that timed out had the outcome "unknown", as if the request might take effect. The driver then waited 0.9 s for the server to become primary, out of a claim's 3.5 s.

Change: the HTTP client raises an error of its own if it sent nothing; the promotion's outcome is then "turned away", and the driver tries again at once.

Measured: the new test had "unknown" before and passes now.

--- a/deckdrum/platform/tests/test_promotion_client.py
+++ b/deckdrum/platform/tests/test_promotion_client.py
@@ -104,6 +104,22 @@
     _run(scenario)
 
 
+def test_failed_connect_is_no_attempt(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without a byte sent, the promotion cannot take effect."""
+
+    async def fail(address: Address, timeout: float) -> Stream:
+        await curio.sleep(timeout)
+        raise ConnectionAbortedError(f'cannot connect to {address}')
+
+    monkeypatch.setattr(http, 'dial', fail)
+
+    async def scenario(platform: _LatePlatform) -> None:
+        outcome = await platform.promote()
+        assert outcome is PromotionOutcome.NOT_ATTEMPTED
+
+    _run(scenario)
+
+
 def test_unanswered_request_does_not_arrive_later() -> None:
     """What a slow link still holds at the timeout must be discarded."""
 
--- a/deckdrum/utils/http.py
+++ b/deckdrum/utils/http.py
@@ -104,7 +104,7 @@
         ConnectionRefusedError
             If nothing listens on the address.
         RequestNotSentError
-            If the connection stands only after `send_before`.
+            If the server cannot be connected to, or only after `send_before`.
         ConnectionError
             If the server does not reply in time; it may have processed the
             request.
@@ -140,7 +140,10 @@
             if stream.is_idle():
                 return stream, codec
             await stream.close()
-        stream = await dial(self.address, self._connect_timeout)
+        try:
+            stream = await dial(self.address, self._connect_timeout)
+        except ConnectionAbortedError as error:
+            raise RequestNotSentError(str(error)) from error
         return stream, h11.Connection(h11.CLIENT)
 
     async def _release(self, stream: Stream, codec: h11.Connection) -> None:
