Fencing: a former primary whose entry is gone still counts as a server

Cause: the number of replicas to fence is counted on the list of servers, less one for the former primary. Its entry lapses 3 heartbeats after a crash, and is forgotten 4.5 s later; then one of the two remaining replicas seems enough. It may lack every write that the other one has acknowledged, and a node that still lists three servers gets proof of the old term from the other one.

Change: the former primary counts whether it is listed or not. Without synchronous replicas, fewer are accepted as before, if most nodes have stopped.

Measured: a group with one synchronous replica, its complete replica dark for 9.5 s after the primary crashed: before, the replica without the five acknowledged writes was promoted; now none is until the complete one answers.

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -49,6 +49,7 @@
 
     def __init__(self, runtime: ServiceRuntime) -> None:
         self._runtime = runtime
+        self._former = ''
 
     def describe(self) -> str:
         """Return the last known state of each server, for the log."""
@@ -59,6 +60,7 @@
 
     async def count_reachable_replicas(self, former: str) -> int:
         """Return how many servers other than the former primary answer."""
+        self._former = former
         replicas = self._list_replicas(former)
         tasks = [
             await curio.spawn(_is_responsive, handle) for handle in replicas
@@ -86,6 +88,7 @@
         former: str,
     ) -> dict[str, ServerStatus] | None:
         """Fence the replicas; return their states, or None if too few."""
+        self._former = former
         replicas = self._list_replicas(former)
         fenced: dict[str, ServerStatus] = {}
         required = self.required
@@ -109,13 +112,17 @@
 
         Enough that no node can get proof of the old term, and that one of
         them has every write that was acknowledged by synchronous replicas.
+        The former primary counts as a server also when its entry is gone:
+        nodes that still list it need fewer proofs than replicas remain.
         """
-        state = self._runtime.leadership_state
-        replicas = len(self._runtime.servers) - 1
+        names = set(self._runtime.servers)
+        if self._former:
+            names.add(self._former)
+        required = max(1, len(names) - len(names) // 2)
         synchronous = self._runtime.declaration.synchronous_replicas
         if not synchronous:
-            return state.required_fenced_replicas
-        return max(state.required_fenced_replicas, replicas - synchronous + 1)
+            return required
+        return max(required, len(names) - synchronous)
 
     def covers_all_replicas(
         self, fenced: Mapping[str, ServerStatus], former: str
