--- a/deckdrum/leadership/tests/test_lapsed_servers.py
+++ b/deckdrum/leadership/tests/test_lapsed_servers.py
@@ -1,6 +1,7 @@
 """Primary changes while entries are missing from the server directory."""
 
 import curio
+import pytest
 
 from deckdrum.control.view import IMPLIED_DRAIN_TIME_S, REMOVAL_GRACE_S
 from deckdrum.standins.users import DatabaseServer
@@ -17,8 +18,11 @@
     return [server for server in servers if server is not primary]
 
 
-def test_replica_with_acknowledged_writes_is_waited_for() -> None:
-    """The former primary counts as one of the servers when its entry is gone.
+@pytest.mark.parametrize('is_replica_forgotten', [False, True])
+def test_replica_with_acknowledged_writes_is_waited_for(
+    is_replica_forgotten: bool,
+) -> None:
+    """Servers whose entries are gone count among those to be fenced.
 
     Otherwise one fenced replica of two seems to have every synchronous write.
     """
@@ -35,12 +39,15 @@
         await primary.crash()
         complete.is_unresponsive = True
         await deployment.store.delete('servers', primary.name)
+        if is_replica_forgotten:
+            await deployment.store.delete('servers', complete.name)
         await curio.spawn(client.write_until_done, 30, daemon=True)
         await curio.sleep(_FORGOTTEN_S + 4)
         servers = deployment.nodes[0].node.services[SERVICE].servers
         assert primary.name not in servers
         assert not deployment.group.promotions
         complete.is_unresponsive = False
+        await complete.publish()
         await curio.sleep(4)
         promoted = {server for server, _, _ in deployment.group.promotions}
         assert promoted == {complete.name}
