Proof: a node that lists one server passes none on

Cause: such a node counts its proof as valid for ever, and answered its peers with an age of 0. A node that lists three servers took that for fresh proof, also after its own replicas had been fenced.

Change: it answers that it has none. Nodes that list one server never ask.

Measured: the new test had proof 1.2 s after the fence and has none now.

--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -93,7 +93,13 @@
         self.collector = _pick_collector(name, own, members, remaining)
 
     async def fetch_age(self, term: int) -> float:
-        """Return the age of this node's proof in seconds; -1 without proof."""
+        """Return the age of this node's proof in seconds; -1 without proof.
+
+        A node that lists one server needs no proof itself, and has none for
+        nodes that list more.
+        """
+        if not self._leadership_state.required_proofs:
+            return -1
         age = self._leadership_state.get_proof_age(await curio.clock())
         if age > MAX_SHARED_AGE_S:
             await self.renew(PROOF_LIFETIME_S - MAX_SHARED_AGE_S)
