--- a/deckdrum/leadership/tests/test_passed_proof.py
+++ b/deckdrum/leadership/tests/test_passed_proof.py
@@ -69,6 +69,12 @@
             await state.apply_servers(_SERVERS)
             await state.record_status('a', leads, 0)
 
+    async def stop(self) -> None:
+        """Stop asking, and wait until the renewals in progress have ended."""
+        for sources in self.sources.values():
+            sources.collector = None
+        await curio.sleep(10 * _MAX_HOP_S)
+
     async def ask(self, address: Address, request: AskProof) -> Message:
         """Pass a question to a node; both ways take their time."""
         await curio.sleep(self._randomness.uniform(0, _MAX_HOP_S))
@@ -112,8 +118,7 @@
             if any(state.is_primary_usable(now) for state in ring.states):
                 last_use = now
             await curio.sleep(0.02)
-    # Renewals in progress end by themselves.
-    await curio.sleep(2)
+    await ring.stop()
     return last_use
 
 
@@ -142,6 +147,7 @@
         await curio.sleep(_FENCED_AT_S + PROOF_LIFETIME_S)
         await next(iter(ring.sources.values())).renew()
         now = await curio.clock()
+        await ring.stop()
         assert not ring.states[0].is_primary_usable(now)
 
     run_virtual(scenario)
