Record the term that the former primary led, also when its entry is gone

What callers saw: nothing; by a test of records.

Cause: an abandoned claim put the former primary back under the number before the claim's, which may be a term that another server leads, if the claim's number had skipped terms seen at replicas.

Evidence: test_abandoned_change_records_the_term_that_was_led: where the former primary is known [True] mended with the claimed numbers; where its entry is gone [False] it failed on the parent.

Change: the term comes from the settled record if that names the former primary.

Measured: both cases pass.

--- a/deckdrum/leadership/record_store.py
+++ b/deckdrum/leadership/record_store.py
@@ -175,7 +175,11 @@
         known = self._context.view.get_leadership(self._runtime.name)
         if known is not None and known[1].phase is Phase.FENCING:
             return known[1].former_term or known[1].term - 1
-        return state.term if state.primary == report.former else term - 1
+        if state.primary == report.former:
+            return state.term
+        if known is not None and known[1].primary == report.former:
+            return known[1].term
+        return term - 1
 
     def _find_conflict(self, report: PrimaryChangeReport) -> str:
         """Return what made the change obsolete since the decision, if any."""
