Adopt no primary of an earlier term from a record that is heard late

What callers saw: nothing; by a test of the leadership state.

Cause: a node that knew a later term, and had lost the primary of it, adopted the primary of an earlier term from the record.

Change: a record is adopted only for a later term, or for the same one without a primary. Terms that a claim only announced do not count: LeadershipState.term is one that a server has led.

--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -210,7 +210,8 @@
             reason = f'{record.driver} has claimed a primary change'
             await self.end_term(record.term - 1, reason, revision)
         elif record.term > self.ended_term and record.primary:
-            if record.term > self.term or not self.has_primary:
+            is_missing = record.term == self.term and not self.has_primary
+            if record.term > self.term or is_missing:
                 await self._set_primary(
                     record.term, record.primary, 'leadership record'
                 )
