--- a/deckdrum/standins/users/tests/test_databases.py
+++ b/deckdrum/standins/users/tests/test_databases.py
@@ -1,5 +1,7 @@
 """The stand-in for a database group: promotions and replaced primaries."""
 
+import math
+
 import curio
 import pytest
 
@@ -44,7 +46,7 @@
         if server is not group.primary
     )
     client = PlatformPromotionClient(group.promotion_address)
-    request = PromotionRequest(SERVICE, successor.name, 'test', 1)
+    request = PromotionRequest(SERVICE, successor.name, 'test', 1, math.inf)
     await client.promote(request, 1)
     await deployment.wait_for(lambda: group.primary is successor)
     return successor
