Need proof of a term also where one server is listed

What callers saw: nothing in a report; in a test a node acknowledged writes at a replaced primary for ever.

Cause: the number of replicas that prove a term is counted on a node's own list. Entries lapse while the store is away, and a node that lists the primary alone needed no proof.

Change: a node that has ever listed several servers needs proof from a replica, the store or a peer. Besides, a settled record never takes a node back below a term that it has used.

A list of one, and nodes without the store and their peers: no primary until one of them is back.

--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -65,6 +65,9 @@
         #: Whether the first use of the primary in its term has been logged.
         self._is_use_logged = False
         self._servers: frozenset[str] = frozenset()
+        #: Whether the group had several servers at any time.  Entries lapse, so
+        #: one that is listed alone may have been replaced by another.
+        self._has_listed_several = False
         #: Start times of the servers, in Unix ms; 0 if unknown.
         self._start_times: dict[str, int] = {}
         #: Highest term known when each restarted server came back: up to it,
@@ -84,7 +87,7 @@
     @property
     def required_proofs(self) -> int:
         """Number of unfenced replicas needed beside the primary for proof."""
-        return len(self._servers) // 2
+        return max(len(self._servers) // 2, int(self._has_listed_several))
 
     @property
     def required_fenced_replicas(self) -> int:
@@ -133,6 +136,7 @@
     ) -> None:
         """Apply the list of the group's servers and their start times."""
         self._servers = frozenset(names)
+        self._has_listed_several |= len(self._servers) > 1
         for name, started_at in start_times.items():
             await self._record_start(name, started_at)
         self._proofs.required = self.required_proofs
@@ -209,16 +213,8 @@
         if record.phase is Phase.FENCING:
             reason = f'{record.driver} has claimed a primary change'
             await self.end_term(record.term - 1, reason, revision)
-        elif record.term > self.ended_term and record.primary:
-            is_missing = record.term == self.term and not self.has_primary
-            if record.term > self.term or is_missing:
-                await self._set_primary(
-                    record.term, record.primary, 'leadership record'
-                )
-        elif record.term <= self.ended_term and revision > self._ending_token:
-            await self.resume_term(
-                record.term, record.primary, 'settled after a claim'
-            )
+        else:
+            await self._apply_settled(revision, record)
 
     async def resume_term(self, term: int, primary: str, reason: str) -> None:
         """Use a term that a claim has ended, or only announced.
@@ -227,7 +223,7 @@
         than was claimed: a server counts terms, not claims.  `primary` is
         empty if unknown; the servers report it.
         """
-        if self.highest_seen_term > term:
+        if max(self.highest_seen_term, self.term) > term:
             return
         self.ended_term = min(self.ended_term, term - 1)
         self.closed_term = min(self.closed_term, self.ended_term)
@@ -302,6 +298,18 @@
             await self.changed.wait()
         self.changed.clear()
 
+    async def _apply_settled(self, revision: int, record: GroupRecord) -> None:
+        term = record.term
+        if term <= self.ended_term:
+            if revision > self._ending_token:
+                await self.resume_term(
+                    term, record.primary, 'settled after a claim'
+                )
+            return
+        is_missing = term == self.term and not self.has_primary
+        if record.primary and (term > self.term or is_missing):
+            await self._set_primary(term, record.primary, 'leadership record')
+
     async def _record_start(self, name: str, started_at: int) -> None:
         """Record when a server started; a restart empties its log."""
         record = self._record
