--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -235,10 +235,6 @@
         if term == self.term and self.has_primary:
             self._proofs.record_external(ProofKind.PEER, asked_at)
 
-    def get_proof_age(self, now: float) -> float:
-        """Return the age of the current proof in seconds."""
-        return now - (self.get_proof_expiry() - PROOF_LIFETIME_S)
-
     def log_use(self, now: float) -> None:
         """Log the first use of the primary in its term, and the proof of it."""
         if self._is_use_logged:
--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -100,16 +100,21 @@
         """
         if not self._leadership_state.required_proofs:
             return -1
-        age = self._leadership_state.get_proof_age(await curio.clock())
+        age = await self._get_age()
         if age > MAX_SHARED_AGE_S:
             await self.renew(PROOF_LIFETIME_S - MAX_SHARED_AGE_S)
-            age = self._leadership_state.get_proof_age(await curio.clock())
+            age = await self._get_age()
         has_proof = (
             self._leadership_state.has_primary
             and self._leadership_state.term == term
         )
         return max(0, age) if has_proof and age < PROOF_LIFETIME_S else -1
 
+    async def _get_age(self) -> float:
+        expiry = self._leadership_state.get_proof_expiry()
+        now: float = await curio.clock()
+        return now - (expiry - PROOF_LIFETIME_S)
+
     async def renew(
         self, min_validity: float = PROOF_RENEWAL_THRESHOLD_S
     ) -> bool:
