--- a/deckdrum/serving/proofs.py
+++ b/deckdrum/serving/proofs.py
@@ -110,11 +110,6 @@
         )
         return max(0, age) if has_proof and age < PROOF_LIFETIME_S else -1
 
-    async def _get_age(self) -> float:
-        expiry = self._leadership_state.get_proof_expiry()
-        now: float = await curio.clock()
-        return now - (expiry - PROOF_LIFETIME_S)
-
     async def renew(
         self, min_validity: float = PROOF_RENEWAL_THRESHOLD_S
     ) -> bool:
@@ -151,6 +146,11 @@
                 daemon=True,
             )
 
+    async def _get_age(self) -> float:
+        expiry = self._leadership_state.get_proof_expiry()
+        now: float = await curio.clock()
+        return now - (expiry - PROOF_LIFETIME_S)
+
     async def _renew(self, min_validity: float) -> None:
         """Query the collector, the replicas and the store until proof arrives.
 
