Tests: nodes are told of a group's synchronous replicas

A deployment whose group waits for synchronous replicas declared none to the nodes, so that they accepted fewer fenced replicas than such a group needs. The declaration now follows the group.

--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -225,7 +225,7 @@
 
     async def __aenter__(self) -> Self:
         config = build_config()
-        config['services'][0]['maxConns'] = self.group.max_connections
+        self._declare_group(config)
         await self.store.write('config', 'main', config)
         await self.group.start(ZONES)
         for number in range(self._count):
@@ -310,7 +310,7 @@
     async def configure(self, version: int, **fields: Any) -> None:
         """Store a configuration and wait until every node has applied it."""
         config = build_config(version, **fields)
-        config['services'][0]['maxConns'] = self.group.max_connections
+        self._declare_group(config)
         await self.store.write('config', 'main', config)
         await self.wait_for(
             lambda: all(
@@ -379,6 +379,12 @@
         """Connect node `number` to another node."""
         return await dial(address, timeout)
 
+    def _declare_group(self, config: dict[str, Any]) -> None:
+        """Write the limits of the group into a configuration."""
+        declaration = config['services'][0]
+        declaration['maxConns'] = self.group.max_connections
+        declaration['syncReplicas'] = self.group.synchronous_replicas
+
     def _is_ready(self) -> bool:
         return all(
             running.node.is_ready and _has_primary(running.node)
