Failing tests: a group stays without a primary after an unseen promotion

Callers of a group with synchronous replicas get no write served for good. The driver's order takes effect while the ordered server reaches no node. The claim over it takes a later term, but keeps the primary before as the former one: the server that leads accepts no fence, the former one is not fenced, so two fenced replicas of three are never found. The claim is given up and made again, with a later term, every 1.7 s, and ends the leading server's term each time.

The group's successor is silent for 1 to 6 s after the order.

--- /dev/null
+++ b/deckdrum/leadership/tests/test_drawn_faults.py
@@ -0,0 +1,48 @@
+"""Primary changes under overlapping faults: rules of writes, and recovery."""
+
+import pytest
+
+from deckdrum.testing.drawn_faults import (
+    DrawnCase,
+    DrawnFault,
+    DrawnScenario,
+    draw_case,
+)
+from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
+
+
+def _play(case: DrawnCase) -> list[str]:
+    async def scenario(deployment: LinkedDeployment) -> list[str]:
+        return await DrawnScenario(deployment, case).play()
+
+    found: list[str] = run_linked_scenario(
+        scenario, case.nodes, synchronous_replicas=case.synchronous_replicas
+    )
+    return found
+
+
+@pytest.mark.parametrize('synchronous_replicas', [0, 1])
+@pytest.mark.parametrize('silent_for', [1.0, 2.5, 3.5, 4.2, 4.6, 5.0, 6.0])
+def test_successor_that_no_node_sees_at_first_blocks_no_later_claim(
+    silent_for: float, synchronous_replicas: int
+) -> None:
+    """It leads a term that no node adopted, and accepts no fence."""
+    silent = DrawnFault('hang successor', 0.1, silent_for, 0)
+    case = DrawnCase(
+        nodes=3,
+        synchronous_replicas=synchronous_replicas,
+        loss='silent',
+        unanswered=0,
+        promotion_time=0.3,
+        is_checking_fences=True,
+        faults=(silent,),
+    )
+    assert not _play(case)
+
+
+@pytest.mark.parametrize(
+    'seed',
+    [1006, 1120, 3793, 3832, 3840, 3855, 4000, 4001, 4002, 4003],
+)
+def test_drawn_faults_violate_nothing(seed: int) -> None:
+    assert not _play(draw_case(seed))
