Settle a change with the only server that can lead

What callers saw: no writes for good, in a test (synchronous replicas; the successor silent for 3.5 s after its order).

Cause: a promotion took effect unseen; the claim over it ended the term of the server that leads. That server cannot be fenced, so the claim was given up for want of fenced replicas, and the next one ended the term again, and so on.

Change: if all servers but one, apart from the former primary, are fenced, and this one leads a later term than the former primary did, by its own word or a peer's, the record is settled with it. It need not be replaced, and its writes stay.

Why it works: a fenced server does not lead, and the former primary is never ordered by a claim that replaces it.

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -86,8 +86,8 @@
         self,
         term: int,
         former: str,
-    ) -> dict[str, ServerStatus] | None:
-        """Fence the replicas; return their states, or None if too few."""
+    ) -> dict[str, ServerStatus]:
+        """Fence the replicas; return the states of those that are fenced."""
         self._former = former
         replicas = self._list_replicas(former)
         fenced: dict[str, ServerStatus] = {}
@@ -102,9 +102,11 @@
                 if is_dead and self._can_continue_with(fenced):
                     break
                 await curio.sleep(POLL_INTERVAL_S)
-        if len(fenced) >= required or self._can_continue_with(fenced):
-            return fenced
-        return None
+        return fenced
+
+    def is_enough(self, fenced: Mapping[str, ServerStatus]) -> bool:
+        """Return whether a change may continue with these fenced replicas."""
+        return len(fenced) >= self.required or self._can_continue_with(fenced)
 
     @property
     def required(self) -> int:
@@ -124,13 +126,15 @@
             return required
         return max(required, len(names) - synchronous)
 
-    def covers_all_replicas(
+    def list_unfenced(
         self, fenced: Mapping[str, ServerStatus], former: str
-    ) -> bool:
-        """Return whether every server but the former primary is fenced."""
-        return all(
-            handle.id in fenced for handle in self._list_replicas(former)
-        )
+    ) -> list[ServerHandle]:
+        """Return the servers but the former primary that are not fenced."""
+        return [
+            handle
+            for handle in self._list_replicas(former)
+            if handle.id not in fenced
+        ]
 
     def _list_replicas(self, former: str) -> list[ServerHandle]:
         return [
@@ -139,7 +143,7 @@
             if name != former
         ]
 
-    def _can_continue_with(self, fenced: dict[str, ServerStatus]) -> bool:
+    def _can_continue_with(self, fenced: Mapping[str, ServerStatus]) -> bool:
         """Return whether fewer fenced replicas than required are accepted.
 
         Only a group without synchronous replicas accepts them, so that a
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -25,7 +25,7 @@
 and looks for a server that the claim before has promoted.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 import curio
@@ -47,7 +47,7 @@
     ReplicaFencing,
     rank_promotion_candidates,
 )
-from deckdrum.leadership.peer_observation import Leader
+from deckdrum.leadership.peer_observation import Leader, PeerObserver
 from deckdrum.leadership.record_store import LeadershipRecordStore
 from deckdrum.leadership.server_promotion import ServerPromoter
 from deckdrum.leadership.state import PROOF_LIFETIME_S
@@ -83,6 +83,7 @@
         self._context = context
         self._records = LeadershipRecordStore(runtime, context)
         self._fencing = ReplicaFencing(runtime)
+        self._observer = PeerObserver(runtime, context.peers)
         self._promoter = ServerPromoter(runtime, context, self._records)
 
     async def run(self, report: PrimaryChangeReport) -> bool:
@@ -259,15 +260,17 @@
         await report.record_phase('hold')
         votes: TermEndVotes = await ending.join()
         await report.record_phase('end term')
-        leader = self._find_own_leader() or votes.leader
+        unfenced = self._fencing.list_unfenced(fenced, report.former)
+        leader = (
+            self._find_own_leader()
+            or votes.leader
+            or await self._find_sole_leader(claim, unfenced)
+        )
         if leader is not None:
             return leader
         # An earlier claim may have promoted a replica that is not seen here.
-        report.may_resume = not report.is_takeover or (
-            fenced is not None
-            and self._fencing.covers_all_replicas(fenced, report.former)
-        )
-        if fenced is None:
+        report.may_resume = not (report.is_takeover and unfenced)
+        if not self._fencing.is_enough(fenced):
             report.failure_detail = (
                 f'too few replicas fenced: {self._fencing.describe()}'
             )
@@ -287,6 +290,26 @@
             return None
         return Leader(state.primary, state.term)
 
+    async def _find_sole_leader(
+        self, claim: LeadershipClaim, unfenced: Sequence[ServerHandle]
+    ) -> Leader | None:
+        """Return the server that an earlier claim has promoted, if it leads.
+
+        It may lead the term that this claim has ended.  If all others are
+        fenced, no other server can lead, and it need not be replaced.
+        """
+        if len(unfenced) != 1:
+            return None
+        handle = unfenced[0]
+        status = handle.status
+        if status is None:
+            term = await self._observer.find_led_term(handle.id)
+        else:
+            term = status.term if status.role is ServerRole.PRIMARY else 0
+        if term <= claim.record.former_term:
+            return None
+        return Leader(handle.id, term)
+
     async def _step_down(
         self,
         report: PrimaryChangeReport,
