Invariants: a failover whose driver does not see its orders take effect

On the platform's path one claim ordered a second server after the effect of the first order was not seen, and both were used. On the PostgreSQL path no test cut the driver of a failover off from a single database, so nothing showed whether the same can happen there.

--- a/deckdrum/standins/replication.py
+++ b/deckdrum/standins/replication.py
@@ -48,6 +48,12 @@
         Whether a replica receives nothing of the log that it follows.
     cut_from : set of str
         Names of proxies and databases whose traffic is dropped.
+    answers_cut_to : set of str
+        Names of proxies that can log in, and whose requests are executed, but
+        that receive no answers.
+    order_delay : float
+        Delay in seconds before an order to fence, promote or follow is
+        executed, also if its sender has left.
     accepts_old_terms : bool
         Whether fencing is ignored, against the contract: logs of outdated
         primaries are accepted.
@@ -56,6 +62,8 @@
     paused: bool = False
     receives_no_log: bool = False
     cut_from: set[str] = field(default_factory=set)
+    answers_cut_to: set[str] = field(default_factory=set)
+    order_delay: float = 0
     accepts_old_terms: bool = False
 
 
@@ -178,6 +186,16 @@
         while self.faults.paused or peer in self.faults.cut_from:
             await curio.sleep(_FAULT_POLL_INTERVAL_S)
 
+    async def wait_until_answerable(self, peer: str) -> None:
+        """Wait until no fault blocks answers to `peer`."""
+        while peer in self.faults.answers_cut_to:
+            await curio.sleep(_FAULT_POLL_INTERVAL_S)
+
+    async def wait_for_order(self) -> None:
+        """Wait until an order that has arrived is executed."""
+        if self.faults.order_delay:
+            await curio.sleep(self.faults.order_delay)
+
     async def wait_for_log_growth(self) -> None:
         """Wait until the log has grown or a timeout has passed."""
         async with curio.ignore_after(_LOG_GROWTH_TIMEOUT_S):
--- a/deckdrum/standins/session.py
+++ b/deckdrum/standins/session.py
@@ -74,6 +74,7 @@
     statements: dict[str, Prepared] = field(default_factory=dict)
     portals: dict[str, Portal] = field(default_factory=dict)
     is_skipping_to_sync: bool = False
+    is_logged_in: bool = False
 
     async def run(self) -> None:
         """Handle messages until the client disconnects."""
@@ -153,6 +154,8 @@
     async def send(self, payload: bytes) -> None:
         """Send an answer once no fault blocks the client."""
         await self.database.wait_until_reachable(self.source)
+        if self.is_logged_in:
+            await self.database.wait_until_answerable(self.source)
         await self.stream.send(payload)
 
     async def _handle_frame(self, frame: Frame) -> None:
@@ -309,6 +312,7 @@
         await session.send(encode_error('28P01', text, severity='FATAL'))
         return
     await session.send(_build_greeting(process_id))
+    session.is_logged_in = True
     await session.run()
 
 
--- a/deckdrum/standins/transactions.py
+++ b/deckdrum/standins/transactions.py
@@ -240,6 +240,8 @@
         raw = (call.group(2) or '').split(',')
         arguments = [part.strip().strip("'") for part in raw if part.strip()]
         database = self._database
+        if call.group(1) != 'state':
+            await database.wait_for_order()
         try:
             match call.group(1):
                 case 'fence':
