Failover: a driver settles only its own claim

What callers would see: after a takeover the group record names, in the new term, a primary that leads the term before. No write is routed until a further failover.

Cause: StoreView.put_record reports success although the view holds a later record already. That is so if the driver is frozen between its update and the answer, another driver takes over, and the watch is read first. The driver took the record in its view for its own claim, fenced and promoted in its own term, and settled over the claim of the other driver, with the version of that claim.

Change: the driver goes on only if the record in the view is the one that it wrote.

Measured: the new test returned "settled" before, and the record then named term 3 with a primary that had been promoted in term 2; now the record of the other driver is left alone and nothing is promoted. No acknowledged write could be lost either way, since answers are confirmed in the term in which a majority is fenced.

--- a/deckdrum/failover/driver.py
+++ b/deckdrum/failover/driver.py
@@ -202,6 +202,10 @@
         )
         if not await self._view.put_record(record, current.version):
             return None
+        claim = self._view.records[report.service]
+        if claim.record != record:
+            # The view had the claim of a later driver before this one's answer.
+            return None
         report.term = record.term
         report.phases['claim'] = await curio.clock()
         self._journal.record(
@@ -210,7 +214,7 @@
             term=record.term,
             reason=report.reason,
         )
-        return self._view.records[report.service]
+        return claim
 
     async def _hand_over(
         self,
