Failover: repeat a refused settlement instead of the whole failover

What callers saw: where the store refuses a single update (503) after the promotion, no write is accepted for a second longer, and the database that was just promoted is fenced and promoted again in a further term.

Cause: the view reads the record after an update without a success and compares it. A record that is still the driver's own claim was taken for the record of another driver: an update without effect and a claim that was overtaken were one outcome, so the driver gave up a failover that needed one more update.

Change: the settlement ends without success only if the record in the view has another version than the claim. Otherwise it is repeated until it succeeds or the failover times out. An update that takes effect late cannot do harm: it is conditional on the version of the claim.

--- a/deckdrum/failover/driver.py
+++ b/deckdrum/failover/driver.py
@@ -294,10 +294,19 @@
             phase=Phase.SETTLED,
         )
         while True:
-            try:
-                return await self._view.put_record(record, claim.version)
-            except StoreError:
-                await curio.sleep(STEP_RETRY_DELAY_S)
+            if await self._try_settle(record, claim.version):
+                return True
+            known = self._view.records[record.service]
+            if known.version != claim.version:
+                return False
+            # The update was refused or lost, but nobody else has claimed.
+            await curio.sleep(STEP_RETRY_DELAY_S)
+
+    async def _try_settle(self, record: GroupRecord, version: int) -> bool:
+        try:
+            return await self._view.put_record(record, version)
+        except StoreError:
+            return False
 
     def _log_fenced(
         self, report: FailoverReport, fenced: Iterable[FencedDatabase]
