Failover: wait for a promotion in progress instead of starting over

What callers saw: where a promotion takes 2 s or more, as it does for a replica that has much of its log to apply, writes are never accepted again.

Cause: an order to promote without an answer within 0.5 s, four times, was taken for one without effect. The driver gave up and claimed the next term, and its fence ended the promotion in progress; and so on. After 3 s another proxy would have done the same. No test met this, because the stand-in promotes at once.

Change: the order waits on a connection of its own while the state of the database is probed. The promotion goes on as long as the database answers and applies its log; it is given up after four failures in a row, as before, or after 8 s without progress. Meanwhile the driver renews its claim each second, and other proxies count the time to a takeover from the latest renewal. A renewal is conditional on the version of the claim, so a driver that has been overtaken stops and settles nothing. Steps on one database and the promotion have modules of their own. The stand-in can take time to promote.

Calls to the store: one a second more while a promotion lasts longer than that, none otherwise.

--- a/deckdrum/failover/driver.py
+++ b/deckdrum/failover/driver.py
@@ -21,22 +21,26 @@
 import msgspec
 
 from deckdrum.databases import Database, DatabaseState
+from deckdrum.failover.promotion import Promotion
+from deckdrum.failover.steps import (
+    STEP_RETRY_DELAY_S,
+    repoint_replica,
+    run_step,
+)
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.store.records import GroupRecord, Phase
 from deckdrum.store.view import StoreView, VersionedRecord
 from deckdrum.utils import Journal
 
-#: For one step on one database.
-STEP_TIMEOUT_S: Final = 0.5
-STEP_RETRY_DELAY_S: Final = 0.1
-#: Promotion attempts before the failover restarts with a new majority.
-MAX_PROMOTION_ATTEMPTS: Final = 4
 _OPERATION_BITS: Final = 128
 #: Longest wait for a successor to catch up with a leaving primary.
 HANDOVER_TIMEOUT_S: Final = 2.0
 _HANDOVER_POLL_INTERVAL_S: Final = 0.01
-#: After this time the driver gives up, and another may take over.
+#: The driver gives up if preparing or settling takes longer.
 FAILOVER_TIMEOUT_S: Final = 8.0
+#: Interval at which the claim is renewed while a promotion lasts, well below
+#: the time after which another proxy takes over.
+CLAIM_RENEWAL_INTERVAL_S: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -73,6 +77,14 @@
         return (self.state.log_term, self.state.received)
 
 
+@dataclass(frozen=True, slots=True)
+class _PreparedFailover:
+    """A claimed term in which a majority is fenced, and the candidate."""
+
+    claim: VersionedRecord
+    candidate: FencedDatabase
+
+
 @dataclass(frozen=True, slots=True)
 class Handover:
     """Parameters of a planned primary change.
@@ -141,11 +153,10 @@
             claimed a term first, the platform is unreachable, no majority
             could be fenced or the promotion failed.
         """
-        async with curio.ignore_after(FAILOVER_TIMEOUT_S):
-            try:
-                return await self._drive(current, report, handover)
-            except StoreError as error:
-                self._journal.record('failover.no_platform', reason=str(error))
+        try:
+            return await self._drive(current, report, handover)
+        except StoreError as error:
+            self._journal.record('failover.no_platform', reason=str(error))
         return False
 
     async def _drive(
@@ -154,19 +165,16 @@
         report: FailoverReport,
         handover: Handover | None,
     ) -> bool:
-        claim = await self._claim(current, report)
-        if claim is None:
+        prepared: _PreparedFailover | None = None
+        async with curio.ignore_after(FAILOVER_TIMEOUT_S):
+            prepared = await self._prepare(current, report, handover)
+        if prepared is None:
             return False
-        if handover is not None:
-            await self._hand_over(handover, report)
-        leaving_names = handover.leaving_names if handover else frozenset()
-        fenced = await self._fence_majority(report, leaving_names)
-        report.phases['fence'] = await curio.clock()
-        self._log_fenced(report, fenced)
-        candidate = choose_promotion_candidate(fenced, leaving_names)
-        primary = await self._promote(candidate, report.term)
-        if primary is None:
+        candidate = prepared.candidate
+        claim = await self._promote(candidate, prepared.claim)
+        if claim is None:
             return False
+        primary = candidate.database
         report.promoted = primary.name
         report.phases['promote'] = await curio.clock()
         self._journal.record(
@@ -177,7 +185,9 @@
             log_position=candidate.log_position,
         )
         await self._repoint_replicas(primary.name, report.term)
-        is_settled = await self._settle(claim, primary.name)
+        is_settled = False
+        async with curio.ignore_after(FAILOVER_TIMEOUT_S):
+            is_settled = await self._settle(claim, primary.name)
         report.phases['settle'] = await curio.clock()
         self._journal.record(
             'failover.settled' if is_settled else 'failover.overtaken',
@@ -187,6 +197,25 @@
         )
         return is_settled
 
+    async def _prepare(
+        self,
+        current: VersionedRecord,
+        report: FailoverReport,
+        handover: Handover | None,
+    ) -> _PreparedFailover | None:
+        """Claim the next term, fence a majority and choose the candidate."""
+        claim = await self._claim(current, report)
+        if claim is None:
+            return None
+        if handover is not None:
+            await self._hand_over(handover, report)
+        leaving_names = handover.leaving_names if handover else frozenset()
+        fenced = await self._fence_majority(report, leaving_names)
+        report.phases['fence'] = await curio.clock()
+        self._log_fenced(report, fenced)
+        candidate = choose_promotion_candidate(fenced, leaving_names)
+        return _PreparedFailover(claim, candidate)
+
     async def _claim(
         self,
         current: VersionedRecord,
@@ -227,10 +256,10 @@
         remaining database can receive all of it before being fenced too.
         """
         old_primary = self._databases[report.lost]
-        state = await _run_step(old_primary, 'fence', report.term)
-        if state is None:
+        fenced = await _fence(old_primary, report.term)
+        if fenced is None:
             return
-        end = state.received
+        end = fenced.state.received
         async with curio.ignore_after(HANDOVER_TIMEOUT_S):
             while not handover.is_successor_ready(end):
                 await curio.sleep(_HANDOVER_POLL_INTERVAL_S)
@@ -277,32 +306,73 @@
     async def _promote(
         self,
         candidate: FencedDatabase,
-        term: int,
-    ) -> Database | None:
-        """Promote a database, with retries; promotion is idempotent."""
-        for _ in range(MAX_PROMOTION_ATTEMPTS):
-            state = await _run_step(candidate.database, 'promote', term)
-            if state is not None:
-                return candidate.database
-            await curio.sleep(STEP_RETRY_DELAY_S)
+        claim: VersionedRecord,
+    ) -> VersionedRecord | None:
+        """Promote a database and renew the claim until it leads.
+
+        Returns
+        -------
+        VersionedRecord or None
+            The latest claim, or None if the promotion failed or another driver
+            has claimed a term.
+        """
+        promotion = Promotion(
+            candidate.database, candidate.state, claim.record.term
+        )
+        await promotion.start()
+        renewed_at = await curio.clock()
+        latest: VersionedRecord | None = claim
+        try:
+            while latest is not None:
+                is_promoted = await promotion.check()
+                if is_promoted is not None:
+                    return latest if is_promoted else None
+                now = await curio.clock()
+                if now - renewed_at >= CLAIM_RENEWAL_INTERVAL_S:
+                    renewed_at = now
+                    latest = await self._renew(latest)
+        finally:
+            await promotion.close()
         return None
 
+    async def _renew(self, claim: VersionedRecord) -> VersionedRecord | None:
+        """Renew a claim; return the latest one, None if it was overtaken."""
+        record = msgspec.structs.replace(
+            claim.record, operation=self._make_operation()
+        )
+        await self._try_put(record, claim.version)
+        return self._find_own_claim(claim)
+
+    def _find_own_claim(self, claim: VersionedRecord) -> VersionedRecord | None:
+        """Return the known record if it is a renewal of `claim`.
+
+        A renewal without an answer may have taken effect.  Each term is claimed
+        once.
+        """
+        known = self._view.records[claim.record.service]
+        is_own = (
+            known.record.phase is Phase.FENCING
+            and known.record.term == claim.record.term
+        )
+        return known if is_own else None
+
     async def _settle(self, claim: VersionedRecord, primary: str) -> bool:
         record = msgspec.structs.replace(
             claim.record,
             primary=primary,
             phase=Phase.SETTLED,
         )
-        while True:
-            if await self._try_settle(record, claim.version):
+        latest: VersionedRecord | None = claim
+        while latest is not None:
+            if await self._try_put(record, latest.version):
                 return True
-            known = self._view.records[record.service]
-            if known.version != claim.version:
-                return False
-            # The update was refused or lost, but nobody else has claimed.
-            await curio.sleep(STEP_RETRY_DELAY_S)
+            latest = self._find_own_claim(latest)
+            if latest is not None:
+                # The update was refused or lost; nobody else has claimed.
+                await curio.sleep(STEP_RETRY_DELAY_S)
+        return False
 
-    async def _try_settle(self, record: GroupRecord, version: int) -> bool:
+    async def _try_put(self, record: GroupRecord, version: int) -> bool:
         try:
             return await self._view.put_record(record, version)
         except StoreError:
@@ -364,48 +434,7 @@
 
 
 async def _fence(database: Database, term: int) -> FencedDatabase | None:
-    state = await _run_step(database, 'fence', term)
+    state = await run_step(database, lambda link: database.fence(link, term))
     if state is None or state.fenced != term:
         return None
     return FencedDatabase(database, state)
-
-
-async def _run_step(
-    database: Database,
-    step: str,
-    term: int,
-) -> DatabaseState | None:
-    """Run one step on a database over a dedicated connection."""
-    link: Any = None
-    try:
-        async with curio.timeout_after(STEP_TIMEOUT_S):
-            link = await database.connect(STEP_TIMEOUT_S)
-            state: DatabaseState | None = await getattr(database, step)(
-                link,
-                term,
-            )
-    except (ConnectionError, curio.TaskTimeout):
-        return None
-    finally:
-        if link is not None:
-            await link.close()
-    return state
-
-
-async def repoint_replica(
-    database: Database,
-    primary: str,
-    term: int,
-) -> bool:
-    """Make a database replicate from `primary`; return whether it does."""
-    link: Any = None
-    try:
-        async with curio.timeout_after(STEP_TIMEOUT_S):
-            link = await database.connect(STEP_TIMEOUT_S)
-            state = await database.follow(link, primary, term)
-    except (ConnectionError, curio.TaskTimeout):
-        return False
-    finally:
-        if link is not None:
-            await link.close()
-    return state is not None
--- a/deckdrum/failover/tests/builders.py
+++ b/deckdrum/failover/tests/builders.py
@@ -1,6 +1,6 @@
 """Doubles of the store and of databases, for tests of the driver."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
 from typing import Any
 
@@ -11,7 +11,7 @@
     PostgresDatabase,
     Role,
 )
-from deckdrum.failover import FailoverDriver
+from deckdrum.failover import FailoverDriver, FailoverReport
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.store.objects import (
     Changes,
@@ -37,6 +37,8 @@
         self.body = build_record(1, 'd1').encode()
         #: Updates that will be refused, in the order of all updates.
         self.refused_updates: set[int] = set()
+        #: Updates that will take effect without an answer.
+        self.lost_answers: set[int] = set()
         self.updates = 0
         #: Called after each update, before its sender has the answer.
         self.after_update: Callable[[], Awaitable[None]] | None = None
@@ -64,6 +66,8 @@
         stored = Stored(self.version)
         if self.after_update is not None:
             await self.after_update()
+        if self.updates in self.lost_answers:
+            raise StoreError('no answer')
         return stored
 
     async def watch(self, revision: int, wait: float) -> Changes:
@@ -104,6 +108,10 @@
         self.promotions.append(term)
         return build_state(role=Role.PRIMARY, term=term, fenced=term)
 
+    async def fetch_state(self, link: DatabaseLink) -> DatabaseState:
+        """Return the state of a fenced database."""
+        return build_state(role=Role.FENCED, fenced=2)
+
     async def follow(
         self, link: DatabaseLink, primary: str, term: int
     ) -> DatabaseState | None:
@@ -132,14 +140,19 @@
     return view
 
 
-def build_driver(
-    view: StoreView, databases: list[ObedientDatabase]
-) -> FailoverDriver:
-    """Return the driver of proxy p1."""
-    return FailoverDriver(
+async def run_failover(
+    view: StoreView, databases: Sequence[ObedientDatabase]
+) -> bool:
+    """Run a failover of the known record as proxy p1.
+
+    Returns whether it is settled.
+    """
+    driver = FailoverDriver(
         {each.name: each for each in databases},
         view,
         'p1',
         open_null_journal('test'),
         Random(2),
     )
+    report = FailoverReport(SERVICE, 2, 'p1', 'd1', 'test')
+    return await driver.run_failover(view.records[SERVICE], report)
--- a/deckdrum/invariants/cuts.py
+++ b/deckdrum/invariants/cuts.py
@@ -70,6 +70,7 @@
     It begins `delay` seconds after `step` and lasts `duration` seconds.
     `target` is the index of the database; the first one is the primary.
     `reaching` is the index of the proxy that reaches a partitioned primary.
+    `promotion_time` is the time that each promotion takes, in seconds.
     """
 
     step: Step
@@ -80,6 +81,7 @@
     loss: Loss = Loss.CRASH
     reaching: int = 0
     databases: int = 3
+    promotion_time: float = 0
 
 
 @dataclass(slots=True)
@@ -175,6 +177,8 @@
 
     async def _run_fault(self) -> None:
         primary = self._deployment.find_primary(_SERVICE)
+        for database in self._deployment.list_databases(_SERVICE):
+            database.faults.promotion_time = self._cut.promotion_time
         if self._cut.loss is Loss.CRASH:
             await primary.crash()
         else:
--- a/deckdrum/invariants/tests/test_cuts.py
+++ b/deckdrum/invariants/tests/test_cuts.py
@@ -7,11 +7,13 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from deckdrum.databases import Database
 from deckdrum.failover.driver import FailoverDriver, FencedDatabase
 from deckdrum.invariants.cuts import Cut, Direction, Loss, Step, run_cut
+from deckdrum.store.view import VersionedRecord
 from deckdrum.utils.virtualtime import run_virtual
 
+#: Bound on the wait for a write, beyond the promotion itself.
+MAX_DETECTION_S = 1.5
 #: Longer than a driver waits for its candidate.
 LONG_CUT_S = 4.0
 STEPS = (Step.CLAIM, Step.FENCE, Step.PROMOTE)
@@ -29,6 +31,7 @@
     loss=st.sampled_from(Loss),
     reaching=st.integers(0, 3),
     databases=st.sampled_from([3, 5]),
+    promotion_time=st.sampled_from([0, 0, 0.6, 3.0]),
 )
 
 
@@ -60,18 +63,30 @@
     assert not run_virtual(run_cut, cut).violations
 
 
+@pytest.mark.parametrize('promotion_time', [0.6, 4.0])
+def test_slow_promotion_ends_the_outage(promotion_time: float) -> None:
+    """A driver that gives up and fences again undoes it, without an end."""
+    cut = Cut(
+        Step.SETTLE, Direction.BOTH, 0, 0.1, promotion_time=promotion_time
+    )
+    outcome = run_virtual(run_cut, cut)
+    assert not outcome.violations
+    assert outcome.claims == 1
+    assert outcome.gap < promotion_time + MAX_DETECTION_S
+
+
 def order_another_server(patch: pytest.MonkeyPatch) -> None:
     """Disable: a claim promotes one database only."""
     promote = FailoverDriver._promote
 
     async def promote_any(
-        driver: Any, candidate: FencedDatabase, term: int
-    ) -> Database | None:
-        promoted = await promote(driver, candidate, term)
+        driver: Any, candidate: FencedDatabase, claim: VersionedRecord
+    ) -> VersionedRecord | None:
+        promoted = await promote(driver, candidate, claim)
         if promoted is None:
             last = list(driver._databases.values())[-1]
             other = FencedDatabase(last, candidate.state)
-            promoted = await promote(driver, other, term)
+            promoted = await promote(driver, other, claim)
         return promoted
 
     patch.setattr(FailoverDriver, '_promote', promote_any)
--- a/deckdrum/keepers/supervision.py
+++ b/deckdrum/keepers/supervision.py
@@ -9,7 +9,8 @@
 
 from deckdrum.databases import DatabaseState, Role
 from deckdrum.failover import FailoverDriver, FailoverReport
-from deckdrum.failover.driver import Handover, repoint_replica
+from deckdrum.failover.driver import Handover
+from deckdrum.failover.steps import repoint_replica
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.store.records import GroupRecord, Phase
 from deckdrum.store.view import VersionedRecord
@@ -22,7 +23,8 @@
 PRIMARY_LOST_AFTER_S: Final = 0.8
 #: Consecutive failed probes required in addition.
 MIN_FAILED_PROBES: Final = 2
-#: Time after which the unfinished failover of another driver is taken over.
+#: Time without a renewal after which the unfinished failover of another driver
+#: is taken over.
 FAILOVER_TAKEOVER_DELAY_S: Final = 3.0
 #: Delay after a failover that failed or was vetoed by a peer.
 FAILOVER_RETRY_DELAY_S: Final = 0.5
@@ -51,6 +53,7 @@
         self._keeper = keeper
         self._context = keeper.context
         self.reports: deque[FailoverReport] = deque(maxlen=_MAX_REPORTS)
+        #: Version of the latest claim or renewal, and when it was first seen.
         self._fencing_since: tuple[int, float] = (0, 0)
         self._unresponsive_since: float | None = None
         self._next_handover_at: float = 0
@@ -135,9 +138,9 @@
     async def _check_fencing(self, current: VersionedRecord) -> float:
         """Take over a failover that its driver has not finished in time."""
         now = await curio.clock()
-        term, since = self._fencing_since
-        if term != current.record.term:
-            self._fencing_since = (current.record.term, now)
+        version, since = self._fencing_since
+        if version != current.version:
+            self._fencing_since = (current.version, now)
             return SUPERVISION_INTERVAL_S
         is_own = current.record.driver == self._context.proxy
         delay = FAILOVER_RETRY_DELAY_S if is_own else FAILOVER_TAKEOVER_DELAY_S
--- a/deckdrum/standins/replication.py
+++ b/deckdrum/standins/replication.py
@@ -54,6 +54,8 @@
     order_delay : float
         Delay in seconds before an order to fence, promote or follow is
         executed, also if its sender has left.
+    promotion_time : float
+        Time in seconds that a promotion takes; a later fence ends it.
     accepts_old_terms : bool
         Whether fencing is ignored, against the contract: logs of outdated
         primaries are accepted.
@@ -64,6 +66,7 @@
     cut_from: set[str] = field(default_factory=set)
     answers_cut_to: set[str] = field(default_factory=set)
     order_delay: float = 0
+    promotion_time: float = 0
     accepts_old_terms: bool = False
 
 
@@ -139,10 +142,10 @@
         FencedError
             If the database is not fenced at exactly this term.
         """
-        if self.role is Role.PRIMARY and self.term == term:
+        if self._needs_promotion(term) and self.faults.promotion_time:
+            await curio.sleep(self.faults.promotion_time)
+        if not self._needs_promotion(term):
             return
-        if self.fenced_term != term or self.role is not Role.FENCED:
-            raise FencedError(f'not fenced at term {term}')
         while self.engine.applied < self.engine.received:
             self.engine.apply_next()
         self.role = Role.PRIMARY
@@ -238,6 +241,13 @@
             else:
                 self.engine.apply_next()
 
+    def _needs_promotion(self, term: int) -> bool:
+        if self.role is Role.PRIMARY and self.term == term:
+            return False
+        if self.fenced_term != term or self.role is not Role.FENCED:
+            raise FencedError(f'not fenced at term {term}')
+        return True
+
     async def _append(self, changes: tuple[Change, ...]) -> None:
         now = await curio.clock()
         self.engine.append(LogEntry(self.term, now, changes))
