--- a/deckdrum/standins/replication.py
+++ b/deckdrum/standins/replication.py
@@ -48,6 +48,14 @@
         Whether a replica receives nothing of the log that it follows.
     cut_from : set of str
         Names of proxies and databases whose traffic is dropped.
+    answers_cut_to : set of str
+        Names of proxies that can log in, and whose requests are executed, but
+        that receive no answers.
+    order_delay : float
+        Delay in seconds before an order to fence, promote or follow is
+        executed, also if its sender has left.
+    promotion_time : float
+        Time in seconds that a promotion takes; a later fence ends it.
     accepts_old_terms : bool
         Whether fencing is ignored, against the contract: logs of outdated
         primaries are accepted.
@@ -56,6 +64,9 @@
     paused: bool = False
     receives_no_log: bool = False
     cut_from: set[str] = field(default_factory=set)
+    answers_cut_to: set[str] = field(default_factory=set)
+    order_delay: float = 0
+    promotion_time: float = 0
     accepts_old_terms: bool = False
 
 
@@ -131,10 +142,10 @@
         FencedError
             If the database is not fenced at exactly this term.
         """
-        if self.role is Role.PRIMARY and self.term == term:
+        if self._needs_promotion(term) and self.faults.promotion_time:
+            await curio.sleep(self.faults.promotion_time)
+        if not self._needs_promotion(term):
             return
-        if self.fenced_term != term or self.role is not Role.FENCED:
-            raise FencedError(f'not fenced at term {term}')
         while self.engine.applied < self.engine.received:
             self.engine.apply_next()
         self.role = Role.PRIMARY
@@ -178,6 +189,16 @@
         while self.faults.paused or peer in self.faults.cut_from:
             await curio.sleep(_FAULT_POLL_INTERVAL_S)
 
+    async def wait_until_answerable(self, peer: str) -> None:
+        """Wait until no fault blocks answers to `peer`."""
+        while peer in self.faults.answers_cut_to:
+            await curio.sleep(_FAULT_POLL_INTERVAL_S)
+
+    async def wait_for_order(self) -> None:
+        """Wait until an order that has arrived is executed."""
+        if self.faults.order_delay:
+            await curio.sleep(self.faults.order_delay)
+
     async def wait_for_log_growth(self) -> None:
         """Wait until the log has grown or a timeout has passed."""
         async with curio.ignore_after(_LOG_GROWTH_TIMEOUT_S):
@@ -220,6 +241,13 @@
             else:
                 self.engine.apply_next()
 
+    def _needs_promotion(self, term: int) -> bool:
+        if self.role is Role.PRIMARY and self.term == term:
+            return False
+        if self.fenced_term != term or self.role is not Role.FENCED:
+            raise FencedError(f'not fenced at term {term}')
+        return True
+
     async def _append(self, changes: tuple[Change, ...]) -> None:
         now = await curio.clock()
         self.engine.append(LogEntry(self.term, now, changes))
