Soak: check for writes that a replaced primary committed

Cause: a write that a server committed after its successor had taken over could be acknowledged without any check of the soak finding it, as long as the successor had received it too.

Change: find_replaced_primary_writes compares the commits with the takeovers that the group recorded. Without synchronous replicas, find_lost accepts a missing write only if a later takeover could roll it back.

--- a/deckdrum/soak/checks.py
+++ b/deckdrum/soak/checks.py
@@ -7,7 +7,12 @@
 from typing import Final
 
 from deckdrum.soak.records import Attempt, AttemptOutcome
-from deckdrum.standins.users.records import Entry, ExecutedStatement
+from deckdrum.standins.users.records import (
+    Commit,
+    Entry,
+    ExecutedStatement,
+    Takeover,
+)
 from deckdrum.testing.nodes import (
     BOUNDED,
     BOUNDED_AGE_MS,
@@ -39,11 +44,38 @@
         Log of the last primary.
     executed_statements : sequence of ExecutedStatement
         Statements that the databases executed.
+    commits : sequence of Commit
+        Changes that the databases appended to their logs as primaries.
+    takeovers : sequence of Takeover
+        Promotions that took effect.
+    has_synchronous_replicas : bool
+        Whether a change was received by a replica before it was acknowledged.
+        Otherwise a promotion may roll back acknowledged writes.
     """
 
     attempts: Sequence[Attempt]
     log: Sequence[Entry]
     executed_statements: Sequence[ExecutedStatement]
+    commits: Sequence[Commit] = ()
+    takeovers: Sequence[Takeover] = ()
+    has_synchronous_replicas: bool = True
+
+    def list_acknowledged_writes(self) -> list[str]:
+        """Return the request ids of the acknowledged writes."""
+        return [
+            write
+            for attempt in self.attempts
+            if attempt.outcome is AttemptOutcome.DONE
+            for write in attempt.writes
+        ]
+
+    def group_commits(self) -> dict[str, list[Commit]]:
+        """Return the commits of each write, by request id."""
+        commits: dict[str, list[Commit]] = {}
+        for commit in self.commits:
+            for request_id, _ in commit.entry.writes:
+                commits.setdefault(request_id, []).append(commit)
+        return commits
 
     def count_committed_writes(self) -> Counter[str]:
         """Return the number of log entries of each write, by request id."""
@@ -61,17 +93,35 @@
 
 
 def find_lost(history: SoakHistory) -> list[str]:
-    """Return acknowledged writes that are missing from the log."""
+    """Return acknowledged writes that are missing from the log.
+
+    Without synchronous replicas, a write may be missing if it was committed
+    before the takeover that rolled it back.
+    """
     committed = history.count_committed_writes()
+    commits = history.group_commits()
     return [
         f'{write} was acknowledged but is missing from the log'
-        for attempt in history.attempts
-        if attempt.outcome is AttemptOutcome.DONE
-        for write in attempt.writes
+        for write in history.list_acknowledged_writes()
         if not committed[write]
+        and not _may_be_rolled_back(history, commits.get(write, ()))
     ]
 
 
+def _may_be_rolled_back(
+    history: SoakHistory,
+    commits: Iterable[Commit],
+) -> bool:
+    if history.has_synchronous_replicas:
+        return False
+    return any(
+        takeover.term > commit.entry.term
+        and takeover.took_effect_at >= commit.committed_at
+        for commit in commits
+        for takeover in history.takeovers
+    )
+
+
 def find_doubled(history: SoakHistory) -> list[str]:
     """Return writes that were committed more than once."""
     return [
@@ -175,6 +225,44 @@
     )
 
 
+def find_replaced_primary_writes(history: SoakHistory) -> list[str]:
+    """Return acknowledged writes that only a replaced primary committed."""
+    commits = history.group_commits()
+    found: list[str] = []
+    for write in history.list_acknowledged_writes():
+        successors = [
+            _find_successor(commit, history.takeovers)
+            for commit in commits.get(write, ())
+        ]
+        found.extend(
+            f'{write} was acknowledged, but committed by {commit.server} in '
+            f'term {commit.entry.term} at {commit.committed_at:.3f} s, after '
+            f'{successor.server} had become primary of term {successor.term} '
+            f'at {successor.took_effect_at:.3f} s'
+            for commit, successor in zip(
+                commits.get(write, ()), successors, strict=True
+            )
+            if successor is not None and all(successors)
+        )
+    return found
+
+
+def _find_successor(
+    commit: Commit,
+    takeovers: Iterable[Takeover],
+) -> Takeover | None:
+    """Return the first takeover of a later term before a commit, if any."""
+    return next(
+        (
+            takeover
+            for takeover in takeovers
+            if takeover.term > commit.entry.term
+            and takeover.took_effect_at < commit.committed_at
+        ),
+        None,
+    )
+
+
 _Check = Callable[[SoakHistory], list[str]]
 CHECKS: Final[tuple[_Check, ...]] = (
     find_lost,
@@ -184,6 +272,7 @@
     find_mixed,
     find_wrong_rows,
     find_stale,
+    find_replaced_primary_writes,
 )
 
 
