Soak: cut links of single nodes to servers, nodes and the promotion call

Cause: the soak blocked a link for all nodes at once, so no node saw a server that another did not see, and no driver lost the server that it had promoted.

Change: node processes run deckdrum.testing.partitioned_program, whose connections obey a file of blocked links: new ones time out, open ones hang, held data arrives late, and a connection without acknowledgement for 3 s is reset. New faults cut nodes from a server, from other nodes or from the promotion API, in one direction or both; lose answers of promotion calls; kill or stop a node several times in a row; and fail the primary, then cut the node that promotes from the promoted server.

--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -80,6 +80,7 @@
             options.nodes,
             options.callers,
             has_urgent_routes=options.urgent,
+            synchronous_replicas=0 if options.asynchronous else 1,
         )
         report = curio.run(run_soak, plan, folder)
         print_lines(*_describe_soak(seed, report))
@@ -203,6 +204,11 @@
         action='store_true',
         help='routes of priority 0 to 2, and machines of uneven capacity',
     )
+    parser.add_argument(
+        '--asynchronous',
+        action='store_true',
+        help='acknowledge changes before any replica has received them',
+    )
     parser.add_argument(
         '--output',
         type=Path,
--- a/deckdrum/soak/callers.py
+++ b/deckdrum/soak/callers.py
@@ -16,6 +16,8 @@
     Reply,
 )
 
+#: Transaction state of a session outside any transaction.
+_IDLE: Final = 'I'
 _DATABASES: Final = (CURRENT, BOUNDED, OWN_WRITES)
 #: Error codes which guarantee that no change of the attempt is committed.
 _NOT_COMMITTED_CODES: Final = frozenset(
@@ -45,6 +47,9 @@
         Nodes to which it connects.
     randomness : random.Random
         Selects nodes and operations.
+    is_persistent : bool
+        Whether it uses a connection, also after failed operations, until the
+        node closes it or is gone.
     """
 
     def __init__(
@@ -52,6 +57,8 @@
         name: str,
         nodes: Sequence[NodeProcess],
         randomness: Random,
+        *,
+        is_persistent: bool = False,
     ) -> None:
         self.attempts: list[Attempt] = []
         #: Time of the latest successful attempt, by name of the node.
@@ -60,8 +67,11 @@
         self._name = name
         self._nodes = nodes
         self._randomness = randomness
+        self._is_persistent = is_persistent
         self._session_count = 0
         self._request_count = 0
+        #: Transaction state after the latest answer.
+        self._last_state = _IDLE
 
     async def run(self) -> None:
         """Open sessions until `is_stopped` is set."""
@@ -79,22 +89,42 @@
         database = self._randomness.choice(_DATABASES)
         client = await LineClient.connect(node.clients_address, database)
         try:
-            if client.greeting.state != 'I':
-                return
-            await self._send_query(client, f'SET colour {session}', None)
-            for _ in range(self._randomness.randint(1, _MAX_OPERATIONS)):
-                attempt = await self._run_attempt(client, session, database)
-                if (
-                    self.is_stopped
-                    or attempt.outcome is not AttemptOutcome.DONE
-                ):
-                    return
-                self.last_served_at[node.name] = attempt.ended_at
-                pause = self._randomness.random() * _MAX_PAUSE_S
-                await curio.sleep(pause)
+            if await self._set_value(client, session):
+                await self._run_operations(client, node, session, database)
         finally:
             await client.close()
 
+    async def _set_value(self, client: LineClient, session: str) -> bool:
+        """Set a value by which databases tell sessions; return whether done."""
+        if client.greeting.state != _IDLE:
+            return False
+        reply = await self._send_query(client, f'SET colour {session}', None)
+        return reply.is_done
+
+    async def _run_operations(
+        self,
+        client: LineClient,
+        node: NodeProcess,
+        session: str,
+        database: str,
+    ) -> None:
+        remaining = self._randomness.randint(1, _MAX_OPERATIONS)
+        while remaining and not self.is_stopped:
+            attempt = await self._run_attempt(client, session, database)
+            if attempt.outcome is AttemptOutcome.DONE:
+                self.last_served_at[node.name] = attempt.ended_at
+            if not self._may_continue(attempt):
+                return
+            if not self._is_persistent:
+                remaining -= 1
+            await curio.sleep(self._randomness.random() * _MAX_PAUSE_S)
+
+    def _may_continue(self, attempt: Attempt) -> bool:
+        """Return whether another operation may use the session."""
+        if self._is_persistent:
+            return self._last_state == _IDLE
+        return attempt.outcome is AttemptOutcome.DONE
+
     async def _run_attempt(
         self,
         client: LineClient,
@@ -159,7 +189,9 @@
         if attempt is not None:
             attempt.statements[request_id] = text
         await client.send(f'QUERY {request_id} {text}')
-        return await client.read_reply()
+        reply = await client.read_reply()
+        self._last_state = reply.state
+        return reply
 
     def _build_request_id(self) -> str:
         return f'{self._name}-{self._request_count}'
--- a/deckdrum/soak/environment.py
+++ b/deckdrum/soak/environment.py
@@ -7,8 +7,10 @@
 from typing import Any, Final
 
 from deckdrum.soak.links import FaultLink, LinkState
+from deckdrum.soak.partitions import Partitions
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.standins.users import DatabaseGroup, DatabaseServer, StandinStore
+from deckdrum.standins.users.servers import PRIMARY
 from deckdrum.testing.nodes import SERVICE, ZONES, build_config
 
 #: Cores of the first node's machine if machines are uneven; others have one.
@@ -33,6 +35,8 @@
         The nodes.
     links : dict of str to FaultLink
         Link in front of each database, by database id.
+    partitions : Partitions
+        Blocked links of single nodes.
     version : int
         Version of the latest configuration.
     faulty_servers : set of str
@@ -40,6 +44,9 @@
     has_urgent_routes : bool
         Whether the routes have the priorities 0, 1 and 2, and the first node a
         larger machine than the others.
+    synchronous_replicas : int
+        Number of replicas that must receive a change before it is
+        acknowledged.
     """
 
     folder: Path
@@ -48,12 +55,18 @@
     group: DatabaseGroup = field(init=False)
     nodes: list[NodeProcess] = field(default_factory=list)
     links: dict[str, FaultLink] = field(default_factory=dict)
+    partitions: Partitions = field(default_factory=Partitions)
     version: int = 1
     faulty_servers: set[str] = field(default_factory=set)
     has_urgent_routes: bool = False
+    synchronous_replicas: int = 1
 
     def __post_init__(self) -> None:
-        self.group = DatabaseGroup(SERVICE, self.store, synchronous_replicas=1)
+        self.group = DatabaseGroup(
+            SERVICE,
+            self.store,
+            synchronous_replicas=self.synchronous_replicas,
+        )
 
     async def start(self, nodes: int) -> None:
         """Start databases, links, store and node processes."""
@@ -67,6 +80,8 @@
     def build_config(self) -> dict[str, Any]:
         """Return the configuration of the latest version."""
         config = build_config(self.version)
+        for service in config['services']:
+            service['syncReplicas'] = self.synchronous_replicas
         if self.has_urgent_routes:
             for priority, route in enumerate(config['routes']):
                 route['priority'] = priority
@@ -105,6 +120,11 @@
         self.faulty_servers.add(server.name)
         return server
 
+    def is_primary(self, server: DatabaseServer) -> bool:
+        """Return whether a database runs and leads the latest term."""
+        has_latest_term = not self.group.is_replaced(server)
+        return server.is_running and server.role == PRIMARY and has_latest_term
+
     async def restore_server(self, server: DatabaseServer) -> None:
         """Clear the faults of a database and let it rejoin its group."""
         server.is_unresponsive = False
@@ -115,7 +135,9 @@
         if not server.is_running:
             await server.start()
             link.target = server.address
-        await self.group.rejoin(server)
+        if server.role != PRIMARY:
+            # A replaced primary steps down by itself.
+            await self.group.rejoin(server)
         self.faulty_servers.discard(server.name)
 
     async def _publish_through_link(self, server: DatabaseServer) -> None:
@@ -142,4 +164,5 @@
             self._choose_limits(number),
         )
         self.nodes.append(node)
+        self.partitions.add_node(node)
         node.start()
--- a/deckdrum/soak/faults.py
+++ b/deckdrum/soak/faults.py
@@ -18,10 +18,11 @@
 #: Fraction of the duration after which stopped nodes are started again.
 _RESTART_AFTER_FRACTION: Final = 1 / 4
 _MAX_LOST_ANSWERS: Final = 5
+_MAX_RESTARTS: Final = 4
 #: Largest increment of the configuration version.
 _MAX_VERSION_STEP: Final = 3
 _SLOW_DELAY_S: Final = 0.1
-_STORE_FAULTS: Final = (
+STORE_FAULTS: Final = (
     StoreFault.BUSY,
     StoreFault.MANY,
     StoreFault.RESET,
@@ -88,6 +89,25 @@
         return node.name
 
 
+class RestartedNode(Fault):
+    """A node is killed or terminated several times in a row."""
+
+    async def inject(
+        self, environment: SoakEnvironment, duration: float
+    ) -> str:
+        """Inject and clear the fault."""
+        node = environment.pick_node()
+        count = environment.randomness.randint(2, _MAX_RESTARTS)
+        for _ in range(count):
+            if environment.randomness.choice((True, False)):
+                node.kill()
+            else:
+                await node.stop()
+            node.start()
+            await curio.sleep(duration / count)
+        return f'{node.name} {count} times'
+
+
 class AllNodesReloaded(Fault):
     """Every node is told to reload its settings."""
 
@@ -177,7 +197,7 @@
         self, environment: SoakEnvironment, duration: float
     ) -> str:
         """Inject and clear the fault."""
-        fault = environment.randomness.choice(_STORE_FAULTS)
+        fault = environment.randomness.choice(STORE_FAULTS)
         if environment.randomness.choice((True, False)):
             node = environment.pick_node()
             environment.store.turned_away[node.name] = fault
@@ -224,6 +244,7 @@
     FrozenNode(),
     KilledNode(),
     StoppedNode(),
+    RestartedNode(),
     AllNodesReloaded(),
     AllNodesKilled(),
     LinkFault(),
--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -14,9 +14,15 @@
 import curio
 
 from deckdrum.platform.settings import SETTINGS_VARIABLE
+from deckdrum.testing.blocked_links import (
+    BLOCKED_LINKS_VARIABLE,
+    BlockedLinks,
+    encode_blocked_links,
+)
 from deckdrum.utils import Address
 from deckdrum.utils.http import HttpClient, Request
 
+_PROGRAM: Final = 'deckdrum.testing.partitioned_program'
 #: Ports; the same on every node, as each has its own loopback address.
 _CLIENT_PORT: Final = 8784
 _READINESS_PORT: Final = 8785
@@ -36,7 +42,7 @@
 
 
 class NodeProcess:
-    """Process of one node: ``python -m deckdrum.platform.program``.
+    """Process of one node: ``python -m deckdrum.testing.partitioned_program``.
 
     Parameters
     ----------
@@ -67,12 +73,14 @@
         self.unexpected_exits: list[int] = []
         self.log_path = folder / f'{self.name}.log'
         self._settings_path = folder / f'{self.name}.json'
+        self._blocked_links_path = folder / f'{self.name}.links.json'
         self._process: subprocess.Popen[bytes] | None = None
         self._is_termination_requested = False
         settings = self._build_settings(centre, store, promotion_address)
         settings['limits'] = dict(limits)
         settings['contracts'] = ['pressure'] if limits else []
         self._settings_path.write_text(json.dumps(settings))
+        self.write_blocked_links({})
         # Leaves no node process running if the soak test is interrupted.
         atexit.register(self.kill)
 
@@ -81,6 +89,11 @@
         """Address for clients."""
         return Address(self.host, _CLIENT_PORT)
 
+    @property
+    def peer_address(self) -> Address:
+        """Address for connections from other nodes."""
+        return Address(self.host, _PEER_PORTS[0])
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
@@ -94,12 +107,23 @@
         self._is_termination_requested = False
         with self.log_path.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'deckdrum.platform.program'],
-                env=os.environ | {SETTINGS_VARIABLE: str(self._settings_path)},
+                [sys.executable, '-m', _PROGRAM],
+                env=os.environ
+                | {
+                    SETTINGS_VARIABLE: str(self._settings_path),
+                    BLOCKED_LINKS_VARIABLE: str(self._blocked_links_path),
+                },
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    def write_blocked_links(self, blocked: BlockedLinks) -> None:
+        """Block links of the node; all others are open."""
+        # Renamed, so that the process never reads a part of the file.
+        new_path = self._blocked_links_path.with_suffix('.new')
+        new_path.write_bytes(encode_blocked_links(blocked))
+        new_path.replace(self._blocked_links_path)
+
     def record_exit(self) -> None:
         """Record the exit code if the exit was unexpected."""
         if self._process is None or self.is_running:
--- a/deckdrum/soak/runner.py
+++ b/deckdrum/soak/runner.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from datetime import datetime, timedelta
 from pathlib import Path
 from random import Random
 from typing import Final
@@ -17,6 +18,7 @@
     MIN_FAULT_DURATION_S,
 )
 from deckdrum.soak.links import LinkState
+from deckdrum.soak.partition_faults import PARTITION_FAULTS
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.soak.records import Attempt
 from deckdrum.standins.users import StoreFault
@@ -45,6 +47,9 @@
     has_urgent_routes : bool
         Whether a route has priority 0 and machines are uneven, which turns on
         scheduling under overload.
+    synchronous_replicas : int
+        Number of replicas that must receive a change before it is
+        acknowledged.
     """
 
     seed: int
@@ -53,18 +58,21 @@
     callers: int = 8
     series: int = 2
     has_urgent_routes: bool = False
+    synchronous_replicas: int = 1
 
 
 @dataclass(slots=True)
 class SoakReport:
     """Result of a soak test.
 
-    `violations` lists the violated guarantees, `faults` the injected faults in
-    the order in which they ended, `outcome_counts` the attempts by their
-    outcome.
+    `violations` lists the violated guarantees, `takeovers` the promotions that
+    took effect, `faults` the injected faults in the order in which they ended,
+    `outcome_counts` the attempts by their outcome.  Times are in kernel
+    seconds.
     """
 
     violations: list[str] = field(default_factory=list)
+    takeovers: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
     outcome_counts: Counter[str] = field(default_factory=Counter)
 
@@ -87,6 +95,7 @@
             folder,
             Random(self._randomness.random()),
             has_urgent_routes=plan.has_urgent_routes,
+            synchronous_replicas=plan.synchronous_replicas,
         )
         self._report = SoakReport()
         self._callers: list[Caller] = []
@@ -136,6 +145,7 @@
             f'c{number}',
             self._environment.nodes,
             Random(f'{self._plan.seed}/{number}'),
+            is_persistent=bool(number % 2),
         )
         self._callers.append(caller)
         await caller.run()
@@ -143,13 +153,17 @@
     async def _run_fault_series(self) -> None:
         """Inject one fault after another until the planned time is over."""
         while not self._are_faults_over:
-            fault = self._randomness.choice(FAULTS)
+            fault = self._randomness.choice(FAULTS + PARTITION_FAULTS)
             duration = self._randomness.uniform(
                 MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S
             )
+            began_at = await curio.clock()
             target = await fault.inject(self._environment, duration)
+            ended_at = await curio.clock()
             kind = type(fault).__name__
-            self._report.faults.append(f'{kind} {target} {duration:.1f} s')
+            self._report.faults.append(
+                f'{began_at:.2f} to {ended_at:.2f} s: {kind} {target}'
+            )
             await curio.sleep(self._randomness.random())
 
     def _clear_faults(self) -> None:
@@ -194,17 +208,35 @@
         for caller in self._callers:
             attempts.extend(caller.attempts)
         history = SoakHistory(
-            attempts, group.primary.log, group.executed_statements
+            attempts,
+            group.primary.log,
+            group.executed_statements,
+            group.commits,
+            group.takeovers,
+            has_synchronous_replicas=bool(self._plan.synchronous_replicas),
         )
         self._report.violations.extend(find_violations(history))
+        self._report.takeovers.extend(
+            f'{each.took_effect_at:.3f} s: {each.server} in term {each.term}'
+            for each in group.takeovers
+        )
         self._report.outcome_counts.update(
             attempt.outcome for attempt in attempts
         )
 
 
 async def run_soak(plan: SoakPlan, folder: Path) -> SoakReport:
-    """Run a soak test; the logs of the nodes are kept in `folder`."""
-    return await Soak(plan, folder).run()
+    """Run a soak test; logs of the nodes and report are kept in `folder`."""
+    start = datetime.now() - timedelta(seconds=await curio.clock())
+    report = await Soak(plan, folder).run()
+    lines = [
+        f'kernel second 0: {start}',
+        *report.faults,
+        *report.takeovers,
+        *report.violations,
+    ]
+    (folder / 'report.txt').write_text('\n'.join(lines))
+    return report
 
 
 def find_node_failures(node: NodeProcess) -> list[str]:
