Soak: check for conflicting promotion calls

Cause: nothing in the soak told a claim that promoted two servers, or a call with an outdated fencing token, unless a write was lost by it.

Change: find_conflicting_promotions reports calls with a lower token than an earlier one, and tokens used by two nodes or for two servers.

Measured: the test of the check passes, with cases that it must report.

--- a/deckdrum/soak/checks.py
+++ b/deckdrum/soak/checks.py
@@ -48,6 +48,8 @@
         Changes that the databases appended to their logs as primaries.
     takeovers : sequence of Takeover
         Promotions that took effect.
+    promotions : sequence of tuple
+        Accepted promotion calls in order: server, node and fencing token.
     has_synchronous_replicas : bool
         Whether a change was received by a replica before it was acknowledged.
         Otherwise a promotion may roll back acknowledged writes.
@@ -58,6 +60,7 @@
     executed_statements: Sequence[ExecutedStatement]
     commits: Sequence[Commit] = ()
     takeovers: Sequence[Takeover] = ()
+    promotions: Sequence[tuple[str, str, int]] = ()
     has_synchronous_replicas: bool = True
 
     def list_acknowledged_writes(self) -> list[str]:
@@ -263,6 +266,28 @@
     )
 
 
+def find_conflicting_promotions(history: SoakHistory) -> list[str]:
+    """Return promotion calls with an older token, or one used otherwise.
+
+    A fencing token belongs to one node, which promotes one server with it.
+    """
+    uses: dict[int, tuple[str, str]] = {}
+    found: list[str] = []
+    for server, node, token in history.promotions:
+        if token < max(uses, default=0):
+            found.append(
+                f'{node} promoted {server} with token {token} after token '
+                f'{max(uses)}'
+            )
+        used_by, used_for = uses.setdefault(token, (node, server))
+        if (used_by, used_for) != (node, server):
+            found.append(
+                f'{node} promoted {server} with token {token}, with which '
+                f'{used_by} had promoted {used_for}'
+            )
+    return found
+
+
 _Check = Callable[[SoakHistory], list[str]]
 CHECKS: Final[tuple[_Check, ...]] = (
     find_lost,
@@ -273,6 +298,7 @@
     find_wrong_rows,
     find_stale,
     find_replaced_primary_writes,
+    find_conflicting_promotions,
 )
 
 
--- a/deckdrum/soak/runner.py
+++ b/deckdrum/soak/runner.py
@@ -213,6 +213,7 @@
             group.executed_statements,
             group.commits,
             group.takeovers,
+            group.promotions,
             has_synchronous_replicas=bool(self._plan.synchronous_replicas),
         )
         self._report.violations.extend(find_violations(history))
--- a/deckdrum/soak/tests/test_promises.py
+++ b/deckdrum/soak/tests/test_promises.py
@@ -204,3 +204,21 @@
         has_synchronous_replicas=False,
     )
     assert check_history(history) == ['find_lost']
+
+
+@pytest.mark.parametrize(
+    ('promotions', 'expected'),
+    [
+        ([('i-2', 'n1', 4), ('i-2', 'n1', 4), ('i-3', 'n2', 6)], []),
+        ([('i-2', 'n1', 4), ('i-3', 'n1', 4)], ['find_conflicting_promotions']),
+        ([('i-2', 'n1', 4), ('i-2', 'n2', 4)], ['find_conflicting_promotions']),
+        ([('i-2', 'n1', 6), ('i-2', 'n2', 4)], ['find_conflicting_promotions']),
+    ],
+)
+def test_conflicting_promotion_is_found(
+    promotions: list[tuple[str, str, int]],
+    expected: list[str],
+) -> None:
+    """Two servers promoted by one claim both lead, for different nodes."""
+    history = SoakHistory([], [], [], promotions=promotions)
+    assert check_history(history) == expected
