Soak: share the checks of takeovers and promotion calls

Cause: the soak and the tests of leadership each had the search for the takeover before a commit and the order of fencing tokens.

Change: the soak calls those of deckdrum.testing.replaced_primaries.

--- a/deckdrum/soak/checks.py
+++ b/deckdrum/soak/checks.py
@@ -20,6 +20,10 @@
     OWN_WRITES,
     OWN_WRITES_AGE_MS,
 )
+from deckdrum.testing.replaced_primaries import (
+    find_disordered_promotions,
+    find_takeover_before,
+)
 
 _MS_PER_S: Final = 1000
 #: Accepted staleness of reads, by route.
@@ -234,7 +238,7 @@
     found: list[str] = []
     for write in history.list_acknowledged_writes():
         successors = [
-            _find_successor(commit, history.takeovers)
+            find_takeover_before(commit, history.takeovers)
             for commit in commits.get(write, ())
         ]
         found.extend(
@@ -250,42 +254,9 @@
     return found
 
 
-def _find_successor(
-    commit: Commit,
-    takeovers: Iterable[Takeover],
-) -> Takeover | None:
-    """Return the first takeover of a later term before a commit, if any."""
-    return next(
-        (
-            takeover
-            for takeover in takeovers
-            if takeover.term > commit.entry.term
-            and takeover.took_effect_at < commit.committed_at
-        ),
-        None,
-    )
-
-
 def find_conflicting_promotions(history: SoakHistory) -> list[str]:
-    """Return promotion calls with an older token, or one used otherwise.
-
-    A fencing token belongs to one node, which promotes one server with it.
-    """
-    uses: dict[int, tuple[str, str]] = {}
-    found: list[str] = []
-    for server, node, token in history.promotions:
-        if token < max(uses, default=0):
-            found.append(
-                f'{node} promoted {server} with token {token} after token '
-                f'{max(uses)}'
-            )
-        used_by, used_for = uses.setdefault(token, (node, server))
-        if (used_by, used_for) != (node, server):
-            found.append(
-                f'{node} promoted {server} with token {token}, with which '
-                f'{used_by} had promoted {used_for}'
-            )
-    return found
+    """Return promotion calls with an older token, or one used otherwise."""
+    return find_disordered_promotions(history.promotions)
 
 
 _Check = Callable[[SoakHistory], list[str]]
--- a/deckdrum/testing/replaced_primaries.py
+++ b/deckdrum/testing/replaced_primaries.py
@@ -97,7 +97,7 @@
     """
     found: list[str] = []
     for commit in group.commits:
-        takeover = _find_takeover_before(commit, group.takeovers)
+        takeover = find_takeover_before(commit, group.takeovers)
         if takeover is None:
             continue
         found.extend(
@@ -139,7 +139,7 @@
     return found
 
 
-def _find_takeover_before(
+def find_takeover_before(
     commit: Commit, takeovers: Iterable[Takeover]
 ) -> Takeover | None:
     """Return the first takeover of a later term that preceded a commit."""
