Soak: networks that soaks running at once do not share

Cause: the network of a soak's nodes was the id of its process modulo 250. Two soaks that ran at once used the same addresses: callers of one reached nodes of the other, whose statements seemed unasked and lost, and nodes ended as their ports were in use. Seen once, with four soaks at a time.

Change: 50,000 networks instead of 250.

Measured: the tests of the soak's processes pass.

--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -27,8 +27,10 @@
 _CLIENT_PORT: Final = 8784
 _READINESS_PORT: Final = 8785
 _PEER_PORTS: Final = (7440, 7455)
-#: Number of loopback networks; the id of the soak process selects one.
-_NETWORK_COUNT: Final = 250
+#: Loopback networks; the id of the soak process selects one, since soaks that
+#: run at the same time must not share any.
+_FIRST_NETWORK: Final = 2
+_NETWORK_COUNTS: Final = (200, 250)
 _TERMINATING_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGKILL))
 #: Time between SIGTERM and SIGKILL.
 TERMINATION_GRACE_S: Final = 4.0
@@ -41,6 +43,19 @@
 _NO_LIMITS: Final[Mapping[str, float]] = MappingProxyType({})
 
 
+def _choose_network(process: int) -> str:
+    """Return the loopback network of a soak process.
+
+    Examples
+    --------
+    >>> _choose_network(251)
+    '127.3.1'
+    """
+    outer_count, inner_count = _NETWORK_COUNTS
+    outer, inner = divmod(process % (outer_count * inner_count), inner_count)
+    return f'127.{_FIRST_NETWORK + outer}.{inner}'
+
+
 class NodeProcess:
     """Process of one node: ``python -m deckdrum.testing.partitioned_program``.
 
@@ -68,7 +83,7 @@
         limits: Mapping[str, float] = _NO_LIMITS,
     ) -> None:
         self.name = f'n{number}'
-        self.host = f'127.2.{os.getpid() % _NETWORK_COUNT}.{number + 1}'
+        self.host = f'{_choose_network(os.getpid())}.{number + 1}'
         #: Exit codes of errors and of exits that were not requested.
         self.unexpected_exits: list[int] = []
         self.log_path = folder / f'{self.name}.log'
