Soak: late promotion calls, and drivers killed after a promotion

Cause: the promotion call of the stand-in answered at once or not at all, and a driver was killed between its order and its effect by chance only.

Change: a link in front of the promotion API delays calls by up to 1.4 s, also those whose sender has given up; a node that has lost the server it promoted is killed and started again in half of the cases.

--- a/deckdrum/soak/partition_faults.py
+++ b/deckdrum/soak/partition_faults.py
@@ -7,6 +7,7 @@
 
 from deckdrum.soak.environment import SoakEnvironment
 from deckdrum.soak.faults import STORE_FAULTS, Fault
+from deckdrum.soak.links import LinkState
 from deckdrum.soak.partitions import Block, build_peer_blocks
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.standins.users import StoreFault
@@ -19,6 +20,8 @@
     frozenset((Direction.FROM,)),
 )
 _MAX_LOST_PROMOTION_ANSWERS: Final = 2
+#: Below the 1.5 s between the end of a claim and its takeover by another node.
+_MAX_PROMOTION_DELAY_S: Final = 1.4
 #: Longest wait for the promotion that follows the failure of a primary.
 _PROMOTION_TIMEOUT_S: Final = 8.0
 #: Longest time between a promotion call and the loss of the link.
@@ -26,6 +29,10 @@
 #: Added to the duration, as a node waits 2 s for the effect of a promotion.
 _EXTRA_DURATION_S: Final = 1.5
 _STORE_FAULT_DURATION_S: Final = 1.5
+#: Longest time from the loss of the link until the node is killed, and from
+#: then until it is started again.
+_MAX_KILL_DELAY_S: Final = 2.0
+_MAX_RESTART_DELAY_S: Final = 1.0
 _POLL_INTERVAL_S: Final = 0.01
 
 
@@ -73,12 +80,27 @@
     ) -> str:
         """Inject and clear the fault."""
         nodes = pick_nodes(environment)
-        address = environment.group.promotion_address
+        address = environment.promotion_link.address
         blocks = _build_blocks(environment, nodes, address)
         await _hold_blocks(environment, blocks, duration)
         return _join(nodes)
 
 
+class PromotionDelayed(Fault):
+    """Promotion calls arrive late, also those whose sender has given up."""
+
+    async def inject(
+        self, environment: SoakEnvironment, duration: float
+    ) -> str:
+        """Inject and clear the fault."""
+        delay = environment.randomness.uniform(0, _MAX_PROMOTION_DELAY_S)
+        environment.promotion_link.delay = delay
+        environment.promotion_link.state = LinkState.SLOW
+        await curio.sleep(duration)
+        environment.promotion_link.state = LinkState.OPEN
+        return f'by {delay:.2f} s'
+
+
 class PromotionAnswersLost(Fault):
     """Promotion calls take effect without an answer."""
 
@@ -95,8 +117,9 @@
 class UnseenPromotion(Fault):
     """The node that has a server promoted loses its link to that server.
 
-    The primary fails first.  Other nodes may lose the link too, and the store
-    may fail when another server is promoted.
+    The primary fails first.  Other nodes may lose the link too, the node may be
+    killed and started again, and the store may fail when another server is
+    promoted.
     """
 
     async def inject(
@@ -122,14 +145,16 @@
             lambda: len(calls) > count, _PROMOTION_TIMEOUT_S
         ):
             return 'not replaced'
-        server, node, _ = calls[count]
+        server, name, _ = calls[count]
         await curio.sleep(environment.randomness.uniform(0, _MAX_CUT_DELAY_S))
-        others = [each for each in environment.nodes if each.name != node]
+        driver = next(each for each in environment.nodes if each.name == name)
+        others = [each for each in environment.nodes if each is not driver]
         cut_nodes = [
-            each for each in environment.nodes if each.name == node
-        ] + environment.randomness.sample(
-            others, environment.randomness.randint(0, len(others) // 2)
-        )
+            driver,
+            *environment.randomness.sample(
+                others, environment.randomness.randint(0, len(others) // 2)
+            ),
+        ]
         address = environment.links[server].address
         blocks = [Block(each.name, address) for each in cut_nodes]
         async with curio.TaskGroup() as tasks:
@@ -138,6 +163,8 @@
             )
             if environment.randomness.choice((True, False)):
                 await tasks.spawn(_fail_store_at_next_promotion, environment)
+            if environment.randomness.choice((True, False)):
+                await tasks.spawn(_restart_driver, environment, driver)
         return f'to {server}, cut from {_join(cut_nodes)}'
 
 
@@ -183,6 +210,15 @@
     environment.store.fault = StoreFault.NONE
 
 
+async def _restart_driver(
+    environment: SoakEnvironment, driver: NodeProcess
+) -> None:
+    await curio.sleep(environment.randomness.uniform(0, _MAX_KILL_DELAY_S))
+    driver.kill()
+    await curio.sleep(environment.randomness.uniform(0, _MAX_RESTART_DELAY_S))
+    driver.start()
+
+
 async def _wait_until(check: Callable[[], bool], timeout: float) -> bool:
     async with curio.ignore_after(timeout):
         while not check():
@@ -201,6 +237,7 @@
     PeerLinkCut(),
     PeerLinkCut(),
     PromotionLinkCut(),
+    PromotionDelayed(),
     PromotionAnswersLost(),
     UnseenPromotion(),
     UnseenPromotion(),
