Soak: drivers of unseen promotions cut off from other nodes

Cause: a driver that lost the server it had promoted could always ask its peers.

Change: in half of these faults the driver also loses its links to some or all other nodes, one way or both.

--- a/deckdrum/soak/partition_faults.py
+++ b/deckdrum/soak/partition_faults.py
@@ -117,9 +117,9 @@
 class UnseenPromotion(Fault):
     """The node that has a server promoted loses its link to that server.
 
-    The primary fails first.  Other nodes may lose the link too, the node may be
-    killed and started again, and the store may fail when another server is
-    promoted.
+    The primary fails first.  Other nodes may lose the link too, the node may
+    lose its links to others or be killed and started again, and the store may
+    fail when another server is promoted.
     """
 
     async def inject(
@@ -157,6 +157,7 @@
         ]
         address = environment.links[server].address
         blocks = [Block(each.name, address) for each in cut_nodes]
+        blocks += _build_driver_blocks(environment, driver, others)
         async with curio.TaskGroup() as tasks:
             await tasks.spawn(
                 _hold_blocks, environment, blocks, duration + _EXTRA_DURATION_S
@@ -190,6 +191,24 @@
     return [Block(node.name, address, directions) for node in nodes]
 
 
+def _build_driver_blocks(
+    environment: SoakEnvironment,
+    driver: NodeProcess,
+    others: Sequence[NodeProcess],
+) -> list[Block]:
+    """Return blocks of links of a driver to other nodes; often none."""
+    randomness = environment.randomness
+    if not others or randomness.choice((True, False)):
+        return []
+    is_one_way = randomness.choice((True, False))
+    targets = randomness.sample(others, randomness.randint(1, len(others)))
+    return [
+        block
+        for target in targets
+        for block in build_peer_blocks(driver, target, is_one_way=is_one_way)
+    ]
+
+
 async def _hold_blocks(
     environment: SoakEnvironment,
     blocks: Sequence[Block],
