--- a/deckdrum/soak/tests/test_soak.py
+++ b/deckdrum/soak/tests/test_soak.py
@@ -13,6 +13,9 @@
     # SIGHUP during startup terminated nodes.
     SoakPlan(seed=112, seconds=10),
     SoakPlan(seed=2001, seconds=8, has_urgent_routes=True),
+    # One claim promoted two servers, and a replaced primary's writes were
+    # acknowledged.
+    SoakPlan(seed=222, seconds=8, synchronous_replicas=0),
 )
 
 
