Soak: the stand-in's own delay of promotion calls

Cause: a link in front of the promotion API delayed calls before they arrived, so that calls sent in the order of their tokens could arrive out of order.

Change: the fault sets promotion_delay of the group, whose calls are recorded as they arrive and carried out late.

--- a/deckdrum/soak/environment.py
+++ b/deckdrum/soak/environment.py
@@ -35,8 +35,6 @@
         The nodes.
     links : dict of str to FaultLink
         Link in front of each database, by database id.
-    promotion_link : FaultLink
-        Link in front of the promotion API.
     partitions : Partitions
         Blocked links of single nodes.
     version : int
@@ -57,7 +55,6 @@
     group: DatabaseGroup = field(init=False)
     nodes: list[NodeProcess] = field(default_factory=list)
     links: dict[str, FaultLink] = field(default_factory=dict)
-    promotion_link: FaultLink = field(init=False)
     partitions: Partitions = field(default_factory=Partitions)
     version: int = 1
     faulty_servers: set[str] = field(default_factory=set)
@@ -77,8 +74,6 @@
         await self.group.start(ZONES)
         for server in self.group.servers.values():
             await self._publish_through_link(server)
-        self.promotion_link = FaultLink(self.group.promotion_address)
-        await self.promotion_link.start()
         for number in range(nodes):
             await self._start_node(number)
 
@@ -98,7 +93,6 @@
             node.kill()
         for link in self.links.values():
             await link.close()
-        await self.promotion_link.close()
         await self.group.close()
         await self.store.close()
 
@@ -165,7 +159,7 @@
             number,
             ZONES[number % len(ZONES)],
             await self.store.open_endpoint(f'n{number}'),
-            self.promotion_link.address,
+            self.group.promotion_address,
             self.folder,
             self._choose_limits(number),
         )
--- a/deckdrum/soak/partition_faults.py
+++ b/deckdrum/soak/partition_faults.py
@@ -7,7 +7,6 @@
 
 from deckdrum.soak.environment import SoakEnvironment
 from deckdrum.soak.faults import STORE_FAULTS, Fault
-from deckdrum.soak.links import LinkState
 from deckdrum.soak.partitions import Block, build_peer_blocks
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.standins.users import StoreFault
@@ -80,24 +79,23 @@
     ) -> str:
         """Inject and clear the fault."""
         nodes = pick_nodes(environment)
-        address = environment.promotion_link.address
+        address = environment.group.promotion_address
         blocks = _build_blocks(environment, nodes, address)
         await _hold_blocks(environment, blocks, duration)
         return _join(nodes)
 
 
 class PromotionDelayed(Fault):
-    """Promotion calls arrive late, also those whose sender has given up."""
+    """Promotion calls are carried out late, when callers may have given up."""
 
     async def inject(
         self, environment: SoakEnvironment, duration: float
     ) -> str:
         """Inject and clear the fault."""
         delay = environment.randomness.uniform(0, _MAX_PROMOTION_DELAY_S)
-        environment.promotion_link.delay = delay
-        environment.promotion_link.state = LinkState.SLOW
+        environment.group.promotion_delay = delay
         await curio.sleep(duration)
-        environment.promotion_link.state = LinkState.OPEN
+        environment.group.promotion_delay = 0
         return f'by {delay:.2f} s'
 
 
--- a/deckdrum/soak/runner.py
+++ b/deckdrum/soak/runner.py
@@ -172,7 +172,6 @@
         self._environment.store.turned_away.clear()
         for link in self._environment.links.values():
             link.state = LinkState.OPEN
-        self._environment.promotion_link.state = LinkState.OPEN
         for node in self._environment.nodes:
             node.start()
 
