--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -14,15 +14,23 @@
 import curio
 
 from deckdrum.platform.settings import SETTINGS_VARIABLE
+from deckdrum.testing.blocked_links import (
+    BLOCKED_LINKS_VARIABLE,
+    BlockedLinks,
+    encode_blocked_links,
+)
 from deckdrum.utils import Address
 from deckdrum.utils.http import HttpClient, Request
 
+_PROGRAM: Final = 'deckdrum.testing.partitioned_program'
 #: Ports; the same on every node, as each has its own loopback address.
 _CLIENT_PORT: Final = 8784
 _READINESS_PORT: Final = 8785
 _PEER_PORTS: Final = (7440, 7455)
-#: Number of loopback networks; the id of the soak process selects one.
-_NETWORK_COUNT: Final = 250
+#: Loopback networks; the id of the soak process selects one, since soaks that
+#: run at the same time must not share any.
+_FIRST_NETWORK: Final = 2
+_NETWORK_COUNTS: Final = (200, 250)
 _TERMINATING_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGKILL))
 #: Time between SIGTERM and SIGKILL.
 TERMINATION_GRACE_S: Final = 4.0
@@ -35,8 +43,21 @@
 _NO_LIMITS: Final[Mapping[str, float]] = MappingProxyType({})
 
 
+def _choose_network(process: int) -> str:
+    """Return the loopback network of a soak process.
+
+    Examples
+    --------
+    >>> _choose_network(251)
+    '127.3.1'
+    """
+    outer_count, inner_count = _NETWORK_COUNTS
+    outer, inner = divmod(process % (outer_count * inner_count), inner_count)
+    return f'127.{_FIRST_NETWORK + outer}.{inner}'
+
+
 class NodeProcess:
-    """Process of one node: ``python -m deckdrum.platform.program``.
+    """Process of one node: ``python -m deckdrum.testing.partitioned_program``.
 
     Parameters
     ----------
@@ -62,17 +83,19 @@
         limits: Mapping[str, float] = _NO_LIMITS,
     ) -> None:
         self.name = f'n{number}'
-        self.host = f'127.2.{os.getpid() % _NETWORK_COUNT}.{number + 1}'
+        self.host = f'{_choose_network(os.getpid())}.{number + 1}'
         #: Exit codes of errors and of exits that were not requested.
         self.unexpected_exits: list[int] = []
         self.log_path = folder / f'{self.name}.log'
         self._settings_path = folder / f'{self.name}.json'
+        self._blocked_links_path = folder / f'{self.name}.links.json'
         self._process: subprocess.Popen[bytes] | None = None
         self._is_termination_requested = False
         settings = self._build_settings(centre, store, promotion_address)
         settings['limits'] = dict(limits)
         settings['contracts'] = ['pressure'] if limits else []
         self._settings_path.write_text(json.dumps(settings))
+        self.write_blocked_links({})
         # Leaves no node process running if the soak test is interrupted.
         atexit.register(self.kill)
 
@@ -81,6 +104,11 @@
         """Address for clients."""
         return Address(self.host, _CLIENT_PORT)
 
+    @property
+    def peer_address(self) -> Address:
+        """Address for connections from other nodes."""
+        return Address(self.host, _PEER_PORTS[0])
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
@@ -94,12 +122,23 @@
         self._is_termination_requested = False
         with self.log_path.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'deckdrum.platform.program'],
-                env=os.environ | {SETTINGS_VARIABLE: str(self._settings_path)},
+                [sys.executable, '-m', _PROGRAM],
+                env=os.environ
+                | {
+                    SETTINGS_VARIABLE: str(self._settings_path),
+                    BLOCKED_LINKS_VARIABLE: str(self._blocked_links_path),
+                },
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    def write_blocked_links(self, blocked: BlockedLinks) -> None:
+        """Block links of the node; all others are open."""
+        # Renamed, so that the process never reads a part of the file.
+        new_path = self._blocked_links_path.with_suffix('.new')
+        new_path.write_bytes(encode_blocked_links(blocked))
+        new_path.replace(self._blocked_links_path)
+
     def record_exit(self) -> None:
         """Record the exit code if the exit was unexpected."""
         if self._process is None or self.is_running:
