Failing test: a takeover settles with a server that was replaced

Cause: a takeover settles with the only server that it cannot fence, since all others are fenced. It counts the listed servers. A later primary that crashed and whose entry is gone is not among them.

Shown: two orders took effect unseen, the second primary crashed and its entry is gone. The takeover settles term 2 of the first, whose writes are acknowledged after the takeover of term 3.

--- a/deckdrum/leadership/tests/test_review.py
+++ b/deckdrum/leadership/tests/test_review.py
@@ -145,6 +145,36 @@
     run_linked_scenario(scenario)
 
 
+def test_takeover_does_not_settle_while_a_later_primary_is_unlisted() -> None:
+    """Two orders took effect unseen; the entry of the second has lapsed."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        group = deployment.group
+        writers = [Writer(deployment, number) for number in range(3)]
+        for writer in writers:
+            await curio.spawn(writer.run, daemon=True)
+        await curio.sleep(0.5)
+        await _write_record(deployment, term=3)
+        await curio.sleep(0.1)
+        await group.servers[_FORMER].crash()
+        for count, name in enumerate((_PROMOTED, _OTHER), 1):
+            await _promote(deployment, name)
+            await deployment.wait_for(
+                lambda expected=count: len(group.takeovers) == expected
+            )
+        last = group.servers[_OTHER]
+        await last.crash()
+        last.is_listed = False
+        await deployment.store.delete('servers', _OTHER)
+        await curio.sleep(_OBSERVATION_TIME_S)
+        acknowledged: dict[str, float] = {}
+        for writer in writers:
+            acknowledged |= writer.acknowledged
+        assert not find_replaced_primary_writes(group, acknowledged)
+
+    run_linked_scenario(scenario)
+
+
 def test_driver_does_not_reopen_a_term_that_a_later_claim_has_ended() -> None:
     """Its copy of the record is old; the later claim counts on its answer."""
 
