--- a/deckdrum/leadership/tests/test_review.py
+++ b/deckdrum/leadership/tests/test_blocked_groups.py
@@ -1,6 +1,7 @@
 """Groups that the rules for unseen promotions must neither block nor split."""
 
 import math
+from functools import partial
 from typing import Any
 
 import curio
@@ -12,6 +13,7 @@
 from deckdrum.leadership.promotion_client import PromotionRequest
 from deckdrum.leadership.record_store import CLAIM_TAKEOVER_DELAY_S
 from deckdrum.platform.promotion_client import PlatformPromotionClient
+from deckdrum.standins.users import DatabaseGroup
 from deckdrum.store.records import GroupRecord, Phase
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 from deckdrum.testing.nodes import CURRENT, SERVICE
@@ -42,6 +44,10 @@
     return defaults | fields
 
 
+def _has_takeovers(group: DatabaseGroup, count: int) -> bool:
+    return len(group.takeovers) == count
+
+
 async def _write_record(deployment: LinkedDeployment, **fields: Any) -> None:
     await deployment.store.write(
         'deckdrum-leadership', SERVICE, _build_claim(**fields)
@@ -159,9 +165,7 @@
         await group.servers[_FORMER].crash()
         for count, name in enumerate((_PROMOTED, _OTHER), 1):
             await _promote(deployment, name)
-            await deployment.wait_for(
-                lambda expected=count: len(group.takeovers) == expected
-            )
+            await deployment.wait_for(partial(_has_takeovers, group, count))
         last = group.servers[_OTHER]
         await last.crash()
         last.is_listed = False
