Do not reopen a term that a later claim has ended

Cause: a driver that had seen its promotion work reopened the term of the server for its own node if its copy of the record showed no later claim. While the store fails for this node, that copy is old: it may have confirmed to a later driver that the term has ended, which then does not wait for proof to run out.

Change: resume_term takes the revision on which it rests and does nothing if a later claim has ended a term here, as for settled records.

--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -148,7 +148,10 @@
         if not self._records.is_superseded(claim):
             state = self._runtime.leadership_state
             await state.resume_term(
-                leader.term, leader.server, 'promoted by this node'
+                leader.term,
+                leader.server,
+                'promoted by this node',
+                claim.fencing_token,
             )
         await self._records.settle(report, claim, leader)
         await report.record_phase('settle')
--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -216,13 +216,19 @@
         else:
             await self._apply_settled(revision, record)
 
-    async def resume_term(self, term: int, primary: str, reason: str) -> None:
+    async def resume_term(
+        self, term: int, primary: str, reason: str, fencing_token: int
+    ) -> None:
         """Use a term that a claim has ended, or only announced.
 
         The change was abandoned, or the promoted server leads an earlier term
         than was claimed: a server counts terms, not claims.  `primary` is
-        empty if unknown; the servers report it.
+        empty if unknown; the servers report it.  `fencing_token` is the
+        revision of the claim or record that says so: a later claim may have
+        ended the term.
         """
+        if self._ending_token > fencing_token:
+            return
         if max(self.highest_seen_term, self.term) > term:
             return
         self.ended_term = min(self.ended_term, term - 1)
@@ -297,10 +303,9 @@
     async def _apply_settled(self, revision: int, record: GroupRecord) -> None:
         term = record.term
         if term <= self.ended_term:
-            if revision > self._ending_token:
-                await self.resume_term(
-                    term, record.primary, 'settled after a claim'
-                )
+            await self.resume_term(
+                term, record.primary, 'settled after a claim', revision
+            )
             return
         is_missing = term == self.term and not self.has_primary
         if record.primary and (term > self.term or is_missing):
