A primary of an ended term does not veto its replacement

What callers saw: no primary without an end, in a test.

Cause: a node without a primary starts no change while a peer reaches the former one, also if a replica follows a later term, so that its term has ended for all.

Change: only a primary of a term that has not ended counts.

Measured: test_primary_of_an_ended_term_does_not_veto_its_replacement had no write for 15 s on the parent and passes.

--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -351,14 +351,14 @@
         return CHECK_INTERVAL_S
 
     async def _is_reached_elsewhere(self, former: str) -> bool:
-        """Return whether another node reaches the former or a later primary."""
+        """Return whether another node reaches the primary of a term in use."""
         leader = await self._observer.find_leader(
             {former, *self._runtime.servers}, min_term=1
         )
         if leader is None:
             return False
         state = self._runtime.leadership_state
-        if leader.server != former and leader.term <= state.ended_term:
+        if leader.term <= state.ended_term:
             return False
         self._runtime.journal.record(
             'leadership.change_vetoed',
