A takeover never resumes the former term

Cause: a takeover that had fenced all servers it lists put the former term back. The server that the earlier claim had promoted unseen was down and not listed.

Change: a takeover without a candidate leaves the change unfinished. A group whose former primary is well, and whose other servers are all useless, then stays without a primary: safe, and to be mended by hand.

--- a/deckdrum/leadership/context.py
+++ b/deckdrum/leadership/context.py
@@ -45,9 +45,6 @@
         cannot resume.
     failure_detail : str
         What prevented the change.
-    may_resume : bool
-        Whether no promotion can have taken effect since the former primary
-        led, so that its term may resume.
     phases : dict of str to float
         End of each step, in kernel seconds.
     """
@@ -61,7 +58,6 @@
     promoted: str = ''
     step_down_requested: bool = False
     failure_detail: str = ''
-    may_resume: bool = True
     phases: dict[str, float] = field(default_factory=dict)
 
     @property
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -208,9 +208,7 @@
             await curio.sleep(PROOF_LIFETIME_S)
             await report.record_phase('wait')
         if not await self._fencing.are_still_fenced(fenced, term):
-            # A replica that restarted may have given proof of the old term, and
-            # one that leads is not fenced any more.
-            report.may_resume = not report.is_takeover
+            # A replica that restarted may have given proof of the old term.
             report.failure_detail = (
                 f'no longer fenced: {self._fencing.describe()}'
             )
@@ -271,8 +269,6 @@
         )
         if leader is not None:
             return leader
-        # An earlier claim may have promoted a replica that is not seen here.
-        report.may_resume = not (report.is_takeover and unfenced)
         if not self._fencing.is_enough(fenced):
             report.failure_detail = (
                 f'too few replicas fenced: {self._fencing.describe()}'
@@ -412,7 +408,9 @@
         """Release the fences; resume the old term if nothing was promoted."""
         for handle in list(self._runtime.servers.values()):
             await handle.execute_command('release_hold')
-        if report.may_resume and not report.step_down_requested:
+        # An earlier claim may have promoted a server that is not seen here, or
+        # not even listed.
+        if not report.is_takeover and not report.step_down_requested:
             await self._records.revert(report, claim)
         self._log('leadership.change_given_up', report, report.reason)
         return False
