Leave a claim that cannot be finished to other nodes

What callers saw: no primary for as long as one link is cut, in a test (synchronous replicas).

Cause: a driver that cannot fence enough replicas claimed again at once. Each claim is new, so none got old enough for a node with the missing link to take it over. New with takeovers that do not resume the former term.

--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -167,6 +167,8 @@
         delay = CLAIM_TAKEOVER_DELAY_S + self._rank() * RANK_DELAY_S
         if record.driver == self._context.node:
             delay = 0
+        elif not record.driver:
+            delay = RETRY_DELAY_S + self._rank() * RANK_DELAY_S
         if now - self._claim_first_seen[1] < delay:
             return CHECK_INTERVAL_S
         leader = await self._find_promoted(record)
@@ -403,10 +405,12 @@
         }
         names.add(self._context.node)
         preferred = '' if record is None else record.driver
+        released_by = '' if record is None else record.released_by
         ranked = sorted(
             names,
             key=lambda name: (
                 name != preferred,
+                name == released_by,
                 compute_rendezvous_rank(self._runtime.name, name),
             ),
         )
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -412,6 +412,8 @@
         # not even listed.
         if not report.is_takeover and not report.step_down_requested:
             await self._records.revert(report, claim)
+        else:
+            await self._records.release(claim)
         self._log('leadership.change_given_up', report, report.reason)
         return False
 
--- a/deckdrum/leadership/record_store.py
+++ b/deckdrum/leadership/record_store.py
@@ -169,6 +169,13 @@
         )
         await self._put(record, claim.fencing_token)
 
+    async def release(self, claim: LeadershipClaim) -> None:
+        """Leave a claim under which nothing was ordered to any node."""
+        record = replace(
+            claim.record, driver='', released_by=claim.record.driver
+        )
+        await self._put(record, claim.fencing_token)
+
     def _find_former_term(self, report: PrimaryChangeReport, term: int) -> int:
         """Return the term that the former primary led."""
         state = self._runtime.leadership_state
--- a/deckdrum/store/records.py
+++ b/deckdrum/store/records.py
@@ -50,7 +50,8 @@
     `former` is the primary before it, and `former_term` the term that it led
     or 0 if unknown.  `primary_started_at` is the start time of the primary in
     Unix ms, or 0 if unknown.  It identifies the incarnation, since a server has
-    no data after a restart.
+    no data after a restart.  `released_by` is the node that gave an unfinished
+    change up, which has no driver then.
     """
 
     service: str
@@ -62,6 +63,7 @@
     former: str = ''
     primary_started_at: int = 0
     former_term: int = 0
+    released_by: str = ''
 
     @property
     def path(self) -> str:
