Order a server that is found leading again before the record is settled with it

What callers saw: writes acknowledged at a replaced primary, in a test.

Cause: a takeover that found one server leading and all others of its list fenced settled with it. A later primary was down and not listed.

Change: the server is ordered once more with the token of the claim. The platform changes nothing for its present primary; if another server has taken over since, this one takes the next term. The record is settled with the term that it then reports.

--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -307,7 +307,8 @@
             term = status.term if status.role is ServerRole.PRIMARY else 0
         if term <= claim.record.former_term:
             return None
-        return Leader(handle.id, term)
+        # A server that is not listed any more may have taken over since.
+        return await self._promoter.confirm(claim, Leader(handle.id, term))
 
     async def _step_down(
         self,
--- a/deckdrum/leadership/server_promotion.py
+++ b/deckdrum/leadership/server_promotion.py
@@ -36,6 +36,8 @@
 PROMOTION_TIMEOUT_S: Final = 2.0
 #: Wait before a promotion request without an answer is repeated.
 PROMOTION_RETRY_DELAY_S: Final = 0.9
+#: Wait for a promotion of a server that led already to take effect, if it does.
+CONFIRMATION_DELAY_S: Final = 1.0
 
 
 class _Failure(Enum):
@@ -95,6 +97,43 @@
                 return None
         return None
 
+    async def confirm(
+        self, claim: LeadershipClaim, leader: Leader
+    ) -> Leader | None:
+        """Order a server that leads already; return the term that it leads.
+
+        The platform changes nothing for its present primary, and refuses
+        orders of earlier claims from then on.  If another server has taken over
+        since, this one takes the next term.
+        """
+        request = PromotionRequest(
+            self._runtime.name,
+            leader.server,
+            self._context.node,
+            claim.fencing_token,
+            claim.sent_at + CLAIM_LIFETIME_S,
+        )
+        while await self._may_request(claim):
+            outcome = await self._request(request, claim)
+            if outcome is PromotionOutcome.ACCEPTED:
+                await curio.sleep(CONFIRMATION_DELAY_S)
+                return await self._find_confirmed(leader)
+            if outcome is PromotionOutcome.REFUSED:
+                return None
+            await curio.sleep(POLL_INTERVAL_S)
+        return None
+
+    async def _find_confirmed(self, leader: Leader) -> Leader | None:
+        handle = self._runtime.servers.get(leader.server)
+        if handle is None:
+            return None
+        status = await self._runtime.query_server(handle)
+        if status is None:
+            term = await self._observer.find_led_term(handle.id)
+        else:
+            term = status.term if status.role is ServerRole.PRIMARY else 0
+        return Leader(leader.server, term) if term >= leader.term else None
+
     async def _promote_one(
         self,
         claim: LeadershipClaim,
