Release a fence that outlives the change that it was for

What callers saw: writes of a synchronous group that time out without an end, in a test.

Cause: only the driver releases fences, for 6 s. If it is cut off from a replica, or dies, that replica stays fenced, receives no log and gives no proof.

Change: a node with proof of the primary that has seen a replica fenced under one settled record for longer than a claim lasts makes the servers follow the term.

Why it works: a fence of a claim that the node has not heard of takes its proof away within 1.2 s, and no claim orders later than 3.5 s after it was made.

--- a/deckdrum/leadership/monitoring.py
+++ b/deckdrum/leadership/monitoring.py
@@ -87,6 +87,8 @@
         self._next_record_at = float('-inf')
         self._missing_since: float | None = None
         self._claim_first_seen: tuple[str, float] = ('', 0)
+        #: Settled change of which a fence remains, and since when it was seen.
+        self._fence_first_seen: tuple[str, float] = ('', 0)
         self._reconcile_until = float('-inf')
         self._failed_server: ServerHandle | None = None
         self._detour_until = float('-inf')
@@ -133,11 +135,29 @@
 
     async def _reconcile_after_change(self) -> float:
         """Make servers follow the new term for a while after a change."""
-        if await curio.clock() >= self._reconcile_until:
+        now = await curio.clock()
+        if now >= self._reconcile_until and not self._has_stale_fence(now):
             return CHECK_INTERVAL_S
         await self._primary_changer.reconcile_servers()
         return RECONCILE_INTERVAL_S
 
+    def _has_stale_fence(self, now: float) -> bool:
+        """Return whether a replica is still fenced for a settled change.
+
+        Its driver may be gone or cut off from it.  No claim lasts as long as
+        the fence must have been seen.
+        """
+        state = self._runtime.leadership_state
+        is_fenced = any(
+            handle.status is not None and handle.status.fenced_term
+            for handle in self._runtime.replicas
+        )
+        operation = state.record.operation if is_fenced and state.record else ''
+        if self._fence_first_seen[0] != operation:
+            self._fence_first_seen = (operation, now)
+        is_old = now - self._fence_first_seen[1] >= CLAIM_TAKEOVER_DELAY_S
+        return bool(operation) and is_old and state.is_primary_usable(now)
+
     async def _is_registered_long_enough(self) -> bool:
         """Return whether this node has been registered long enough to act."""
         now: float = await curio.clock()
