Leave the fences of a later claim, and report no primary of an ended term

Cause: by reading (a review), not by a run: a driver that was stopped and gives up late would release the fences of the claim that followed; a node answered a peer that a server leads a term that the node knows to have ended.

Change: an abandoned change that was superseded releases nothing; a node reports a recent answer as that of a primary only if the term has not ended. A primary that was found, not promoted, is logged as found.

--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -150,7 +150,7 @@
             await state.resume_term(
                 leader.term,
                 leader.server,
-                'promoted by this node',
+                'found leading by this node',
                 claim.fencing_token,
             )
         await self._records.settle(report, claim, leader)
@@ -407,6 +407,9 @@
         self, report: PrimaryChangeReport, claim: LeadershipClaim
     ) -> bool:
         """Release the fences; resume the old term if nothing was promoted."""
+        if self._records.is_superseded(claim):
+            # The fences are those of a later claim now.
+            return False
         for handle in list(self._runtime.servers.values()):
             await handle.execute_command('release_hold')
         # An earlier claim may have promoted a server that is not seen here, or
--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -150,7 +150,8 @@
     handle: ServerHandle,
     since: float,
 ) -> bool:
-    is_primary = runtime.leadership_state.primary == handle.id
+    state = runtime.leadership_state
+    is_primary = state.has_primary and state.primary == handle.id
     return is_primary and handle.has_answered(since)
 
 
