Tests: refused repetitions that no node sees, and calls with a low token

Cause: the test of a refused repetition passed also if the refusal counted as the answer to the first order, since a peer saw the server. The stand-in recorded a promotion call only after it had refused low tokens, so that find_disordered_promotions could not see one.

Change: a test in which no node reaches the server; calls are recorded first.

--- a/deckdrum/leadership/tests/test_blocked_groups.py
+++ b/deckdrum/leadership/tests/test_blocked_groups.py
@@ -1,7 +1,6 @@
 """Groups that the rules for unseen promotions must neither block nor split."""
 
 import math
-from functools import partial
 from typing import Any
 
 import curio
@@ -13,12 +12,12 @@
 from deckdrum.leadership.promotion_client import PromotionRequest
 from deckdrum.leadership.record_store import CLAIM_TAKEOVER_DELAY_S
 from deckdrum.platform.promotion_client import PlatformPromotionClient
-from deckdrum.standins.users import DatabaseGroup
 from deckdrum.store.records import GroupRecord, Phase
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 from deckdrum.testing.nodes import CURRENT, SERVICE
 from deckdrum.testing.replaced_primaries import (
     Writer,
+    find_disordered_promotions,
     find_replaced_primary_writes,
 )
 
@@ -27,6 +26,8 @@
 _OTHER = f'i-{SERVICE}-3'
 #: Several takeovers of an unfinished claim.
 _OBSERVATION_TIME_S = 4 * CLAIM_TAKEOVER_DELAY_S
+#: Less than a replaced primary continues beside its successor.
+_SHORT_TIME_S = 0.1
 
 
 def _build_claim(**fields: Any) -> dict[str, Any]:
@@ -44,10 +45,6 @@
     return defaults | fields
 
 
-def _has_takeovers(group: DatabaseGroup, count: int) -> bool:
-    return len(group.takeovers) == count
-
-
 async def _write_record(deployment: LinkedDeployment, **fields: Any) -> None:
     await deployment.store.write(
         'deckdrum-leadership', SERVICE, _build_claim(**fields)
@@ -163,9 +160,10 @@
         await _write_record(deployment, term=3)
         await curio.sleep(0.1)
         await group.servers[_FORMER].crash()
-        for count, name in enumerate((_PROMOTED, _OTHER), 1):
+        for name in (_PROMOTED, _OTHER):
             await _promote(deployment, name)
-            await deployment.wait_for(partial(_has_takeovers, group, count))
+            await curio.sleep(group.promotion_time + _SHORT_TIME_S)
+        assert len(group.takeovers) == 2
         last = group.servers[_OTHER]
         await last.crash()
         last.is_listed = False
@@ -179,6 +177,32 @@
     run_linked_scenario(scenario)
 
 
+def test_refused_repetition_of_an_order_that_no_node_sees_ends_the_claim() -> (
+    None
+):
+    """The order before it may have taken effect; no peer tells."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        group = deployment.group
+        client = await deployment.connect(CURRENT)
+        await client.ask('WRITE a 1')
+        group.unanswered_promotions = 1
+        group.primary.is_unresponsive = True
+        writing = await curio.spawn(client.write_until_done, daemon=True)
+        await deployment.wait_for(lambda: bool(group.promotions), 10)
+        ordered = group.promotions[0][0]
+        for number in range(3):
+            await deployment.cut_link(number, ordered)
+        await deployment.wait_for(lambda: bool(group.takeovers))
+        await group.servers[ordered].crash()
+        await curio.sleep(_OBSERVATION_TIME_S)
+        await writing.cancel()
+        assert len({each[0] for each in group.promotions}) == 2
+        assert not find_disordered_promotions(group.promotions)
+
+    run_linked_scenario(scenario)
+
+
 def test_driver_does_not_reopen_a_term_that_a_later_claim_has_ended() -> None:
     """Its copy of the record is old; the later claim counts on its answer."""
 
--- a/deckdrum/standins/users/databases.py
+++ b/deckdrum/standins/users/databases.py
@@ -217,11 +217,11 @@
         fencing_token = int(request.headers.get('x-deckdrum-fence', '0'))
         if server is None or not server.can_be_reached:
             return Reply.from_text('not running', _CONFLICT)
+        self.promotions.append((server.name, holder, fencing_token))
         if self.is_checking_fences:
             if fencing_token < self._highest_fencing_token:
                 return Reply.from_text('the fence is too low', _CONFLICT)
             self._highest_fencing_token = fencing_token
-        self.promotions.append((server.name, holder, fencing_token))
         await curio.sleep(self.promotion_delay)
         if server is not self._find_primary():
             await curio.spawn(self._complete_promotion, server, daemon=True)
