Order no second server after one that was found leading and ordered again

What callers saw: nothing; found in the read-through, shown by a test.

Evidence: test_claim_orders_no_other_server_after_an_unconfirmed_leader failed on the parent: two servers with one token.

Change: that order takes the place of the promotion; without its effect the change fails and the claim stays unfinished. Peers are asked for the only unfenced server while the change waits for proof to run out, so that the claim's time is enough for an order (a first form, asking before the wait, left no time and failed test_takeover_ends_the_term_that_an_unseen_promotion_began).

Measured: the test passes; 259 tests of leadership pass. In the run before, test_replica_that_restarts_empty_is_not_promoted failed once; its output was not kept, and it passed in the next five runs.

--- a/deckdrum/leadership/peer_observation.py
+++ b/deckdrum/leadership/peer_observation.py
@@ -10,10 +10,12 @@
 
 import curio
 
+from deckdrum.backends import ServerRole
 from deckdrum.control import Member
 from deckdrum.fleet.node_messages import AskServer, ServerAnswer
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.serving.runtime import ServiceRuntime
+from deckdrum.serving.servers import ServerHandle
 
 #: Longest wait for peers; a peer may have to query the server first.
 OBSERVATION_TIMEOUT_S: Final = 0.5
@@ -54,28 +56,22 @@
         """Return the other nodes that connect to the group's servers."""
         return self._runtime.allocator.others or self._peers.others
 
-    async def find_led_term(self, server: str) -> int:
-        """Return the latest term that peers see a server lead, or 0."""
-        answers = await self._peers.ask_each(
-            self.list_observers(),
-            AskServer(self._runtime.name, server),
-            OBSERVATION_TIMEOUT_S,
-        )
-        return max(
-            (
-                answer.leads_term
-                for answer in answers.values()
-                if isinstance(answer, ServerAnswer) and answer.reached
-            ),
-            default=0,
-        )
+    async def find_led_term(self, handle: ServerHandle) -> int:
+        """Return the term that a server leads, or 0.
+
+        Peers are asked if it does not answer this node.
+        """
+        status = await self._runtime.query_server(handle)
+        if status is None:
+            return await self.ask_led_term(handle.id)
+        return status.term if status.role is ServerRole.PRIMARY else 0
 
     async def find_leader(
         self, servers: Iterable[str], min_term: int
     ) -> Leader | None:
         """Return the server that peers see lead `min_term` or a later term."""
         tasks = {
-            server: await curio.spawn(self.find_led_term, server)
+            server: await curio.spawn(self.ask_led_term, server)
             for server in servers
         }
         leaders = [
@@ -86,6 +82,22 @@
             return None
         return latest
 
+    async def ask_led_term(self, server: str) -> int:
+        """Return the latest term that peers see a server lead, or 0."""
+        answers = await self._peers.ask_each(
+            self.list_observers(),
+            AskServer(self._runtime.name, server),
+            OBSERVATION_TIMEOUT_S,
+        )
+        return max(
+            (
+                answer.leads_term
+                for answer in answers.values()
+                if isinstance(answer, ServerAnswer) and answer.reached
+            ),
+            default=0,
+        )
+
 
 def _get_term(leader: Leader) -> int:
     return leader.term
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -119,11 +119,7 @@
             prepared = await self._prepare(report, claim)
             if prepared is None:
                 return await self._abandon(report, claim)
-            leader = (
-                prepared
-                if isinstance(prepared, Leader)
-                else await self._promoter.promote(report, claim, prepared)
-            )
+            leader = await self._order(report, claim, prepared)
         except StoreError as error:
             self._log('leadership.change_failed', report, str(error))
             return False
@@ -137,6 +133,21 @@
         await self._finish(report, claim, leader)
         return True
 
+    async def _order(
+        self,
+        report: PrimaryChangeReport,
+        claim: LeadershipClaim,
+        prepared: Leader | list[PromotionCandidate],
+    ) -> Leader | None:
+        """Return the new primary; order one if none is in use."""
+        if not isinstance(prepared, Leader):
+            return await self._promoter.promote(report, claim, prepared)
+        if prepared.term >= claim.record.term:
+            return prepared
+        # The claim has ended its term, and a server that is not listed any more
+        # may have taken over since.
+        return await self._promoter.confirm(claim, prepared)
+
     async def _finish(
         self,
         report: PrimaryChangeReport,
@@ -193,8 +204,7 @@
     ) -> list[PromotionCandidate] | Leader | None:
         """End the old term safely; return the candidates, the best first.
 
-        If a node uses a primary of the claimed term already, this one is
-        returned instead.
+        A server that leads already is returned instead.
         """
         term = claim.record.term
         former = self._runtime.servers.get(report.former)
@@ -205,8 +215,13 @@
         fenced_at = await curio.clock()
         all_ended = await self._has_ended_everywhere(votes)
         if not all_ended:
+            unfenced = self._fencing.list_unfenced(fenced, report.former)
+            asking = await curio.spawn(self._ask_for_leader, claim, unfenced)
             await curio.sleep(PROOF_LIFETIME_S)
             await report.record_phase('wait')
+            leader: Leader | None = await asking.join()
+            if leader is not None:
+                return leader
         if not await self._fencing.are_still_fenced(fenced, term):
             # A replica that restarted may have given proof of the old term.
             report.failure_detail = (
@@ -242,7 +257,7 @@
         """End the old term at nodes, primary and replicas.
 
         Returns the fenced replicas and the votes; None if they are too few, or
-        a primary that a node uses in a later term.
+        a server that leads already.
         """
         term = claim.record.term
         ending = await curio.spawn(self._end_term, report, claim)
@@ -265,11 +280,14 @@
         leader = (
             self._find_own_leader()
             or votes.leader
-            or await self._find_sole_leader(claim, unfenced)
+            or _find_sole_leader(claim, unfenced)
         )
         if leader is not None:
             return leader
         if not self._fencing.is_enough(fenced):
+            leader = await self._ask_for_leader(claim, unfenced)
+            if leader is not None:
+                return leader
             report.failure_detail = (
                 f'too few replicas fenced: {self._fencing.describe()}'
             )
@@ -289,26 +307,20 @@
             return None
         return Leader(state.primary, state.term)
 
-    async def _find_sole_leader(
+    async def _ask_for_leader(
         self, claim: LeadershipClaim, unfenced: Sequence[ServerHandle]
     ) -> Leader | None:
-        """Return the server that an earlier claim has promoted, if it leads.
+        """Return the only unfenced server if peers see it lead.
 
-        It may lead the term that this claim has ended.  If all others are
-        fenced, no other server can lead, and it need not be replaced.
+        An earlier claim may have promoted it, and this claim ended its term.
+        As all others are fenced, it need not be replaced.
         """
         if len(unfenced) != 1:
             return None
-        handle = unfenced[0]
-        status = handle.status
-        if status is None:
-            term = await self._observer.find_led_term(handle.id)
-        else:
-            term = status.term if status.role is ServerRole.PRIMARY else 0
-        if term <= claim.record.former_term:
-            return None
-        # A server that is not listed any more may have taken over since.
-        return await self._promoter.confirm(claim, Leader(handle.id, term))
+        server = unfenced[0].id
+        term = await self._observer.ask_led_term(server)
+        is_later = term > claim.record.former_term
+        return Leader(server, term) if is_later else None
 
     async def _step_down(
         self,
@@ -444,3 +456,16 @@
         if isinstance(answer, TermEnded) and answer.later_term
     ]
     return max(leaders, key=lambda leader: leader.term, default=None)
+
+
+def _find_sole_leader(
+    claim: LeadershipClaim, unfenced: Sequence[ServerHandle]
+) -> Leader | None:
+    """Return the only unfenced server if it says that it leads."""
+    if len(unfenced) != 1:
+        return None
+    status = unfenced[0].status
+    if status is None or status.role is not ServerRole.PRIMARY:
+        return None
+    is_later = status.term > claim.record.former_term
+    return Leader(unfenced[0].id, status.term) if is_later else None
--- a/deckdrum/leadership/server_promotion.py
+++ b/deckdrum/leadership/server_promotion.py
@@ -11,7 +11,6 @@
 
 import curio
 
-from deckdrum.backends import ServerRole
 from deckdrum.leadership.context import (
     POLL_INTERVAL_S,
     LeadershipClaim,
@@ -100,11 +99,15 @@
     async def confirm(
         self, claim: LeadershipClaim, leader: Leader
     ) -> Leader | None:
-        """Order a server that leads already; return the term that it leads.
+        """Order a server that was found leading, and return what it leads then.
 
-        The platform changes nothing for its present primary, and refuses
-        orders of earlier claims from then on.  If another server has taken over
-        since, this one takes the next term.
+        The platform changes nothing for its present primary.  If another server
+        has taken over since, this one takes the next term.
+
+        Returns
+        -------
+        Leader or None
+            None if it is not known to lead.  It may lead all the same.
         """
         request = PromotionRequest(
             self._runtime.name,
@@ -127,11 +130,7 @@
         handle = self._runtime.servers.get(leader.server)
         if handle is None:
             return None
-        status = await self._runtime.query_server(handle)
-        if status is None:
-            term = await self._observer.find_led_term(handle.id)
-        else:
-            term = status.term if status.role is ServerRole.PRIMARY else 0
+        term = await self._observer.find_led_term(handle)
         return Leader(leader.server, term) if term >= leader.term else None
 
     async def _promote_one(
@@ -199,20 +198,12 @@
         )
         async with curio.ignore_after(timeout):
             while True:
-                term = await self._find_led_term(candidate)
+                term = await self._observer.find_led_term(candidate.handle)
                 if term > candidate.status.term:
                     return Leader(candidate.handle.id, term)
                 await curio.sleep(POLL_INTERVAL_S)
         return None
 
-    async def _find_led_term(self, candidate: PromotionCandidate) -> int:
-        """Return the term that a candidate is seen to lead, or 0."""
-        handle = candidate.handle
-        status = await self._runtime.query_server(handle)
-        if status is None:
-            return await self._observer.find_led_term(handle.id)
-        return status.term if status.role is ServerRole.PRIMARY else 0
-
     def _log_unseen(
         self,
         request: PromotionRequest,
--- a/deckdrum/leadership/tests/test_blocked_groups.py
+++ b/deckdrum/leadership/tests/test_blocked_groups.py
@@ -271,3 +271,25 @@
         assert gap < 10
 
     run_linked_scenario(scenario)
+
+
+def test_claim_orders_no_other_server_after_an_unconfirmed_leader() -> None:
+    """The server that was found leading is ordered again, and then lost."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        group = deployment.group
+        other = group.servers[_OTHER]
+        await _write_record(deployment, term=3)
+        await curio.sleep(0.1)
+        await group.servers[_FORMER].crash()
+        other.is_replication_blocked = True
+        other.fenced_term = 2
+        await _promote(deployment, _PROMOTED)
+        await deployment.wait_for(lambda: len(group.promotions) > 1, 20)
+        assert group.promotions[1][0] == _PROMOTED
+        await group.servers[_PROMOTED].crash()
+        await curio.sleep(_OBSERVATION_TIME_S)
+        assert {each[0] for each in group.promotions} == {_PROMOTED, _OTHER}
+        assert not find_disordered_promotions(group.promotions)
+
+    run_linked_scenario(scenario)
