--- a/deckdrum/soak/environment.py
+++ b/deckdrum/soak/environment.py
@@ -8,7 +8,7 @@
 
 from deckdrum.soak.links import FaultLink, LinkState
 from deckdrum.soak.partitions import Partitions
-from deckdrum.soak.processes import NodeProcess
+from deckdrum.soak.processes import NodeProcess, choose_database_host
 from deckdrum.standins.users import DatabaseGroup, DatabaseServer, StandinStore
 from deckdrum.standins.users.servers import PRIMARY
 from deckdrum.testing.nodes import SERVICE, ZONES, build_config
@@ -66,6 +66,7 @@
             SERVICE,
             self.store,
             synchronous_replicas=self.synchronous_replicas,
+            host=choose_database_host(),
         )
 
     async def start(self, nodes: int) -> None:
--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -31,6 +31,8 @@
 #: run at the same time must not share any.
 _FIRST_NETWORK: Final = 2
 _NETWORK_COUNTS: Final = (200, 250)
+#: Last octet of the databases' address, above those of the nodes.
+_DATABASE_HOST: Final = 250
 _TERMINATING_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGKILL))
 #: Time between SIGTERM and SIGKILL.
 TERMINATION_GRACE_S: Final = 4.0
@@ -56,6 +58,11 @@
     return f'127.{_FIRST_NETWORK + outer}.{inner}'
 
 
+def choose_database_host() -> str:
+    """Return the loopback address of the databases of this soak process."""
+    return f'{_choose_network(os.getpid())}.{_DATABASE_HOST}'
+
+
 class NodeProcess:
     """Process of one node: ``python -m deckdrum.testing.partitioned_program``.
 
--- a/deckdrum/standins/users/databases.py
+++ b/deckdrum/standins/users/databases.py
@@ -51,6 +51,10 @@
         acknowledged.
     max_connections : int
         Connection limit of each database.
+    host : str
+        Loopback address of the databases.  A database that restarts needs its
+        port again, which a connection of another process may have taken if
+        that uses the same address.
     servers : dict of str to DatabaseServer
         Databases by id, including stopped ones.
     executed_statements : list of ExecutedStatement
@@ -78,6 +82,7 @@
     promotion_time: float = 0.3
     synchronous_replicas: int = 0
     max_connections: int = 23
+    host: str = '127.0.0.1'
     servers: dict[str, DatabaseServer] = field(default_factory=dict)
     executed_statements: list[ExecutedStatement] = field(default_factory=list)
     promotions: list[tuple[str, str, int]] = field(default_factory=list)
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -61,6 +61,8 @@
         Execution time of a statement, in seconds.
     max_connections : int
         Connection limit of each database.
+    host : str
+        Loopback address of the databases.
     executed_statements : list of ExecutedStatement
         Executed statements of all databases, in order.
     """
@@ -69,6 +71,7 @@
     store: StandinStore
     statement_time: float
     max_connections: int
+    host: str
     executed_statements: list[ExecutedStatement]
 
     @abstractmethod
@@ -161,7 +164,7 @@
         self._started_at_ms = FIRST_START_UNIX_MS
         self._connections: set[Stream] = set()
         self._listener: Listener | None = None
-        self._address = Address('127.0.0.1', 0)
+        self._address = Address(group.host, 0)
 
     @property
     def address(self) -> Address:
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -210,7 +210,9 @@
         **group: Any,
     ) -> None:
         self.store = StandinStore()
-        self.group = DatabaseGroup(SERVICE, self.store, **group)
+        self.group = DatabaseGroup(
+            SERVICE, self.store, **{'host': _HOST, **group}
+        )
         self.nodes: list[RunningNode] = []
         #: Numbers of the nodes by their addresses for peers.
         self.peer_numbers: dict[Address, int] = {}
