--- a/deckdrum/leadership/tests/test_drawn_faults.py
+++ b/deckdrum/leadership/tests/test_drawn_faults.py
@@ -42,7 +42,7 @@
 
 @pytest.mark.parametrize(
     'seed',
-    [1006, 1120, 3793, 3832, 3840, 3855, 4000, 4001, 4002, 4003],
+    [1006, 1120, 3793, 3832, 3840, 3855, 8528, 4000, 4001, 4002, 4003],
 )
 def test_drawn_faults_violate_nothing(seed: int) -> None:
     assert not _play(draw_case(seed))
