Review: acknowledged writes are lost with two forgotten databases

Cause: a group with synchronous replicas counts the servers that a node lists. Once the primary and its complete replica have been forgotten, one fenced replica seems to have every acknowledged write.

Nothing of the product is changed.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -637,7 +637,8 @@
 class Deployment:
     """Store, databases and nodes; everything ends with it."""
 
-    def __init__(self, folder, *, nodes=3, routes=(), seed=1, **group):
+    def __init__(self, folder, *, nodes=3, routes=(), seed=1,
+                 sync_replicas=0, **group):
         self.record = Record(Path(folder) / 'record.txt')
         self.random = random.Random(seed)
         self.network = pick_network()
@@ -646,6 +647,7 @@
         self._routes = routes
         self._group_settings = {'seed': seed, **group}
         self.nodes = []
+        self.sync_replicas = sync_replicas
 
     async def start(self):
         """Start everything; return whether all nodes became ready."""
@@ -659,7 +661,7 @@
             'version': 1, 'routes': list(self._routes),
             'services': [{'name': SERVICE,
                           'maxConns': self.group.max_connections,
-                          'syncReplicas': 0}],
+                          'syncReplicas': self.sync_replicas}],
             'limits': {'txIdleMs': 3000},
         })
         hosts = [f'{self.network}.{number + 1}'
