--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,11 @@
-"""A group with `syncReplicas` 1 loses its primary and its complete replica.
+"""A machine is stopped by SIGTERM while it sends long answers.
 
-The third database receives nothing for a while, as long as the others live.
+Sessions read answers of 6 MB over links of 32 Mbit/s, which takes 1.5 s.
 """
 
 import asyncio
+import signal
+import socket
 import sys
 import time
 from pathlib import Path
@@ -12,189 +14,145 @@
 sys.path.insert(0, str(FOLDER.parent / 'standins'))
 
 from deployment import (  # noqa: E402
-    SERVICE,
-    ZONES,
-    Client,
-    Database,
     Deployment,
-    Group,
     build_route,
     has_trouble,
     run_case,
 )
-import deployment as module  # noqa: E402
-
-NODES, SESSIONS = 3, 6
-HEARTBEAT_S, MISSED_HEARTBEATS = 1.2, 3
-#: How long the third database receives nothing: a dose of the site file.
-DEAF_S = 6.0
-NETWORK_S = 0.002
-FIRST = 100
-
-
-class SyncDatabase(Database):
-    """A database that keeps its log as the ids of the writes it has."""
-
-    def __init__(self, group, name, zone, role):
-        super().__init__(group, name, zone, role)
-        self.log = []
-        self.is_down = self.is_deaf = False
-
-    def take(self, log):
-        """Receive the log of the primary, and apply it after the lag."""
-        if self.is_down or self.is_deaf or self.fenced:
-            return False
-        self.log = list(log)
-        self.received = FIRST + len(self.log)
-        loop = asyncio.get_running_loop()
-        loop.call_later(self.group.lag_s, self.apply, self.received)
-        return True
-
-    def apply(self, number):
-        """Apply the log up to `number`."""
-        self.applied = max(self.applied, number)
-
-    def _send(self, session, end, rows):
-        # A database that has gone dark answers nothing.
-        if not self.is_down:
-            super()._send(session, end, rows)
-
-    async def _work(self, session, request, text, arguments, effect, shape):
-        if effect == 'WRITE' and self.role != 'primary':
-            return self._send(session, f'ERROR READONLY {self.name}', [])
-        await self._hold_slot(self.group.work_s)
-        if effect == 'WRITE' and not await self.group.commit(self, request):
-            return None
-        self._complete(session, request, text, shape, [])
-        return None
-
-
-class SyncGroup(Group):
-    """A group whose commits are answered once one replica has received them."""
-
-    def __init__(self, *arguments, **settings):
-        super().__init__(*arguments, **settings)
-        self.promoted = []
-
-    async def start(self, network, count=3):
-        """Start the databases; the first is the primary."""
-        for number in range(count):
-            database = SyncDatabase(
-                self, f'i-{number + 1}', ZONES[number],
-                'replica' if number else 'primary',
-            )
-            self.databases[database.name] = database
-            await database.start(f'{network}.{200 + number}')
-
-    async def commit(self, primary, request):
-        """Append a write; return whether a replica has received it."""
-        primary.log.append(request)
-        primary.received = primary.applied = FIRST + len(primary.log)
-        log = list(primary.log)
-        await asyncio.sleep(NETWORK_S)
-        while not primary.is_down and primary.role == 'primary':
-            others = [each for each in self.databases.values()
-                      if each is not primary]
-            if any([each.take(max(log, primary.log, key=len))
-                    for each in others]):
-                return not primary.is_down
-            await asyncio.sleep(NETWORK_S)
-        return False
-
-    async def lose(self, database):
-        """A database goes dark; its entry goes after three heartbeats."""
-        database.is_down = True
-        await asyncio.sleep(HEARTBEAT_S * MISSED_HEARTBEATS)
-        if database.is_down:
-            store = self.store
-            stored = store.objects.pop(('servers', database.name))
-            store.revision += 1
-            stored['meta']['revision'] = store.revision
-            await store._notify('servers', stored, True)
-
-    async def promote(self, name):
-        """Make a database the primary of the next term, 300 ms later."""
-        database = self.databases.get(name)
-        if database is None or database.is_down:
-            return False
-        if database.role == 'primary':
-            return True
-        await asyncio.sleep(0.3)
-        self.promoted.append((name, list(database.log)))
-        self.record.write('PROMOTED', name, f'log of {len(database.log)} writes')
-        database.term = max(each.term for each in self.databases.values()) + 1
-        database.role, database.fenced = 'primary', 0
-        await database.publish()
-        return True
-
-
-async def write_on(deployment, number, until, acknowledged):
-    """Write again and again in one session."""
-    node = deployment.nodes[number % NODES]
+
+SESSIONS = 8
+ROW_BYTES, ROW_COUNT = 1_000_000, 6
+#: What a session's link carries: 32 Mbit/s.
+CHUNK_BYTES, BYTES_PER_S = 65536, 4_000_000
+RECEIVE_BUFFER_BYTES = 131072
+#: Requests are sent at most this long after the SIGTERM.
+LAST_REQUEST_S = 2.6
+GRACE_S = 6
+TIMEOUT_S = 2.0
+
+
+class SlowSession:
+    """A session over a link with little bandwidth."""
+
+    def __init__(self, deployment, number):
+        self.name = f'u{number}'
+        self._deployment = deployment
+        self._sock = socket.socket()
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self._sock.setblocking(False)
+        self._loop = asyncio.get_running_loop()
+
+    async def connect(self, address):
+        """Open the session."""
+        await self._loop.sock_connect(self._sock, address)
+        await self._send(f'STARTUP tiles {self.name}')
+        return await self._receive_until_ready()
+
+    async def read(self, thing):
+        """Send a read; return whether the whole answer arrived."""
+        request = f'{self._deployment.random.getrandbits(64):016x}'
+        record = self._deployment.record
+        record.write('SENT', self.name, request, f'READ {thing}')
+        began = time.monotonic()
+        await self._send(f'QUERY {request} READ {thing}')
+        size, end = await self._receive_until_ready()
+        took = time.monotonic() - began
+        is_whole = end.startswith(b'READY ')
+        record.write(
+            'ANSWER' if is_whole else 'CUT', self.name, request,
+            f'{size} bytes in {took:.3f} s, at the end {end[:60]!r}',
+        )
+        return request, is_whole, took, size
+
+    def close(self):
+        """Close the session."""
+        self._sock.close()
+
+    async def _send(self, text):
+        await self._loop.sock_sendall(self._sock, f'{text}\r\n'.encode())
+
+    async def _receive_until_ready(self):
+        """Return the size of an answer, and its last line if it is whole."""
+        size, tail = 0, b''
+        began = time.monotonic()
+        while True:
+            try:
+                chunk = await self._loop.sock_recv(self._sock, CHUNK_BYTES)
+            except ConnectionError:
+                return size, b'(reset)'
+            if not chunk:
+                return size, b'(closed)'
+            size += len(chunk)
+            tail = (tail + chunk)[-200:]
+            lines = tail.split(b'\r\n')
+            if len(lines) > 1 and not lines[-1] and lines[-2][:6] == b'READY ':
+                return size, lines[-2]
+            ahead = size / BYTES_PER_S - (time.monotonic() - began)
+            if ahead > 0:
+                await asyncio.sleep(ahead)
+
+
+async def use_session(deployment, number, until, results):
+    """Read again and again, with pauses."""
+    session = SlowSession(deployment, number)
+    await session.connect(deployment.nodes[0].clients)
+    await asyncio.sleep(deployment.random.uniform(0, 1))
     while time.monotonic() < until:
-        client = Client(f'u{number}', node.clients, 'bookings',
-                        deployment.record, deployment.random)
-        await client.connect()
-        state = 'I'
-        while state and time.monotonic() < until:
-            request, _, end, state = await client.ask(f'WRITE a{number} x')
-            if end.startswith('COMPLETE'):
-                acknowledged.append(request)
-            await asyncio.sleep(0.1)
-        client.close()
+        sent_at = time.monotonic()
+        result = await session.read(number)
+        results.append((sent_at, *result))
+        if not result[1]:
+            break
+        await asyncio.sleep(deployment.random.uniform(0.1, 0.5))
+    session.close()
 
 
 async def play(deployment):
-    """Lose two databases while the third lacks acknowledged writes."""
-    group = deployment.group
-    acknowledged = []
-    until = time.monotonic() + 25
+    """Stop one machine while its sessions read."""
+    results = []
+    began = time.monotonic()
+    stop_at = began + 4
+    until = stop_at + LAST_REQUEST_S
     sessions = [
-        asyncio.create_task(write_on(deployment, each, until, acknowledged))
+        asyncio.create_task(use_session(deployment, each, until, results))
         for each in range(SESSIONS)
     ]
-    await asyncio.sleep(3)
-    losses = []
+    await asyncio.sleep(stop_at - time.monotonic())
     if has_trouble():
-        deployment.record.write('TROUBLE', f'i-3 receives nothing for {DEAF_S} s')
-        group.databases['i-3'].is_deaf = True
-        await asyncio.sleep(2)
-        deployment.record.write('TROUBLE', 'i-1 and i-2 go dark')
-        losses = [asyncio.create_task(group.lose(group.databases[name]))
-                  for name in ('i-1', 'i-2')]
-        await asyncio.sleep(DEAF_S - 2)
-        group.databases['i-3'].is_deaf = False
-        deployment.record.write('TROUBLE', 'i-3 could receive again')
-    await asyncio.wait(sessions, timeout=40)
-    await asyncio.gather(*losses)
-    lost = set()
-    for name, _ in group.promoted:
-        missing = set(acknowledged) - set(group.databases[name].log)
-        lost |= missing
-        for request in sorted(missing):
-            deployment.record.write(
-                'BROKEN', f'{name} was promoted without {request}, which had '
-                'been acknowledged'
-            )
-    line = (f'{len(acknowledged)} writes acknowledged, promoted: '
-            f'{[name for name, _ in group.promoted]}, {len(lost)} '
-            'acknowledged writes missing')
+        deployment.record.write('TROUBLE', 'SIGTERM', deployment.nodes[0].name)
+        deployment.nodes[0].send(signal.SIGTERM)
+    await asyncio.wait(sessions, timeout=GRACE_S + 2)
+    ran = {run[0] for run in deployment.group.runs}
+    lost = []
+    for sent_at, request, is_whole, took, size in results:
+        if is_whole or request not in ran or size == 0:
+            # A request that the process may not have read is not counted.
+            continue
+        if took >= TIMEOUT_S:
+            continue
+        lost.append(request)
+        deployment.record.write(
+            'BROKEN', f'{request}, sent {sent_at - stop_at:.3f} s after the '
+            f'SIGTERM, was cut after {size} bytes and {took:.3f} s',
+        )
+    line = f'{len(results)} reads, {len(lost)} cut within their answer'
     deployment.record.write('RESULT', line)
     print(line)
     return 1 if lost else 0
 
 
-module.Group = SyncGroup
 run_case(
     FOLDER,
     Deployment(
         FOLDER,
-        nodes=NODES,
-        routes=[build_route('bookings', 'primary', timeoutMs=800)],
-        work_s=0.006,
-        max_connections=23,
-        lag_s=0.06,
-        sync_replicas=1,
+        nodes=3,
+        routes=[build_route('tiles', 'bounded', maxStalenessMs=1500,
+                            timeoutMs=round(TIMEOUT_S * 1000))],
+        work_s=0.015,
+        row_bytes=ROW_BYTES,
+        row_count=ROW_COUNT,
     ),
     play,
 )
