Log refused connections apart from silence, and who counts in place

A node that refuses a connection counts as stopped when a term is ended and when a limit is counted. leadership.nodes_silent now names the nodes that refused, limit.counted_in_place tells whether a node counted as successor or as deputy, and limit.lease_ended names the borrower whose lease ended early. They tell apart whether QUOTA breaks by successors or by shares lent again.

--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -367,8 +367,13 @@
             for name, answer in answers.items()
             if not isinstance(answer, TermEnded | ConnectionRefusedError)
         ]
-        if unresponsive:
-            self._log_unresponsive(unresponsive, term)
+        refusing = [
+            name
+            for name, answer in answers.items()
+            if isinstance(answer, ConnectionRefusedError)
+        ]
+        if unresponsive or refusing:
+            self._log_unresponsive(unresponsive, refusing, term)
         # Plus one for this node.
         stopped = len(answers) - len(unresponsive) + 1
         registered = self._context.peers.count_registered()
@@ -433,13 +438,16 @@
         self._log('leadership.change_given_up', report, report.reason)
         return False
 
-    def _log_unresponsive(self, unresponsive: list[str], term: int) -> None:
+    def _log_unresponsive(
+        self, silent: list[str], refusing: list[str], term: int
+    ) -> None:
         self._runtime.journal.record(
             'leadership.nodes_silent',
             service=self._runtime.name,
             term=term,
-            nodes=unresponsive[:MAX_LOGGED_NODES],
-            count=len(unresponsive),
+            nodes=silent[:MAX_LOGGED_NODES],
+            count=len(silent),
+            refusing=refusing[:MAX_LOGGED_NODES],
         )
 
     def _log(
--- a/deckdrum/limits/client.py
+++ b/deckdrum/limits/client.py
@@ -129,6 +129,7 @@
                 answer = await self._counter.try_acquire(
                     workspace, role, priority
                 )
+                self._log_counted(workspace, name, role)
                 return self._record_counted(workspace, name, answer)
             if not self._peers.health.is_unresponsive(name):
                 if attempts >= max_attempts:
@@ -137,6 +138,7 @@
                 request = AskLimit(workspace.name, role, priority)
                 reply = await self._ask_coordinator(name, request)
                 if reply is not None and reply.is_kept:
+                    self._log_counted(workspace, name, role)
                     return self._record_counted(workspace, name, reply)
             role = self._get_next_role(name, role)
         return None
@@ -149,6 +151,18 @@
             self._counted_by[workspace.name] = name
         return answer
 
+    def _log_counted(
+        self, workspace: Workspace, name: str, role: LimitRole
+    ) -> None:
+        """Log that another node than the coordinator has counted."""
+        if role is not LimitRole.COORDINATOR:
+            self._journal.record_rate_limited(
+                'limit.counted_in_place',
+                workspace=workspace.name,
+                by=name,
+                role=role,
+            )
+
     def _get_next_role(self, name: str, role: LimitRole) -> LimitRole:
         """Return the role of the next node, after one that does not count."""
         may_be_partitioned = self._peers.health.may_be_partitioned(name)
--- a/deckdrum/limits/shares.py
+++ b/deckdrum/limits/shares.py
@@ -186,6 +186,9 @@
         )
         now = await curio.clock()
         if isinstance(answer, ConnectionRefusedError):
+            self._journal.record_rate_limited(
+                'limit.lease_ended', borrower=name, reason=repr(answer)
+            )
             contact.record_refusal(sent_at, now)
             if self._own is not None:
                 self._own.end_lease(name, sent_at, now)
