Do not count a refused connection as a node's consent to end a term

Cause: a node whose connection was refused counted as stopped when a term was ended, so all nodes seemed to have ended it and the change did not wait for the proofs to expire. Only this node could not connect: the process behind the cut ran on, reached the databases, and had proof of the term for up to 1.2 s.

The new test with resetting cuts fails for planned and for unplanned changes; leadership.prepared says "all ended: True, 0.004 s waited" with n2 refusing. With silent cuts, and with cuts that leave open connections, it passed.

Why the fix works: only an answer ends a term at a node. Without one the change waits for PROOF_LIFETIME_S, as it does for silent nodes.

The links of the tests in virtual time can reset and refuse connections while both processes run; until now only a stopped process refused.

--- a/deckdrum/leadership/context.py
+++ b/deckdrum/leadership/context.py
@@ -90,9 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TermEndVotes:
-    """Which nodes have stopped using a term's primary.
-
-    A node whose process is not running counts as stopped.
+    """Which nodes have confirmed that they stopped using a term's primary.
 
     Attributes
     ----------
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -3,8 +3,9 @@
 1. *claim*: a conditional update of the leadership record names this node as
    the driver.  The new revision of the record is the fencing token, so tokens
    only increase.
-2. *end the term*: every node is told to stop using the primary.  A node that
-   confirms, or whose process is not running, no longer has proof of the term.
+2. *end the term*: every node is told to stop using the primary.  Only a node
+   that confirms no longer has proof of the term: one that refuses connections
+   may run on behind a cut.
 3. *step down* (planned changes): the primary stops accepting writes, and a
    successor catches up with it.
 4. *fence*: the replicas stop receiving the old primary's log, so that no node
@@ -180,7 +181,7 @@
         alive = [
             answer
             for answer in answers.values()
-            if isinstance(answer, Heartbeat | ConnectionRefusedError)
+            if isinstance(answer, Heartbeat)
         ]
         # Plus one for this node.
         registered = self._context.peers.count_registered()
@@ -365,14 +366,14 @@
         unresponsive = [
             name
             for name, answer in answers.items()
-            if not isinstance(answer, TermEnded | ConnectionRefusedError)
+            if not isinstance(answer, TermEnded)
         ]
         refusing = [
             name
             for name, answer in answers.items()
             if isinstance(answer, ConnectionRefusedError)
         ]
-        if unresponsive or refusing:
+        if unresponsive:
             self._log_unresponsive(unresponsive, refusing, term)
         # Plus one for this node.
         stopped = len(answers) - len(unresponsive) + 1
--- /dev/null
+++ b/deckdrum/leadership/tests/test_refused_connections.py
@@ -0,0 +1,74 @@
+"""Primary changes while connections to processes that run on are refused."""
+
+import curio
+import pytest
+
+from deckdrum.standins.users import StoreFault
+from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
+from deckdrum.testing.links import CutKind
+from deckdrum.testing.nodes import CURRENT, SERVICE, LineClient
+
+#: The node that is cut off from the others.  It reaches the databases.
+_ISOLATED = 2
+
+
+async def _turn_away(deployment: LinkedDeployment, number: int) -> None:
+    """Let the store answer a node nothing, and end its watches."""
+    deployment.store.turned_away[f'n{number}'] = StoreFault.SILENT
+    await deployment.group.primary.publish()
+    record = deployment.store.read('deckdrum-leadership', SERVICE)
+    await deployment.store.write('deckdrum-leadership', SERVICE, record)
+    await curio.sleep(0.1)
+
+
+async def _lose_path(
+    deployment: LinkedDeployment, writer: LineClient, reader: LineClient
+) -> None:
+    """Cut all nodes but the isolated one, which reads on, from the primary."""
+    for number in range(_ISOLATED):
+        await deployment.cut_link(number, deployment.group.primary.name)
+    await curio.spawn(writer.ask, 'WRITE a 1', daemon=True)
+    while not deployment.group.promotions:
+        await reader.ask('READ a')
+        await curio.sleep(0.05)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'is_planned'),
+    [
+        (CutKind.SILENT, True),
+        (CutKind.RESET, True),
+        (CutKind.REFUSE, True),
+        (CutKind.SILENT, False),
+        (CutKind.RESET, False),
+    ],
+)
+def test_node_that_refuses_connections_reads_no_ended_term(
+    kind: CutKind, is_planned: bool
+) -> None:
+    """A refusal counted as consent, so nobody waited for the node's proof.
+
+    It read at the former primary once the successor had acknowledged a write.
+    """
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        former = deployment.group.primary
+        await _turn_away(deployment, _ISOLATED)
+        await deployment.isolate_node(_ISOLATED, kind)
+        writer = await deployment.connect(CURRENT, 0)
+        reader = await deployment.connect(CURRENT, _ISOLATED)
+        assert (await writer.ask('WRITE a 1')).is_done
+        # Its proof of the term is fresh now.
+        assert (await reader.ask('READ a')).rows == ['a-1']
+        if is_planned:
+            await former.drain()
+        else:
+            await _lose_path(deployment, writer, reader)
+        await deployment.wait_for(lambda: bool(deployment.group.takeovers))
+        former.is_replication_blocked = True
+        writer = await deployment.connect(CURRENT, 0)
+        await writer.write_until_done()
+        reply = await reader.ask('READ a')
+        assert not reply.is_done or reply.rows != ['a-1']
+
+    run_linked_scenario(scenario)
--- a/deckdrum/testing/linked_nodes.py
+++ b/deckdrum/testing/linked_nodes.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from deckdrum.standins.users import StoreFault
-from deckdrum.testing.links import CuttableLink
+from deckdrum.testing.links import CutKind, CuttableLink
 from deckdrum.testing.nodes import Deployment, RunningNode
 from deckdrum.utils import Address, Stream
 from deckdrum.utils.virtualtime import run_virtual
@@ -30,10 +30,20 @@
         """Heal the link of a node to a database."""
         await self._get_link(number, server).heal()
 
-    async def cut_node_link(self, number: int, other: int) -> None:
+    async def cut_node_link(
+        self, number: int, other: int, kind: CutKind = CutKind.SILENT
+    ) -> None:
         """Cut the link between two nodes, in both directions."""
-        await self._get_link(number, other).cut()
-        await self._get_link(other, number).cut()
+        await self._get_link(number, other).cut(kind)
+        await self._get_link(other, number).cut(kind)
+
+    async def isolate_node(
+        self, number: int, kind: CutKind = CutKind.SILENT
+    ) -> None:
+        """Cut a node from all other nodes, but not from databases and store."""
+        for other, _ in enumerate(self.nodes):
+            if other != number:
+                await self.cut_node_link(number, other, kind)
 
     async def heal_node_link(self, number: int, other: int) -> None:
         """Heal the link between two nodes."""
--- a/deckdrum/testing/links.py
+++ b/deckdrum/testing/links.py
@@ -1,6 +1,7 @@
 """Network links that tests can cut."""
 
 import socket
+from enum import StrEnum
 from typing import Final
 
 import curio
@@ -13,22 +14,40 @@
 DROP_TIMEOUT_S: Final = TCP_USER_TIMEOUT_MS / _MS_PER_S
 
 
+class CutKind(StrEnum):
+    """How a cut link treats connections."""
+
+    #: Open connections hang, and new ones time out.
+    SILENT = 'silent'
+    #: Open connections are reset, and new ones refused.
+    RESET = 'reset'
+    #: Open connections work, and new ones are refused.
+    REFUSE = 'refuse'
+
+
 class CuttableLink:
     """Relays one node's connections to one address.
 
-    While the link is cut, open connections hang: what either end sends, or that
-    it closes, reaches the other end once the link is healed.  Connections of a
-    link that stays cut for `DROP_TIMEOUT_S` are closed.  New ones time out.
+    While the link is cut silently, open connections hang: what either end
+    sends, or that it closes, reaches the other end once the link is healed.
+    Connections of a link that stays cut for `DROP_TIMEOUT_S` are closed.  New
+    ones time out.  Other cuts refuse them, as a dead port does.
     """
 
     def __init__(self) -> None:
         self.is_cut = False
+        self._is_refusing = False
         self._cut_count = 0
         self._healed = curio.Event()
         self._streams: set[Stream] = set()
 
-    async def cut(self) -> None:
+    async def cut(self, kind: CutKind = CutKind.SILENT) -> None:
         """Cut the link."""
+        if kind is not CutKind.SILENT:
+            self._is_refusing = True
+            if kind is CutKind.RESET:
+                await self._reset()
+            return
         if self.is_cut:
             return
         self.is_cut = True
@@ -39,6 +58,7 @@
     async def heal(self) -> None:
         """Heal the link."""
         self.is_cut = False
+        self._is_refusing = False
         await self._healed.set()
 
     async def dial(self, address: Address, timeout: float) -> Stream:
@@ -47,19 +67,21 @@
         Raises
         ------
         ConnectionError
-            If the address refuses it, or after `timeout` seconds.
+            If the address or a cut refuses it, or after `timeout` seconds.
         """
+        if self._is_refusing:
+            raise ConnectionRefusedError(f'a cut refuses {address}')
         if self.is_cut:
             await curio.sleep(timeout)
             raise ConnectionAbortedError(f'the link to {address} is cut')
         far = await dial(address, timeout)
         near, relay_end = _open_pair()
+        self._streams |= {relay_end, far}
         await curio.spawn(self._relay, relay_end, far, daemon=True)
         return near
 
     async def _relay(self, near: Stream, far: Stream) -> None:
         ends = {near, far}
-        self._streams |= ends
         try:
             async with curio.TaskGroup(wait=any) as copying:
                 await copying.spawn(self._copy, near, far)
@@ -92,8 +114,11 @@
         """Close the connections if the link stays cut."""
         await curio.sleep(DROP_TIMEOUT_S)
         if self.is_cut and self._cut_count == cut_count:
-            for stream in list(self._streams):
-                await stream.abort()
+            await self._reset()
+
+    async def _reset(self) -> None:
+        for stream in list(self._streams):
+            await stream.abort()
 
 
 def _open_pair() -> tuple[Stream, Stream]:
--- a/deckdrum/testing/tests/test_links.py
+++ b/deckdrum/testing/tests/test_links.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 
-from deckdrum.testing.links import DROP_TIMEOUT_S, CuttableLink
+from deckdrum.testing.links import DROP_TIMEOUT_S, CutKind, CuttableLink
 from deckdrum.testing.nodes import allocate_address
 from deckdrum.utils import Listener, Stream
 from deckdrum.utils.virtualtime import run_virtual
@@ -63,3 +63,20 @@
             await link.dial(allocate_address(), 0.3)
 
     _run(scenario)
+
+
+@pytest.mark.parametrize('kind', [CutKind.RESET, CutKind.REFUSE])
+def test_cut_refuses_connections_to_a_process_that_runs(kind: CutKind) -> None:
+    """Tests in which only stopped processes refuse miss what runs on."""
+
+    async def scenario(link: CuttableLink, stream: Stream) -> None:
+        await link.cut(kind)
+        with pytest.raises(ConnectionRefusedError):
+            await link.dial(allocate_address(), 0.3)
+        if kind is CutKind.RESET:
+            assert not await stream.receive()
+        else:
+            await stream.send(b'a')
+            assert await stream.receive() == b'a'
+
+    _run(scenario)
