Fence a replica that refuses connections once it accepts them again

Cause: a replica whose connection was refused or reset counted as dead, so a change went on at once with fewer fenced replicas than rule out new proof of the old term. The replica may run on behind a cut, and proves that term.

Why the fix works: a change waits for such a replica as it does for a silent one, up to FENCE_TIMEOUT_S.

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -87,7 +87,11 @@
         term: int,
         former: str,
     ) -> dict[str, ServerStatus]:
-        """Fence the replicas; return the states of those that are fenced."""
+        """Fence the replicas; return the states of those that are fenced.
+
+        Replicas that refuse connections are waited for as silent ones are: they
+        may run behind a cut and still prove the old term to nodes.
+        """
         self._former = former
         replicas = self._list_replicas(former)
         fenced: dict[str, ServerStatus] = {}
@@ -97,10 +101,6 @@
                 await _fence_each(replicas, term, fenced)
                 if len(fenced) >= required and len(fenced) + 1 >= len(replicas):
                     break
-                missing = [each for each in replicas if each.id not in fenced]
-                is_dead = all(each.is_refusing for each in missing)
-                if is_dead and self._can_continue_with(fenced):
-                    break
                 await curio.sleep(POLL_INTERVAL_S)
         return fenced
 
--- a/deckdrum/leadership/tests/test_refused_connections.py
+++ b/deckdrum/leadership/tests/test_refused_connections.py
@@ -10,6 +10,8 @@
 
 #: The node that is cut off from the others.  It reaches the databases.
 _ISOLATED = 2
+#: Shorter than the wait for enough fenced replicas.
+_SHORT_CUT_S = 0.6
 
 
 async def _turn_away(deployment: LinkedDeployment, number: int) -> None:
@@ -72,3 +74,38 @@
         assert not reply.is_done or reply.rows != ['a-1']
 
     run_linked_scenario(scenario)
+
+
+@pytest.mark.parametrize('kind', CutKind)
+def test_replica_that_refuses_connections_for_a_moment_is_fenced(
+    kind: CutKind,
+) -> None:
+    """A refusal counted as its end, so it still proved the ended term."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        former = deployment.group.primary
+        _, hidden = (
+            server
+            for server in deployment.group.servers.values()
+            if server is not former
+        )
+        # A node with which not all have ended the term.
+        await deployment.isolate_node(_ISOLATED)
+        for number in range(_ISOLATED):
+            await deployment.cut_link(number, former.name)
+            await deployment.cut_link(number, hidden.name, kind)
+        writer = await deployment.connect(CURRENT, 0)
+        await curio.spawn(writer.ask, 'WRITE a 1', daemon=True)
+        await deployment.wait_for(lambda: _is_claimed(deployment))
+        await curio.sleep(_SHORT_CUT_S)
+        for number in range(_ISOLATED):
+            await deployment.heal_link(number, hidden.name)
+        await deployment.wait_for(lambda: bool(deployment.group.promotions))
+        assert hidden.fenced_term == former.term + 1
+
+    run_linked_scenario(scenario)
+
+
+def _is_claimed(deployment: LinkedDeployment) -> bool:
+    record = deployment.store.read('deckdrum-leadership', SERVICE)
+    return bool(record['phase'] == 'fencing')
--- a/deckdrum/serving/servers.py
+++ b/deckdrum/serving/servers.py
@@ -124,8 +124,6 @@
         #: Whether the server neither answers this node nor accepts connections
         #: from it.
         self.is_unreachable = False
-        #: Whether the latest failure was a refused or reset connection.
-        self.is_refusing = False
         #: Log position reported with the latest rejected command.
         self.reported_position: ReportedPosition | None = None
         #: Smoothed time of a statement, with the wait for a connection, in s.
@@ -201,7 +199,6 @@
         """Record an answer, and the duration of a statement in `seconds`."""
         self.answered_at = now
         self.is_unreachable = False
-        self.is_refusing = False
         self._backoff = MIN_BACKOFF_S
         self._backoff_until = float('-inf')
         if seconds is not None:
@@ -214,10 +211,6 @@
                 self.answered_at = now
             self._backoff_until = now + CONNECTION_LIMIT_BACKOFF_S
             return
-        self.is_refusing = isinstance(
-            error,
-            ConnectionRefusedError | ConnectionResetError,
-        )
         self._back_off(now)
 
     def record_timeout(self, now: float) -> None:
--- a/deckdrum/testing/linked_nodes.py
+++ b/deckdrum/testing/linked_nodes.py
@@ -22,9 +22,11 @@
         #: the other node.
         self._links: dict[tuple[int, str | int], CuttableLink] = {}
 
-    async def cut_link(self, number: int, server: str) -> None:
+    async def cut_link(
+        self, number: int, server: str, kind: CutKind = CutKind.SILENT
+    ) -> None:
         """Cut the link of a node to a database, in both directions."""
-        await self._get_link(number, server).cut()
+        await self._get_link(number, server).cut(kind)
 
     async def heal_link(self, number: int, server: str) -> None:
         """Heal the link of a node to a database."""
