Count a limit as a deputy for a coordinator that refuses connections

What callers saw: a workspace that sends far over its limit began 251 operations in 5 s where 238 are allowed (QUOTA), while a third of the machines were behind cuts that reset connections.

Cause: a coordinator that refuses a connection counted as stopped, so the next one in the ranking was asked as its successor, which admits the whole limit anew. The coordinator ran on and counted for the callers on its side. A node that found the coordinator answering again between its own failed request and the choice of the role drew the same conclusion.

Why the fix works: only an answer that says so makes a successor. Without an answer the next node counts as deputy, within its part of the tolerance, as it does for a silent coordinator. Until a killed coordinator runs again its workspaces therefore have a deputy's rate.

--- a/deckdrum/fleet/limit_messages.py
+++ b/deckdrum/fleet/limit_messages.py
@@ -11,7 +11,7 @@
 
     #: It coordinates the limit.
     COORDINATOR = 'keeper'
-    #: It replaces a coordinator that no longer counts.
+    #: It replaces a coordinator that has answered that it no longer counts.
     SUCCESSOR = 'successor'
     #: It stands in for a coordinator that may still count for other nodes.
     DEPUTY = 'deputy'
--- a/deckdrum/limits/client.py
+++ b/deckdrum/limits/client.py
@@ -131,16 +131,21 @@
                 )
                 self._log_counted(workspace, name, role)
                 return self._record_counted(workspace, name, answer)
+            reply = None
             if not self._peers.health.is_unresponsive(name):
                 if attempts >= max_attempts:
                     return None
                 attempts += 1
                 request = AskLimit(workspace.name, role, priority)
                 reply = await self._ask_coordinator(name, request)
-                if reply is not None and reply.is_kept:
-                    self._log_counted(workspace, name, role)
-                    return self._record_counted(workspace, name, reply)
-            role = self._get_next_role(name, role)
+            if reply is not None and reply.is_kept:
+                self._log_counted(workspace, name, role)
+                return self._record_counted(workspace, name, reply)
+            if reply is None:
+                # However its connections fail, it may count for other nodes.
+                role = LimitRole.DEPUTY
+            elif role is LimitRole.COORDINATOR:
+                role = LimitRole.SUCCESSOR
         return None
 
     def _record_counted(
@@ -163,14 +168,6 @@
                 role=role,
             )
 
-    def _get_next_role(self, name: str, role: LimitRole) -> LimitRole:
-        """Return the role of the next node, after one that does not count."""
-        may_be_partitioned = self._peers.health.may_be_partitioned(name)
-        if may_be_partitioned or role is LimitRole.DEPUTY:
-            # The unreachable coordinator may still count for other nodes.
-            return LimitRole.DEPUTY
-        return LimitRole.SUCCESSOR
-
     async def _ask_coordinator(
         self, name: str, request: AskLimit
     ) -> LimitAnswer | None:
--- a/deckdrum/limits/tests/test_limits.py
+++ b/deckdrum/limits/tests/test_limits.py
@@ -100,11 +100,30 @@
     await curio.sleep(8)
 
 
+async def _refuse_third(fleet: LimitFleet) -> None:
+    """Isolate a third of the nodes by cuts that refuse connections."""
+    fleet.is_refusing = True
+    await _isolate_third(fleet)
+
+
+async def _refuse_all(fleet: LimitFleet) -> None:
+    fleet.is_refusing = True
+    await _isolate_all(fleet)
+
+
+async def _refuse_between_halves(fleet: LimitFleet) -> None:
+    fleet.is_refusing = True
+    await _split_in_half(fleet)
+
+
 FAULTS = (
     _inject_nothing,
     _isolate_third,
     _isolate_all,
     _split_in_half,
+    _refuse_third,
+    _refuse_all,
+    _refuse_between_halves,
     _kill_all,
     _kill_coordinators,
 )
--- a/deckdrum/testing/limits.py
+++ b/deckdrum/testing/limits.py
@@ -74,6 +74,8 @@
         await curio.sleep(ONE_WAY_DELAY_S)
         if other in self._fleet.dead:
             return ConnectionRefusedError('no process')
+        if self._fleet.refuses_connection(self._node, other):
+            return ConnectionRefusedError('cut off')
         if self._fleet.is_unreachable(self._node, other):
             await curio.sleep(timeout)
             return None
@@ -149,6 +151,8 @@
         self.dead: set[int] = set()
         #: Sets of nodes that reach only each other.
         self.parts: list[set[int]] = []
+        #: Whether connections between them are refused instead of silent.
+        self.is_refusing = False
         #: Pairs of nodes of which the first does not reach the second.
         self.broken_links: set[tuple[int, int]] = set()
         #: Nodes whose processes are suspended.
@@ -226,6 +230,12 @@
             or one in self.dead
         )
 
+    def refuses_connection(self, one: int, other: int) -> bool:
+        """Return whether a cut refuses connections between running nodes."""
+        is_stopped = not {one, other}.isdisjoint(self.dead | self.frozen)
+        is_cut = self.are_partitioned(one, other)
+        return self.is_refusing and is_cut and not is_stopped
+
     def loses_answer(self, question: Message) -> bool:
         """Return whether the answer to a message is lost."""
         is_lost = (
