Keep the lease and the share of a member that refuses connections

A borrower that refused a connection lost its lease at once, and a member that refused for the length of a lease was taken for dead, so that the majority used its share beside it. A refusal also counted as contact, so a member behind such a cut never stopped to use its share, and one that everybody refused took the whole limit.

Why the fix works: a lease ends by its time, and a share is free once its owner has left the members or runs again and lends it. Only answers are contact.

--- a/deckdrum/limits/shares.py
+++ b/deckdrum/limits/shares.py
@@ -14,7 +14,6 @@
     Loan,
     OwnShare,
     PeerContact,
-    add_shares_of_dead,
     form_panels,
     is_cut_off,
     select_panel,
@@ -121,12 +120,7 @@
                     self._add_unknown(preceding, borrowers), now
                 )
             )
-        dead = [contact.find_dead_since(now) for contact in contacts]
-        return add_shares_of_dead(
-            [since for since in found if since is not None],
-            [since for since in dead if since is not None],
-            len(ranked),
-        )
+        return [since for since in found if since is not None]
 
     def find_holder(self, ranked: Sequence[str], now: float) -> str | None:
         """Return the node to ask for a workspace of which this has no share."""
@@ -185,14 +179,7 @@
             member.endpoint, AskLimitShare(self._node), LEASE_S
         )
         now = await curio.clock()
-        if isinstance(answer, ConnectionRefusedError):
-            self._journal.record_rate_limited(
-                'limit.lease_ended', borrower=name, reason=repr(answer)
-            )
-            contact.record_refusal(sent_at, now)
-            if self._own is not None:
-                self._own.end_lease(name, sent_at, now)
-        elif isinstance(answer, LimitShareAnswer) and answer.is_lent:
+        if isinstance(answer, LimitShareAnswer) and answer.is_lent:
             contact.record_answer(sent_at)
             share = self._borrowed.get(name)
             if share is not None:
--- a/deckdrum/load/limit_shares.py
+++ b/deckdrum/load/limit_shares.py
@@ -177,27 +177,6 @@
         self._leases[borrower] = (usable_from, now + LEASE_S)
         return Loan(usable_from - now, LEASE_S, tuple(sorted(listed)))
 
-    def end_lease(self, borrower: str, sent_at: float, now: float) -> None:
-        """End the lease of a borrower that refuses connections.
-
-        `sent_at` is when the connection was requested.  A process that has
-        started since then may have borrowed the share anew.
-
-        Examples
-        --------
-        >>> share = OwnShare(since=0)
-        >>> loan = share.lend('n1', now=1)
-        >>> share.end_lease('n1', sent_at=0.9, now=1.1)
-        >>> share.list_borrowers(now=1.1)
-        ['n1']
-        >>> share.end_lease('n1', sent_at=1.1, now=1.1)
-        >>> share.list_borrowers(now=1.1)
-        []
-        """
-        usable_from, expires_at = self._leases.get(borrower, (now, _LONG_AGO))
-        if now < expires_at <= sent_at + LEASE_S:
-            self._leases[borrower] = (usable_from, now)
-
     def list_borrowers(self, now: float) -> list[str]:
         """Return the nodes to which the share is lent."""
         return [
@@ -296,51 +275,21 @@
 
 
 class PeerContact:
-    """When another member was last reached, or found not to run.
+    """When another member last answered.
 
     Parameters
     ----------
     since : float
         When it became a member, in kernel seconds.
-
-    Examples
-    --------
-    >>> contact = PeerContact(since=0)
-    >>> contact.record_refusal(sent_at=1.0, now=1.1)
-    >>> contact.find_dead_since(now=1.3)
-    >>> contact.record_refusal(sent_at=1.4, now=1.4)
-    >>> contact.find_dead_since(now=1.5)
-    1.5
-    >>> contact.find_dead_since(now=1.9)
     """
 
     def __init__(self, since: float) -> None:
-        #: When it last answered or refused a connection.
+        #: When it was last reached, in kernel seconds.
         self.reached_at = since
-        self._first_refused_at: float = _LONG_AGO
-        #: When the last connection that was refused was requested.
-        self._refused_at: float = _LONG_AGO
 
     def record_answer(self, sent_at: float) -> None:
         """Record that the member answered a request."""
         self.reached_at = max(self.reached_at, sent_at)
-        self._refused_at = _LONG_AGO
-
-    def record_refusal(self, sent_at: float, now: float) -> None:
-        """Record that a connection was refused, so that no process runs."""
-        self.reached_at = max(self.reached_at, sent_at)
-        if sent_at > self._refused_at + LEASE_S:
-            self._first_refused_at = now
-        self._refused_at = sent_at
-
-    def find_dead_since(self, now: float) -> float | None:
-        """Return since when neither it nor a borrower of it uses its share.
-
-        A member that starts again does not use it for `LEASE_S`.
-        """
-        since = self._first_refused_at + LEASE_S
-        is_known = now < self._refused_at + LEASE_S
-        return since if is_known and since <= now else None
 
 
 def is_cut_off(contacts: Sequence[PeerContact], now: float) -> bool:
@@ -360,38 +309,3 @@
     # The last moment by which at least half of the others were reached since.
     half_reached_at = times[(len(times) + 1) // 2 - 1]
     return now - half_reached_at > CUT_OFF_TIMEOUT_S
-
-
-def add_shares_of_dead(
-    held: Sequence[float],
-    dead: Sequence[float],
-    members: int,
-) -> list[float]:
-    """Return the shares that a member may use, with those of dead members.
-
-    Only a member with more than half of the shares of the members that run may
-    use those of the others, so that no two do.
-
-    Parameters
-    ----------
-    held : sequence of float
-        Since when it may use each own or borrowed share.
-    dead : sequence of float
-        Since when each member that does not run cannot use its share.
-    members : int
-        Number of members of the panel.
-
-    Examples
-    --------
-    >>> add_shares_of_dead([1, 2, 3], dead=[5], members=5)
-    [1, 2, 3, 5]
-    >>> add_shares_of_dead([1, 2], dead=[5], members=5)
-    [1, 2]
-    """
-    running = members - len(dead)
-    if not dead or len(held) * 2 <= running:
-        return list(held)
-    majority_since = sorted(held)[running // 2]
-    # Members that ran longer counted for the majority until they died.
-    since = max(majority_since, *dead)
-    return [*held, *(since for _ in dead)]
