Let only the slot coordinator of a server lend its spare slots

What callers would see: urgent statements wait in the queue of a server, since more statements are in flight there than its slots bear (found by tests).

Cause: a slot coordinator that refused connections for the length of a lease counted as stopped, and the next holder lent in its place. Behind a cut that refuses connections it runs on and lends the same slots to its side.

Why the fix works: nobody lends in place of the coordinator. The holders use their own parts until it runs again or is no holder any more, and the bound holds.

--- a/deckdrum/serving/slot_groups.py
+++ b/deckdrum/serving/slot_groups.py
@@ -101,7 +101,7 @@
         return await lender.answer(request)
 
     def _add(self, service: str, handle: ServerHandle) -> SlotBorrower:
-        lender = SlotLender(self._coordinators.is_refusing)
+        lender = SlotLender()
         borrower = SlotBorrower(
             service,
             handle.id,
--- a/deckdrum/serving/slot_leases.py
+++ b/deckdrum/serving/slot_leases.py
@@ -12,7 +12,6 @@
 
 from deckdrum.control import Member
 from deckdrum.fleet.load_messages import AskSlots, SlotsAnswer
-from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.load.slots import (
     LEASE_LIFETIME_S,
@@ -38,14 +37,9 @@
 ADMISSION_MARGIN_S: Final = 0.05
 #: Longest wait for a slot coordinator's answer.
 ASK_TIMEOUT_S: Final = 0.1
-#: How long after a refused connection its process is known not to run.
-REFUSAL_VALIDITY_S: Final = 0.1
-#: Shortest interval between two probes of a process that does not run.
-_PROBE_INTERVAL_S: Final = 0.02
-#: A new slot coordinator lends nothing for this time.  Leases of the former one
-#: may last for `LEASE_LIFETIME_S`, and one that lends in its place does so for
-#: up to `REFUSAL_VALIDITY_S` after this node runs again.
-QUIET_TIME_S: Final = LEASE_LIFETIME_S + REFUSAL_VALIDITY_S
+#: A new slot coordinator lends nothing for this time, in which leases of the
+#: former one, or of its own former process, may last.
+QUIET_TIME_S: Final = LEASE_LIFETIME_S
 _NOTHING_LENT: Final = SlotsAnswer(0, 0)
 
 
@@ -75,6 +69,11 @@
         """Whether the server's statements in flight are bounded."""
         return self.slots > 0 and bool(self.ranked)
 
+    @property
+    def coordinator(self) -> str:
+        """The holder that lends the spare slots; empty without holders."""
+        return self.ranked[0] if self.ranked else ''
+
     @property
     def part(self) -> float:
         """Statements in flight that this node may have without a lease.
@@ -96,106 +95,37 @@
         return compute_spare(self.slots, len(self.ranked))
 
 
-class ProcessWatch:
-    """Whether the process of another node is known not to run.
-
-    Parameters
-    ----------
-    probe : callable
-        Returns whether the node refuses a connection.
-    """
-
-    def __init__(self, probe: Callable[[], Awaitable[bool]]) -> None:
-        self._probe = probe
-        self._is_probing = False
-        self._asked_at = float('-inf')
-        #: Start of the latest refused probe, and of the first of its series.
-        self._refused_at = float('-inf')
-        self._refused_since = float('inf')
-
-    def has_stopped(self, now: float) -> bool:
-        """Return whether leases that it granted have ended, and it runs not."""
-        is_known = now < self._refused_at + REFUSAL_VALIDITY_S
-        return is_known and now >= self._refused_since + LEASE_LIFETIME_S
-
-    async def check(self, now: float) -> None:
-        """Start a probe unless there was one a moment ago."""
-        if self._is_probing or now < self._asked_at + _PROBE_INTERVAL_S:
-            return
-        self._asked_at = now
-        self._is_probing = True
-        await curio.spawn(self._run_probe, now, daemon=True)
-
-    async def _run_probe(self, started_at: float) -> None:
-        try:
-            is_refused = await self._probe()
-        finally:
-            self._is_probing = False
-        if not is_refused:
-            self._refused_at = float('-inf')
-            self._refused_since = float('inf')
-            return
-        answered_at = await curio.clock()
-        if started_at >= self._refused_at + REFUSAL_VALIDITY_S:
-            # It may have run since the previous refusal, and have lent slots
-            # until the moment at which this connection was refused.
-            self._refused_since = answered_at
-        self._refused_at = started_at
-
-
 class SlotLender:
     """Lends the spare slots of one server to its holders.
 
-    Parameters
-    ----------
-    is_refusing : callable
-        Returns whether a node, given by its name, refuses connections.
+    Only the slot coordinator lends.  One that cannot be reached may still lend
+    on its side of a cut, so no other holder does in its place.
     """
 
-    def __init__(self, is_refusing: Callable[[str], Awaitable[bool]]) -> None:
-        self._is_refusing = is_refusing
+    def __init__(self) -> None:
         self._terms = SlotTerms()
         self._ledger: SpareLedger | None = None
-        #: The holders that precede this node in the ranking.
-        self._watches: list[ProcessWatch] = []
 
     async def apply(self, terms: SlotTerms) -> None:
         """Apply new terms: every lease starts over."""
         self._terms = terms
         self._ledger = None
-        self._watches = []
-        if terms.spare:
+        if terms.spare and terms.coordinator == terms.own:
             now = await curio.clock()
             self._ledger = SpareLedger(
                 terms.slots, len(terms.ranked), now + QUIET_TIME_S
             )
-            self._watches = [
-                ProcessWatch(_bind(self._is_refusing, name))
-                for name in terms.ranked[: terms.ranked.index(terms.own)]
-            ]
 
     async def answer(self, request: AskSlots) -> SlotsAnswer:
         """Return the lease for a holder's request."""
-        ledger = self._ledger
-        if ledger is None or request.holder not in self._terms.ranked:
+        if self._ledger is None or request.holder not in self._terms.ranked:
             return _NOTHING_LENT
         now = await curio.clock()
-        may_lend = all(watch.has_stopped(now) for watch in self._watches)
-        for watch in self._watches:
-            await watch.check(now)
-        if not may_lend:
-            return _NOTHING_LENT
         demand = SlotDemand(request.wanted, request.urgent, request.in_flight)
-        lease = ledger.lend(request.holder, demand, now)
+        lease = self._ledger.lend(request.holder, demand, now)
         return SlotsAnswer(lease.amount, max(0, lease.end - now))
 
 
-def _bind(
-    is_refusing: Callable[[str], Awaitable[bool]], name: str
-) -> Callable[[], Awaitable[bool]]:
-    return lambda: is_refusing(name)
-
-
 class SlotCoordinators:
     """Requests of this node to the slot coordinators of one group's servers.
 
@@ -212,30 +142,15 @@
         self.holders: Mapping[str, Member] = {}
         self._peers = peers
         self._journal = journal
-        self._refused_until: dict[str, float] = {}
         self._lost: set[str] = set()
 
     async def ask(
         self, request: AskSlots, terms: SlotTerms, lender: SlotLender
     ) -> SlotsAnswer | None:
-        """Ask the first holder in the ranking that is not known to be down."""
-        now = await curio.clock()
-        for name in terms.ranked:
-            if name == terms.own:
-                return await lender.answer(request)
-            if now >= self._refused_until.get(name, now):
-                return await self._ask_holder(name, request)
-        return None
-
-    async def is_refusing(self, name: str) -> bool:
-        """Return whether a holder refuses a connection."""
-        holder = self.holders.get(name)
-        if holder is None:
-            return False
-        answer = await self._peers.ask(
-            holder.endpoint, Heartbeat(), ASK_TIMEOUT_S
-        )
-        return isinstance(answer, ConnectionRefusedError)
+        """Ask the slot coordinator of a server."""
+        if terms.coordinator == terms.own:
+            return await lender.answer(request)
+        return await self._ask_holder(terms.coordinator, request)
 
     async def _ask_holder(
         self, name: str, request: AskSlots
@@ -249,9 +164,6 @@
                 self._lost.remove(name)
                 self._log('slots.coordinator_regained', name, request)
             return answer
-        if isinstance(answer, ConnectionRefusedError):
-            now = await curio.clock()
-            self._refused_until[name] = now + REFUSAL_VALIDITY_S
         if name not in self._lost:
             self._lost.add(name)
             self._log(
--- a/deckdrum/testing/slots.py
+++ b/deckdrum/testing/slots.py
@@ -77,7 +77,10 @@
         await curio.sleep(ONE_WAY_LATENCY_S)
         if name in self._fleet.stopped:
             return ConnectionRefusedError()
-        if self.is_killed or {name, self.name} & self._fleet.unreachable:
+        is_cut = bool({name, self.name} & self._fleet.unreachable)
+        if is_cut and self._fleet.is_refusing:
+            return ConnectionRefusedError()
+        if self.is_killed or is_cut:
             await curio.sleep(timeout)
             return None
         if isinstance(request, Heartbeat):
@@ -135,6 +138,8 @@
         #: Holders whose process does not run, and those that are cut off.
         self.stopped: set[str] = set()
         self.unreachable: set[str] = set()
+        #: Whether connections of those that are cut off are refused.
+        self.is_refusing = False
         #: Largest number of statements in flight of all holders together.
         self.most_in_flight = 0
         self.holders = {name: SlotHolder(self, name) for name in self.ranked}
