Run statements locally on a node whose connections to all holders are refused

What callers saw: a node that is no holder, behind a cut that resets or refuses connections, served nothing for as long as the cut lasted ("no holder answers").

Cause: holders that refuse counted as starting, so the node waited 0.25 s for them with each statement and never counted as cut off, though it reached the databases.

Why the fix works: a node that refuses may be starting for a second only, and counts as unresponsive like any other. PeerHealth tells no more whether a node runs: what the failure of a request shows is not that. A node that refuses is tried again for as long as a silent one (16 s; it was 4 s).

--- a/deckdrum/fleet/health.py
+++ b/deckdrum/fleet/health.py
@@ -1,6 +1,7 @@
 """Health of the other nodes, as seen by this one."""
 
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
 from typing import Final
 
 import curio
@@ -17,16 +18,37 @@
 #: statements meanwhile; otherwise, with a statement every few seconds from each
 #: node, each would have to notice the failure itself.
 UNRESPONSIVE_RETRY_DELAY_S: Final = 0.4
-#: The same for a node whose process is not running.
+#: The same for a node that refuses connections, which costs no time.
 REFUSING_RETRY_DELAY_S: Final = 0.1
-#: Heartbeats sent to an unresponsive node before it gets statements again.
-MAX_HEARTBEAT_RETRIES: Final = 40
+#: How long heartbeats are sent to an unresponsive node before it gets
+#: statements again.
+RECOVERY_TIMEOUT_S: Final = 16.0
+#: How long a node that refuses connections may be about to start.  Nodes that
+#: lost power together return within half a second.
+START_TIMEOUT_S: Final = 1.0
 #: Shortest time between two checks of all required nodes.
 CHECK_INTERVAL_S: Final = 1.0
 
 _AskPeer = Callable[[Address, Message, float], Awaitable[object]]
 
 
+@dataclass(frozen=True, slots=True)
+class PeerFailure:
+    """What made a node count as unresponsive.
+
+    Attributes
+    ----------
+    error : Exception
+        How the request failed.  It does not tell whether the node runs: a dead
+        port and a cut may refuse connections alike.
+    failed_at : float
+        When it failed, in kernel seconds.
+    """
+
+    error: Exception
+    failed_at: float
+
+
 class PeerHealth:
     """Tracks which nodes are unresponsive, until they answer again.
 
@@ -42,8 +64,8 @@
     def __init__(self, ask: _AskPeer, journal: Journal) -> None:
         self._ask = ask
         self._journal = journal
-        #: Unresponsive nodes, with the error by which each was noticed.
-        self._unresponsive: dict[str, Exception] = {}
+        #: Unresponsive nodes, with the failure by which each was noticed.
+        self._unresponsive: dict[str, PeerFailure] = {}
         #: Nodes that this one depends on, by purpose.
         self._required: dict[str, Sequence[Member]] = {}
         self._checked_at = float('-inf')
@@ -75,15 +97,15 @@
         """Return whether a node has not answered since a request failed."""
         return name in self._unresponsive
 
-    def has_refused_connection(self, name: str) -> bool:
-        """Return whether a node refused its last connection (not running)."""
-        return isinstance(self._unresponsive.get(name), ConnectionRefusedError)
+    def may_be_starting(self, name: str, now: float) -> bool:
+        """Return whether a node has begun to refuse connections lately.
 
-    def may_be_partitioned(self, name: str) -> bool:
-        """Return whether a node is unresponsive but may be running."""
-        return name in self._unresponsive and not self.has_refused_connection(
-            name
-        )
+        Waiting a moment for it may help, but it may also be cut off.
+        """
+        failure = self._unresponsive.get(name)
+        if failure is None or now - failure.failed_at > START_TIMEOUT_S:
+            return False
+        return isinstance(failure.error, ConnectionRefusedError)
 
     async def check(self, peer: Member) -> bool:
         """Return whether a node answers a heartbeat."""
@@ -98,7 +120,8 @@
         """Record that a node did not answer, and wait for it to recover."""
         if peer.name in self._unresponsive:
             return
-        self._unresponsive[peer.name] = error
+        now = await curio.clock()
+        self._unresponsive[peer.name] = PeerFailure(error, now)
         self._journal.record_rate_limited(
             'peer.silent',
             peer=peer.name,
@@ -114,10 +137,10 @@
 
     async def _wait_for_recovery(self, peer: Member, delay: float) -> None:
         try:
-            for _ in range(MAX_HEARTBEAT_RETRIES):
+            async with curio.ignore_after(RECOVERY_TIMEOUT_S):
                 await curio.sleep(delay)
-                if await self._answers_heartbeat(peer):
-                    return
+                while not await self._answers_heartbeat(peer):
+                    await curio.sleep(delay)
         finally:
             self._unresponsive.pop(peer.name, None)
 
--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -37,8 +37,8 @@
 #: Fraction of the timeout after which a repeatable statement is forwarded to
 #: another holder even if the first is alive, since its stream may be broken.
 ATTEMPT_TIMEOUT_FRACTION: Final = 0.4
-#: Delay between retries, and their longest duration, while some holders are
-#: restarting.  Nodes that lost power together return within half a second.
+#: Delay between retries, and their longest duration, while some holders may be
+#: starting.
 HOLDER_RETRY_DELAY_S: Final = 0.05
 HOLDER_RETRY_TIMEOUT_S: Final = 0.25
 #: Holders tried for one statement.
@@ -156,7 +156,7 @@
         if self._runtime.allocator.is_holder:
             return True
         names = [holder.name for holder in self._runtime.allocator.others]
-        return all(map(self._health.may_be_partitioned, names))
+        return all(map(self._health.is_unresponsive, names))
 
     async def _forward(
         self, pending: PendingForward
@@ -165,12 +165,12 @@
         while True:
             now = await curio.clock()
             holder = self._choose_holder(pending, now)
-            if holder is None and self._can_run_locally():
-                return None
-            if holder is None and await self._wait_for_restarting_holders(
+            if holder is None and await self._wait_for_starting_holders(
                 pending, now
             ):
                 continue
+            if holder is None and self._can_run_locally():
+                return None
             if holder is None or now >= pending.deadline:
                 return self._refuse(pending)
             shed = self._shed(holder, pending, now)
@@ -297,12 +297,16 @@
         self._runtime.counters.count('rejections_forwarded')
         return True
 
-    async def _wait_for_restarting_holders(
+    async def _wait_for_starting_holders(
         self, pending: PendingForward, now: float
     ) -> bool:
-        """Wait briefly if holders are restarting; return whether to retry."""
-        names = [holder.name for holder in self._runtime.allocator.others]
-        is_starting = any(map(self._health.has_refused_connection, names))
+        """Wait briefly if holders may be starting; return whether to retry."""
+        if self._runtime.allocator.is_holder:
+            return False
+        is_starting = any(
+            self._health.may_be_starting(holder.name, now)
+            for holder in self._runtime.allocator.others
+        )
         has_time = now - pending.began <= HOLDER_RETRY_TIMEOUT_S
         if (
             not is_starting
--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -4,6 +4,9 @@
 import pytest
 
 from deckdrum.fleet.health import HEARTBEAT_TIMEOUT_S
+from deckdrum.forwarding.forwarder import HOLDER_RETRY_TIMEOUT_S
+from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
+from deckdrum.testing.links import CutKind
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
@@ -281,6 +284,32 @@
     )
 
 
+@pytest.mark.parametrize('kind', [CutKind.RESET, CutKind.REFUSE])
+def test_node_opens_connections_itself_if_a_cut_refuses_its_own(
+    kind: CutKind,
+) -> None:
+    """Holders that refuse connections counted as starting, without end."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        caller = _find_caller(deployment)
+        client = await deployment.connect(CURRENT, caller)
+        assert (await client.ask('WRITE a 1')).is_done
+        await deployment.isolate_node(caller, kind)
+        done = 0
+        for _ in range(10):
+            done += (await client.ask('WRITE a 1')).is_done
+            await curio.sleep(0.3)
+        assert done >= 8
+        began = await curio.clock()
+        assert (await client.ask('WRITE a 1')).is_done
+        # A start takes less time than the cut has lasted.
+        assert await curio.clock() - began < HOLDER_RETRY_TIMEOUT_S / 2
+
+    run_linked_scenario(
+        scenario, nodes=NODES, max_connections=MAX_CONNECTIONS, settle=2.5
+    )
+
+
 def test_graceful_shutdown_of_a_holder_fails_no_statement() -> None:
     async def ask_repeatedly(
         deployment: Deployment, number: int
