Do not close a connection as idle while its answer is being sent

Cause: a connection counted as idle if its session was, and the session is done with a statement before the answer is sent. From 2.3 s after SIGTERM idle connections are closed, in both directions.

Why the fix works: a connection is idle only while it waits for a message. The flag is set until the answer has been sent, so it covers STARTUP and whatever a message waits for. The PostgreSQL path keeps such a flag around the whole handling of a batch already.

--- /dev/null
+++ b/deckdrum/node/tests/test_shutdown.py
@@ -0,0 +1,51 @@
+"""Shutdown of a node while it works, in virtual time."""
+
+import curio
+import pytest
+
+from deckdrum.node.shutdown import READINESS_PROPAGATION_S, GracefulShutdown
+from deckdrum.testing.nodes import (
+    CURRENT,
+    Deployment,
+    LineClient,
+    RunningNode,
+    run_scenario,
+)
+from deckdrum.testing.slow_streams import SlowStream
+
+GRACE_S = 6.0
+
+
+async def _connect_slowly(
+    deployment: Deployment, running: RunningNode, delay: float
+) -> LineClient:
+    """Open a session to which a node's answers take `delay` seconds."""
+    client = await LineClient.connect(running.frontend.address, CURRENT)
+    connection = next(iter(running.frontend._connections))
+    connection._stream = SlowStream(connection._stream, delay)
+    return client
+
+
+async def _stop(running: RunningNode) -> float:
+    """Shut a node down; return the seconds that this took."""
+    began: float = await curio.clock()
+    stop = GracefulShutdown(running.node, running.frontend)
+    await stop.run(GRACE_S)
+    ended: float = await curio.clock()
+    return ended - began
+
+
+@pytest.mark.parametrize('delay', [0.5, 1.6, 2.8])
+def test_answer_that_is_being_sent_is_not_cut_as_idle(delay: float) -> None:
+    """A session counted as idle once its statement had been run."""
+
+    async def scenario(deployment: Deployment) -> None:
+        running = deployment.nodes.pop(0)
+        client = await _connect_slowly(deployment, running, delay)
+        stopping = await curio.spawn(_stop, running)
+        await curio.sleep(READINESS_PROPAGATION_S - 0.1)
+        assert (await client.ask('READ a')).state == 'I'
+        assert await stopping.join() < GRACE_S
+        await running.store.close()
+
+    run_scenario(scenario)
--- a/deckdrum/platform/frontend.py
+++ b/deckdrum/platform/frontend.py
@@ -44,15 +44,16 @@
         self._stream = stream
         self._reader = LineReader(stream)
         self._session: CallerSession | None = None
+        #: Whether a message is being handled, until its answer has been sent.
+        self._is_serving = True
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is pending and no transaction is open."""
-        is_session_idle = (
-            self._session is not None and self._session.is_inactive
-        )
-        has_bytes = self._reader.has_unread
-        return is_session_idle and not has_bytes and self._stream.is_idle()
+        if self._is_serving or self._session is None:
+            return False
+        has_bytes = self._reader.has_unread or not self._stream.is_idle()
+        return self._session.is_inactive and not has_bytes
 
     async def run(self) -> None:
         """Serve the client until it disconnects."""
@@ -78,7 +79,9 @@
         self._session = session
         await self._stream.send(encode_ready(TransactionState.IDLE))
         while True:
+            self._is_serving = False
             line = await self._reader.read()
+            self._is_serving = True
             request = None if line is None else decode_request(line)
             if request is None:
                 return
