Use no primary on a node that has removed its registration

Cause: the related conclusion that a node without an entry has ended. A stopping node removed its entry first and used its servers for up to half a second more, while a change of the primary asks members only and need not wait for their proofs.

Evidence: after close() the node still read at the primary on an open session.

Why the fix works: the node stops using primaries, and acknowledges no more of their writes, before it removes its entry. So the entry that is gone is a farewell, and a planned stop costs a planned change no wait.

--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -57,6 +57,7 @@
         #: Set whenever the primary or its term changes.
         self.changed = curio.Event()
         self._journal = journal
+        self._is_retired = False
         self._record_revision = 0
         self._record: GroupRecord | None = None
         #: Fencing token of the latest claim that ended a term on this node.
@@ -76,8 +77,9 @@
 
     @property
     def has_primary(self) -> bool:
-        """Whether the primary of a term that has not ended is known."""
-        return bool(self.primary) and self.term > self.ended_term
+        """Whether the primary of a term that has not ended may be used."""
+        is_open = bool(self.primary) and self.term > self.ended_term
+        return is_open and not self._is_retired
 
     @property
     def record(self) -> GroupRecord | None:
@@ -125,6 +127,13 @@
         is_open = term == self.term and term > self.closed_term
         return is_open and now < self.get_proof_expiry()
 
+    def retire(self) -> None:
+        """Use no primary from now on: the node is about to be no member.
+
+        Changes of the primary ask members only whether they use it.
+        """
+        self._is_retired = True
+
     def close_term(self, term: int) -> None:
         """Stop acknowledging writes of `term` and of earlier terms."""
         self.closed_term = max(self.closed_term, term)
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -74,6 +74,7 @@
         self.is_stopping = False
         #: Whether sessions are closed as soon as they are idle.
         self.is_closing_sessions = False
+        self._has_left = False
         self._store = store
         self._dialer = dialer or DetourDialer()
         self._randomness = Random(settings.seed or None)
@@ -238,9 +239,20 @@
                 open_transactions=self.open_transactions,
             )
 
-    async def close(self) -> None:
-        """Deregister the node and stop its tasks."""
+    async def leave(self) -> None:
+        """Stop using primaries, then remove the registration.
+
+        In this order, since a change of a primary waits for members only.
+        """
+        if self._has_left:
+            return
+        self._has_left = True
+        await self._service_manager.retire()
         await self._registration.deregister()
+
+    async def close(self) -> None:
+        """Leave the members and stop the node's tasks."""
+        await self.leave()
         for task in self._tasks:
             await task.cancel(blocking=False)
         await self._service_manager.close()
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -94,10 +94,16 @@
             if was_registered:
                 await self._apply_leadership_proof(declaration.name)
 
-    async def close(self) -> None:
-        """Stop supervising the groups and close idle connections."""
+    async def retire(self) -> None:
+        """Stop supervising the groups and using their primaries."""
         for task in self._supervisor_tasks:
             await task.cancel(blocking=False)
+        async with curio.TaskGroup() as retiring:
+            for runtime in self.services.values():
+                await retiring.spawn(runtime.retire)
+
+    async def close(self) -> None:
+        """Close idle connections."""
         for runtime in self.services.values():
             await runtime.close()
 
--- a/deckdrum/node/tests/test_shutdown.py
+++ b/deckdrum/node/tests/test_shutdown.py
@@ -49,3 +49,22 @@
         await running.store.close()
 
     run_scenario(scenario)
+
+
+def test_node_uses_no_primary_once_it_has_removed_its_registration() -> None:
+    """A change of the primary asks members only, and waits for no others.
+
+    The node could read at the former primary, and acknowledge its writes.
+    """
+
+    async def scenario(deployment: Deployment) -> None:
+        running = deployment.nodes.pop(0)
+        client = await LineClient.connect(running.frontend.address, CURRENT)
+        assert (await client.ask('WRITE a 1')).is_done
+        await running.node.close()
+        assert not (await client.ask('READ a')).is_done
+        assert not (await client.ask('WRITE a 1')).is_done
+        await running.frontend.close()
+        await running.store.close()
+
+    run_scenario(scenario)
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -375,16 +375,29 @@
         await self.leadership_state.end_term(
             term, 'primary change in progress', fencing_token
         )
-        async with curio.ignore_after(TERM_DRAIN_TIMEOUT_S):
-            while may_finish and self.in_flight:
-                await curio.sleep(_DRAIN_POLL_INTERVAL_S)
+        if may_finish:
+            await self._wait_for_statements()
         self.leadership_state.close_term(term)
 
+    async def retire(self) -> None:
+        """Stop using the primary, since this node leaves the members.
+
+        Running statements get up to `TERM_DRAIN_TIMEOUT_S` to finish.
+        """
+        self.leadership_state.retire()
+        await self._wait_for_statements()
+        self.leadership_state.close_term(self.leadership_state.term)
+
     async def close(self) -> None:
         """Close idle connections."""
         for handle in self.servers.values():
             await handle.pool.close_idle()
 
+    async def _wait_for_statements(self) -> None:
+        async with curio.ignore_after(TERM_DRAIN_TIMEOUT_S):
+            while self.in_flight:
+                await curio.sleep(_DRAIN_POLL_INTERVAL_S)
+
     async def _remove_server(self, handle: ServerHandle) -> None:
         """Remove a server or a previous incarnation of it."""
         self.servers.pop(handle.id)
