Send answers until shortly before the kill of a stopping node

What callers saw: an answer begun in time and slow to leave was cut half a second before the kill (LOST), when the node closed all connections.

Cause: the node closed its connections together with everything else, at KILL_MARGIN_S before the kill.

Evidence: the new test, an answer that would leave 0.25 s before the kill, got no end.

Why the fix works: at that time the node leaves the members, and goes on to close each connection as its answer has been sent, until EXIT_MARGIN_S (0.15 s, chosen: several polls of a busy process) before the kill. Statements that are still running then get that time too.

--- a/deckdrum/node/shutdown.py
+++ b/deckdrum/node/shutdown.py
@@ -13,8 +13,11 @@
 #: Time before the kill at which the node stops accepting connections; longer
 #: than the statement timeouts (0.8 to 2 s).
 ACCEPT_CUTOFF_S: Final = 2.7
-#: Time before the kill at which the node closes.
+#: Time before the kill at which the node leaves the members.
 KILL_MARGIN_S: Final = 0.5
+#: Time before the kill up to which answers may still be sent.
+EXIT_MARGIN_S: Final = 0.15
+ANSWER_POLL_INTERVAL_S: Final = 0.02
 DRAIN_POLL_INTERVAL_S: Final = 0.1
 #: Fraction of the idle connections closed per poll, so that callers do not
 #: all reconnect at once.
@@ -53,6 +56,8 @@
        sessions are closed as soon as they are idle.
     4. The node stops accepting connections early enough to finish the
        statements of the last ones.
+    5. It leaves the members, and closes each connection once its answer has
+       been sent.
 
     Parameters
     ----------
@@ -77,8 +82,18 @@
                 break
             await curio.sleep(DRAIN_POLL_INTERVAL_S)
             elapsed = await curio.clock() - began
-        await self._node.close()
+        leaving = await curio.spawn(self._node.leave)
+        await self._finish_answers(began + grace_period - EXIT_MARGIN_S)
+        await leaving.join()
         await self._listener.close()
+        await self._node.close()
+
+    async def _finish_answers(self, until: float) -> None:
+        """Close connections as their answers are sent, until a time."""
+        await self._listener.stop_accepting()
+        while self._listener.connections and await curio.clock() < until:
+            await self._listener.close_idle_connections(1)
+            await curio.sleep(ANSWER_POLL_INTERVAL_S)
 
     async def _run_due_steps(self, elapsed: float, grace_period: float) -> None:
         """Run the shutdown steps due after `elapsed` seconds."""
--- a/deckdrum/node/tests/test_shutdown.py
+++ b/deckdrum/node/tests/test_shutdown.py
@@ -51,6 +51,21 @@
     run_scenario(scenario)
 
 
+def test_answer_that_leaves_until_the_kill_is_not_cut_before_it() -> None:
+    """All connections were closed half a second before the kill."""
+
+    async def scenario(deployment: Deployment) -> None:
+        running = deployment.nodes.pop(0)
+        client = await _connect_slowly(deployment, running, delay=3.55)
+        stopping = await curio.spawn(_stop, running)
+        await curio.sleep(READINESS_PROPAGATION_S - 0.1)
+        assert (await client.ask('READ a')).state == 'I'
+        assert await stopping.join() < GRACE_S
+        await running.store.close()
+
+    run_scenario(scenario)
+
+
 def test_node_uses_no_primary_once_it_has_removed_its_registration() -> None:
     """A change of the primary asks members only, and waits for no others.
 
