--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -56,8 +56,10 @@
         self.renewal_failed_at = float('-inf')
         #: Set whenever the primary or its term changes.
         self.changed = curio.Event()
+        #: Set when the node is about to be no member: changes of the primary
+        #: ask members only whether they use it.
+        self.is_retired = False
         self._journal = journal
-        self._is_retired = False
         self._record_revision = 0
         self._record: GroupRecord | None = None
         #: Fencing token of the latest claim that ended a term on this node.
@@ -79,7 +81,7 @@
     def has_primary(self) -> bool:
         """Whether the primary of a term that has not ended may be used."""
         is_open = bool(self.primary) and self.term > self.ended_term
-        return is_open and not self._is_retired
+        return is_open and not self.is_retired
 
     @property
     def record(self) -> GroupRecord | None:
@@ -127,13 +129,6 @@
         is_open = term == self.term and term > self.closed_term
         return is_open and now < self.get_proof_expiry()
 
-    def retire(self) -> None:
-        """Use no primary from now on: the node is about to be no member.
-
-        Changes of the primary ask members only whether they use it.
-        """
-        self._is_retired = True
-
     def close_term(self, term: int) -> None:
         """Stop acknowledging writes of `term` and of earlier terms."""
         self.closed_term = max(self.closed_term, term)
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -100,7 +100,7 @@
             await task.cancel(blocking=False)
         async with curio.TaskGroup() as retiring:
             for runtime in self.services.values():
-                await retiring.spawn(runtime.retire)
+                await retiring.spawn(_retire, runtime)
 
     async def close(self) -> None:
         """Close idle connections."""
@@ -181,3 +181,11 @@
                 ),
             )
         return runtime
+
+
+async def _retire(runtime: ServiceRuntime) -> None:
+    """Stop using a group's primary; running statements may finish first."""
+    state = runtime.leadership_state
+    state.is_retired = True
+    await runtime.statements.wait_until_done()
+    state.close_term(state.term)
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -340,12 +340,12 @@
         self, dispatch: Dispatch, attempt: Attempt, route: Route
     ) -> AttemptOutcome:
         reads = self._router.primary_reads
-        self.runtime.in_flight += 1
+        self.runtime.statements.count += 1
         try:
             with reads.track(attempt, route, is_read=dispatch.is_read):
                 return await attempt.run()
         finally:
-            self.runtime.in_flight -= 1
+            self.runtime.statements.count -= 1
 
     def _record_position(
         self,
--- a/deckdrum/serving/runtime.py
+++ b/deckdrum/serving/runtime.py
@@ -29,20 +29,17 @@
     list_remaining_nodes,
 )
 from deckdrum.serving.proofs import ProofQuery, ProofSources, is_unproven
+from deckdrum.serving.running_statements import RunningStatements
 from deckdrum.serving.samples import SAMPLE_TIMEOUT_S, PrimarySampler
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.shares import RouteShares
 from deckdrum.serving.slot_groups import GroupSlots
-from deckdrum.sessions import Position
-from deckdrum.sessions.position import LOG_START
+from deckdrum.sessions.position import LOG_START, Position
 from deckdrum.utils import Journal
 from deckdrum.utils.counters import Counters
 
 #: Minimum interval between two queries of all servers for the primary.
 DISCOVERY_INTERVAL_S: Final = 0.05
-#: Timeout for running statements when a term ends; most take 6 to 60 ms.
-TERM_DRAIN_TIMEOUT_S: Final = 0.12
-_DRAIN_POLL_INTERVAL_S: Final = 0.005
 
 
 class ServiceRuntime:
@@ -92,7 +89,7 @@
         #: Whether the machines of the fleet are so uneven that load counts.
         self.is_uneven = False
         #: Number of statements that run on the primary.
-        self.in_flight = 0
+        self.statements = RunningStatements()
         #: Bounds of the statements in flight at each server.
         self.slots = GroupSlots(peers, journal, counters)
         self._make_backend = make_backend
@@ -376,28 +373,14 @@
             term, 'primary change in progress', fencing_token
         )
         if may_finish:
-            await self._wait_for_statements()
+            await self.statements.wait_until_done()
         self.leadership_state.close_term(term)
 
-    async def retire(self) -> None:
-        """Stop using the primary, since this node leaves the members.
-
-        Running statements get up to `TERM_DRAIN_TIMEOUT_S` to finish.
-        """
-        self.leadership_state.retire()
-        await self._wait_for_statements()
-        self.leadership_state.close_term(self.leadership_state.term)
-
     async def close(self) -> None:
         """Close idle connections."""
         for handle in self.servers.values():
             await handle.pool.close_idle()
 
-    async def _wait_for_statements(self) -> None:
-        async with curio.ignore_after(TERM_DRAIN_TIMEOUT_S):
-            while self.in_flight:
-                await curio.sleep(_DRAIN_POLL_INTERVAL_S)
-
     async def _remove_server(self, handle: ServerHandle) -> None:
         """Remove a server or a previous incarnation of it."""
         self.servers.pop(handle.id)
