End a transaction without pauses after half of the grace period

Cause: transactions are rolled back only if they rest at one of the polls, every 0.1 s.

Evidence: the two new tests fail on the former code; the transaction went on until its connection was closed.

Why the fix works: from half of the grace period on each transaction is rolled back when the answer to its running statement has been sent, at the callers' end and at the end of a forwarded transaction. The next statement gets the promise that nothing is kept.

--- a/deckdrum/forwarding/handler.py
+++ b/deckdrum/forwarding/handler.py
@@ -54,6 +54,13 @@
     def discard(self, session: CallerSession) -> None:
         """Remove a session that has ended."""
 
+    @abstractmethod
+    async def finish_operation(self, session: CallerSession) -> None:
+        """Roll back an open transaction if the node ends transactions.
+
+        Called between two operations, when the answer to one has been sent.
+        """
+
 
 class ForwardedSessionHost(SessionHost):
     """Connects the session of another node's caller to this node.
@@ -182,6 +189,7 @@
             await channel.send(answer)
             if not is_open:
                 return
+            await self._registry.finish_operation(session)
             message = await _receive_next(channel)
 
     async def _measure_load(
--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -121,6 +121,31 @@
     )
 
 
+def test_stopping_holder_ends_a_transaction_after_its_statement() -> None:
+    """One that never rested was cut within a statement by the kill."""
+
+    async def scenario(deployment: Deployment) -> None:
+        caller = _find_caller(deployment)
+        client = await deployment.connect(CURRENT, caller)
+        await client.ask('BEGIN')
+        reading = await curio.spawn(client.ask, 'READ a')
+        await curio.sleep(0.1)
+        for number in _list_holders(deployment):
+            node = deployment.nodes[number].node
+            await node.rollback_transactions('the node stops')
+        assert (await reading.join()).is_done
+        assert (await client.ask('READ a')).text.startswith('ABORTED')
+        assert (await client.ask('ROLLBACK')).state == 'I'
+
+    run_scenario(
+        scenario,
+        nodes=NODES,
+        max_connections=MAX_CONNECTIONS,
+        settle=2.5,
+        statement_time=0.25,
+    )
+
+
 @pytest.mark.parametrize('ending', ['ROLLBACK', 'disconnect', 'idle'])
 def test_uncommitted_transaction_is_rolled_back(ending: str) -> None:
     async def scenario(deployment: Deployment) -> None:
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -271,9 +271,13 @@
         await self._session_manager.close(session)
 
     async def rollback_transactions(self, reason: str) -> None:
-        """Roll back every transaction that is between two statements."""
+        """Roll back every transaction, between two of its statements."""
         await self._session_manager.rollback_transactions(reason)
 
+    async def finish_operation(self, session: CallerSession) -> None:
+        """Roll back a session's transaction if the node ends transactions."""
+        await self._session_manager.finish_operation(session)
+
     async def _keep_running(
         self,
         work: Callable[..., Awaitable[None]],
--- a/deckdrum/node/sessions.py
+++ b/deckdrum/node/sessions.py
@@ -53,6 +53,9 @@
         self._counters = counters
         self._get_version = get_version
         self._sessions: set[CallerSession] = set()
+        #: Why transactions are rolled back at their next rest; empty if they
+        #: are not.
+        self._rollback_reason = ''
 
     @property
     def count(self) -> int:
@@ -88,15 +91,23 @@
         await session.close()
 
     async def rollback_transactions(self, reason: str) -> None:
-        """Roll back every transaction that is between two statements."""
+        """Roll back every transaction, between two of its statements."""
+        self._rollback_reason = reason
         for session in list(self._sessions):
-            if session.has_idle_transaction:
-                self._journal.record(
-                    'transaction.abandoned',
-                    database=session.state.database,
-                    reason=reason,
-                )
-                await session.abort_transaction(reason)
+            await self.finish_operation(session)
+
+    async def finish_operation(self, session: CallerSession) -> None:
+        """Roll back an open transaction if the node ends transactions."""
+        transaction = session.state.transaction
+        is_ending = bool(self._rollback_reason) and session.has_idle_transaction
+        if transaction is None or transaction.is_failed or not is_ending:
+            return
+        self._journal.record(
+            'transaction.abandoned',
+            database=session.state.database,
+            reason=self._rollback_reason,
+        )
+        await session.abort_transaction(self._rollback_reason)
 
     async def rollback_idle_transactions(self, timeout: float) -> None:
         """Roll back transactions that were idle for over `timeout` seconds."""
--- a/deckdrum/node/tests/test_shutdown.py
+++ b/deckdrum/node/tests/test_shutdown.py
@@ -8,6 +8,7 @@
     CURRENT,
     Deployment,
     LineClient,
+    Reply,
     RunningNode,
     run_scenario,
 )
@@ -83,3 +84,34 @@
         await running.store.close()
 
     run_scenario(scenario)
+
+
+async def _run_transaction(
+    deployment: Deployment, running: RunningNode
+) -> list[Reply]:
+    """Read in a transaction without pauses until it ends."""
+    client = await LineClient.connect(running.frontend.address, CURRENT)
+    replies = [await client.ask('BEGIN')]
+    while replies[-1].state == 'T':
+        replies.append(await client.ask('READ a'))
+    replies.append(await client.ask('ROLLBACK'))
+    return replies
+
+
+def test_transaction_without_pauses_ends_between_two_statements() -> None:
+    """It was open at each poll, and was cut within a statement at the end."""
+
+    async def scenario(deployment: Deployment) -> None:
+        running = deployment.nodes.pop(0)
+        stopping = await curio.spawn(_stop, running)
+        began = await curio.clock()
+        replies = await _run_transaction(deployment, running)
+        assert all(reply.is_done for reply in replies[:-2])
+        assert replies[-2].text.startswith('ABORTED')
+        assert replies[-1].state == 'I'
+        # Half of the grace period, and the statement in progress.
+        assert 3 <= await curio.clock() - began < 3.6
+        await stopping.join()
+        await running.store.close()
+
+    run_scenario(scenario, statement_time=0.25)
--- a/deckdrum/platform/frontend.py
+++ b/deckdrum/platform/frontend.py
@@ -88,6 +88,7 @@
             outcome = await session.execute(request)
             payload = encode_outcome(outcome, session.transaction_state)
             await self._stream.send(payload)
+            await self._node.finish_operation(session)
             if self._node.is_closing_sessions and session.is_inactive:
                 # The client reconnects to another node.
                 return
