Soak: nodes refuse each other while the primary is replaced

No proxy of the soak and no link of the tests in virtual time refused connections to a process that runs on, so neither could find what a refusal was taken for. A link can now refuse and reset, and NodesRefused cuts nodes off that way, which reach databases and store, while the primary drains or crashes.

--- a/deckdrum/soak/environment.py
+++ b/deckdrum/soak/environment.py
@@ -131,6 +131,9 @@
         server.is_unresponsive = False
         server.is_replication_blocked = False
         server.load.is_full = False
+        if server.state != 'ready':
+            server.state = 'ready'
+            await server.publish()
         link = self.links[server.name]
         link.state = LinkState.OPEN
         if not server.is_running:
--- a/deckdrum/soak/partition_faults.py
+++ b/deckdrum/soak/partition_faults.py
@@ -1,5 +1,6 @@
 """Faults of a soak test that block links of single nodes."""
 
+import itertools
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
@@ -7,9 +8,13 @@
 
 from deckdrum.soak.environment import SoakEnvironment
 from deckdrum.soak.faults import STORE_FAULTS, Fault
-from deckdrum.soak.partitions import Block, build_peer_blocks
+from deckdrum.soak.partitions import (
+    Block,
+    build_peer_blocks,
+    build_refusals,
+)
 from deckdrum.soak.processes import NodeProcess
-from deckdrum.standins.users import StoreFault
+from deckdrum.standins.users import DatabaseServer, StoreFault
 from deckdrum.testing.blocked_links import BOTH_DIRECTIONS, Direction
 from deckdrum.utils import Address
 
@@ -71,6 +76,29 @@
         return f'{source.name} to {_join(targets)} {kind}'
 
 
+class NodesRefused(Fault):
+    """Nodes and the others refuse each other, and the primary is replaced.
+
+    The processes run on and reach the databases and the store.
+    """
+
+    async def inject(
+        self, environment: SoakEnvironment, duration: float
+    ) -> str:
+        """Inject and clear the fault."""
+        nodes = pick_nodes(environment)
+        blocks: list[Block] = []
+        for source, target in itertools.product(nodes, environment.nodes):
+            if target is not source:
+                blocks.extend(build_refusals(source, target))
+        primary = environment.reserve_server(environment.is_primary)
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(_hold_blocks, environment, blocks, duration)
+            if primary is not None:
+                await tasks.spawn(_replace, environment, primary, duration)
+        return f'{_join(nodes)}, {primary.name if primary else "no"} replaced'
+
+
 class PromotionLinkCut(Fault):
     """Nodes lose their links to the promotion API."""
 
@@ -207,6 +235,19 @@
     ]
 
 
+async def _replace(
+    environment: SoakEnvironment, primary: DatabaseServer, duration: float
+) -> None:
+    """Let a primary drain, or crash, for the second half of a fault."""
+    await curio.sleep(duration / 2)
+    if environment.randomness.choice((True, False)):
+        await primary.drain()
+    else:
+        await primary.crash()
+    await curio.sleep(duration / 2)
+    await environment.restore_server(primary)
+
+
 async def _hold_blocks(
     environment: SoakEnvironment,
     blocks: Sequence[Block],
@@ -253,6 +294,9 @@
     ServerLinkCut(),
     PeerLinkCut(),
     PeerLinkCut(),
+    NodesRefused(),
+    NodesRefused(),
+    NodesRefused(),
     PromotionLinkCut(),
     PromotionDelayed(),
     PromotionAnswersLost(),
--- a/deckdrum/soak/partitions.py
+++ b/deckdrum/soak/partitions.py
@@ -37,6 +37,17 @@
     )
 
 
+def build_refusals(
+    source: NodeProcess, target: NodeProcess
+) -> tuple[Block, Block]:
+    """Return the blocks of two nodes that refuse each other's connections."""
+    refused = {Direction.REFUSED}
+    return (
+        Block(source.name, target.peer_address, refused),
+        Block(target.name, source.peer_address, refused),
+    )
+
+
 class Partitions:
     """The blocked links of all nodes.
 
--- a/deckdrum/testing/blocked_links.py
+++ b/deckdrum/testing/blocked_links.py
@@ -2,7 +2,8 @@
 
 A blocked link behaves as a network that drops packets: new connections time
 out, sent data is held until the link opens, and a connection whose data stays
-unacknowledged is reset.
+unacknowledged is reset.  A link that refuses behaves as a network that rejects
+packets: new connections are refused, and open ones reset.
 """
 
 import errno
@@ -27,13 +28,15 @@
 
 
 class Direction(StrEnum):
-    """Direction of traffic, as seen from the node that connects."""
+    """What is blocked of a link, as seen from the node that connects."""
 
     TO = 'to'
     FROM = 'from'
+    #: Both directions, by refused and reset connections.
+    REFUSED = 'refused'
 
 
-BOTH_DIRECTIONS: Final = frozenset(Direction)
+BOTH_DIRECTIONS: Final = frozenset((Direction.TO, Direction.FROM))
 BlockedLinks = Mapping[str, Collection[Direction]]
 _NOTHING_BLOCKED: Final[BlockedLinks] = MappingProxyType({})
 
@@ -67,7 +70,11 @@
 
     def is_cut(self, address: Address) -> bool:
         """Return whether traffic is blocked in any direction."""
-        return any(self.is_blocked(address, each) for each in Direction)
+        return any(self.is_blocked(address, each) for each in BOTH_DIRECTIONS)
+
+    def is_refusing(self, address: Address) -> bool:
+        """Return whether connections to an address are refused and reset."""
+        return self.is_blocked(address, Direction.REFUSED)
 
     def _read_changes(self) -> None:
         try:
@@ -122,6 +129,8 @@
         """Return whether the stream is open and has no data to receive."""
         if self.closed or self._received is not None:
             return False
+        if self._links.is_refusing(self._address):
+            return False
         if self._links.is_blocked(self._address, Direction.FROM):
             # Neither data nor the end of the connection arrives.
             return True
@@ -135,12 +144,16 @@
             self._address, Direction.FROM
         ):
             await curio.sleep(_POLL_INTERVAL_S)
+        if self._links.is_refusing(self._address):
+            await self.abort()
         chunk = b'' if self.closed else self._received
         self._received = None
         return chunk
 
     async def send(self, payload: bytes) -> None:
         """Send all of `payload`, or hold it while the link is blocked."""
+        if not self.closed and self._links.is_refusing(self._address):
+            await self.abort()
         if self.closed:
             raise ConnectionResetError('the stream is closed')
         if not self._is_delivering and not self._links.is_cut(self._address):
@@ -222,6 +235,8 @@
     ConnectionError
         As `dial` does.
     """
+    if links.is_refusing(address):
+        raise ConnectionRefusedError(f'the link to {address} refuses')
     deadline: float = await curio.clock() + timeout
     while links.is_cut(address):
         if await curio.clock() >= deadline:
--- a/deckdrum/testing/tests/test_blocked_links.py
+++ b/deckdrum/testing/tests/test_blocked_links.py
@@ -154,3 +154,24 @@
         assert link.received == expected
 
     run_with_link(tmp_path, scenario)
+
+
+def test_refusing_link_refuses_and_resets_connections(tmp_path: Path) -> None:
+    """The soak had no link that refuses while both processes run."""
+
+    async def scenario(link: Link) -> None:
+        stream = await link.connect()
+        await stream.send(b'a')
+        assert await stream.receive() == b'a'
+        link.block(frozenset((Direction.REFUSED,)))
+        assert not stream.is_idle()
+        with pytest.raises(ConnectionResetError):
+            await stream.send(b'b')
+        with pytest.raises(ConnectionRefusedError):
+            await link.connect()
+        link.open()
+        other = await link.connect()
+        await other.send(b'c')
+        assert await other.receive() == b'c'
+
+    run_with_link(tmp_path, scenario)
