Type a missing answer of a peer, which tells nothing about its process

It returns NoAnswer now, whose error is for logs and for the pace of retries. leadership.nodes_silent tells the reasons; a coordinator of slots that is lost logs how. No change of what nodes decide.

--- a/deckdrum/fleet/node_peers.py
+++ b/deckdrum/fleet/node_peers.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -58,7 +59,25 @@
 AnswerHandler = Callable[[Message], Awaitable[Message | None]]
 LendHandler = Callable[[StreamChannel, BorrowLink], Awaitable[None]]
 ForwardHandler = Callable[[StreamChannel, Forward], Awaitable[None]]
-PeerAnswer = Message | ConnectionRefusedError | None
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """A peer did not answer a request.
+
+    It does not tell whether the peer runs: a dead port and a cut may refuse or
+    reset connections alike, and a peer behind a cut goes on with what it holds.
+
+    Attributes
+    ----------
+    error : Exception
+        How the request failed, for logs and for the pace of retries.
+    """
+
+    error: Exception
+
+
+PeerAnswer = Message | NoAnswer
 
 
 class NodePeers:
@@ -177,19 +196,13 @@
         request: Message,
         timeout: float = ASK_TIMEOUT_S,
     ) -> PeerAnswer:
-        """Send a request to a peer and return its answer.
-
-        Returns `ConnectionRefusedError` if no process listens at the address,
-        and None if the peer does not answer within `timeout` seconds.
-        """
+        """Send a request to a peer; return its answer within `timeout` s."""
         try:
             async with curio.timeout_after(timeout):
                 return await self._streams.exchange(address, request)
-        except ConnectionRefusedError as error:
-            return error
-        except (ConnectionError, curio.TaskTimeout):
+        except (ConnectionError, curio.TaskTimeout) as error:
             # Nodes can stay registered after they have stopped.
-            return None
+            return NoAnswer(error)
 
     async def ask_all(
         self,
--- a/deckdrum/fleet/tests/test_feeders.py
+++ b/deckdrum/fleet/tests/test_feeders.py
@@ -5,7 +5,7 @@
 from deckdrum.control import Member, StoreFeed
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.node_messages import FollowUpdates
-from deckdrum.fleet.node_peers import NodePeers, PeerAnswer
+from deckdrum.fleet.node_peers import NoAnswer, NodePeers, PeerAnswer
 from deckdrum.fleet.settings import NodeSettings
 from deckdrum.fleet.update_following import (
     START_DELAY_S,
@@ -42,7 +42,7 @@
     ) -> PeerAnswer:
         """Refuse the connection."""
         self.asked.add(address.port)
-        return ConnectionRefusedError('no process')
+        return NoAnswer(ConnectionRefusedError('no process'))
 
 
 class IdleFeed(StoreFeed):
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -26,7 +26,7 @@
 and looks for a server that the claim before has promoted.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 import curio
@@ -35,7 +35,7 @@
 from deckdrum.control import Kind
 from deckdrum.fleet.messages import Heartbeat
 from deckdrum.fleet.node_messages import EndTerm, TermEnded
-from deckdrum.fleet.node_peers import PeerAnswer
+from deckdrum.fleet.node_peers import NoAnswer, PeerAnswer
 from deckdrum.leadership.context import (
     POLL_INTERVAL_S,
     LeadershipClaim,
@@ -363,18 +363,13 @@
             question, END_TERM_TIMEOUT_S
         )
         await own_task.join()
-        unresponsive = [
-            name
+        unresponsive = {
+            name: answer
             for name, answer in answers.items()
             if not isinstance(answer, TermEnded)
-        ]
-        refusing = [
-            name
-            for name, answer in answers.items()
-            if isinstance(answer, ConnectionRefusedError)
-        ]
+        }
         if unresponsive:
-            self._log_unresponsive(unresponsive, refusing, term)
+            self._log_unresponsive(unresponsive, term)
         # Plus one for this node.
         stopped = len(answers) - len(unresponsive) + 1
         registered = self._context.peers.count_registered()
@@ -440,15 +435,15 @@
         return False
 
     def _log_unresponsive(
-        self, silent: list[str], refusing: list[str], term: int
+        self, answers: Mapping[str, PeerAnswer], term: int
     ) -> None:
         self._runtime.journal.record(
             'leadership.nodes_silent',
             service=self._runtime.name,
             term=term,
-            nodes=silent[:MAX_LOGGED_NODES],
-            count=len(silent),
-            refusing=refusing[:MAX_LOGGED_NODES],
+            nodes=list(answers)[:MAX_LOGGED_NODES],
+            count=len(answers),
+            reasons=sorted({_describe(each) for each in answers.values()}),
         )
 
     def _log(
@@ -457,6 +452,13 @@
         report.log(self._runtime.journal, event, reason)
 
 
+def _describe(answer: PeerAnswer) -> str:
+    """Return why an answer does not count, for the log."""
+    if isinstance(answer, NoAnswer):
+        return type(answer.error).__name__
+    return type(answer).__name__
+
+
 def _find_later_leader(answers: Iterable[PeerAnswer]) -> Leader | None:
     """Return the latest primary that nodes use in a later term, if any."""
     leaders = [
--- a/deckdrum/limits/client.py
+++ b/deckdrum/limits/client.py
@@ -11,7 +11,7 @@
     LimitRole,
     ReturnToken,
 )
-from deckdrum.fleet.node_peers import NodePeers
+from deckdrum.fleet.node_peers import NoAnswer, NodePeers
 from deckdrum.limits.counter import LimitCounter
 from deckdrum.load.queueing import compute_retry_after
 from deckdrum.load.rate_limits import (
@@ -183,8 +183,8 @@
         if isinstance(answer, LimitAnswer):
             return answer
         error: Exception = TimeoutError('no answer to a limit request')
-        if isinstance(answer, ConnectionRefusedError):
-            error = answer
+        if isinstance(answer, NoAnswer):
+            error = answer.error
         await self._peers.health.record_failure(coordinator, error)
         await self._peers.health.check_all()
         return None
--- a/deckdrum/load/tests/test_capacity.py
+++ b/deckdrum/load/tests/test_capacity.py
@@ -10,7 +10,7 @@
 from deckdrum.control import ControlView, Entry, Kind, Member
 from deckdrum.fleet.base import Message
 from deckdrum.fleet.health import PeerHealth
-from deckdrum.fleet.node_peers import NodePeers, PeerAnswer
+from deckdrum.fleet.node_peers import NoAnswer, NodePeers, PeerAnswer
 from deckdrum.fleet.policies import ALL_POLICIES
 from deckdrum.fleet.update_following import choose_feeders
 from deckdrum.leadership.state import LeadershipState
@@ -51,7 +51,7 @@
         self, address: Address, question: Message, timeout: float = 1
     ) -> PeerAnswer:
         """Refuse the connection."""
-        return ConnectionRefusedError('no process')
+        return NoAnswer(ConnectionRefusedError('no process'))
 
 
 def build_members(capacities: Mapping[str, float]) -> dict[str, Member]:
--- a/deckdrum/serving/slot_leases.py
+++ b/deckdrum/serving/slot_leases.py
@@ -170,7 +170,7 @@
                 'slots.coordinator_lost',
                 name,
                 request,
-                reason='no answer' if answer is None else repr(answer),
+                reason=repr(answer),
             )
         return None
 
--- a/deckdrum/testing/limits.py
+++ b/deckdrum/testing/limits.py
@@ -19,7 +19,7 @@
     ReturnToken,
 )
 from deckdrum.fleet.messages import Heartbeat
-from deckdrum.fleet.node_peers import NodePeers, PeerAnswer
+from deckdrum.fleet.node_peers import NoAnswer, NodePeers, PeerAnswer
 from deckdrum.limits import LimitClient, LimitCounter, LimitShares
 from deckdrum.load.rate_limits import DEFAULT_TOLERANCE
 from deckdrum.outcomes import Refusal
@@ -70,21 +70,21 @@
         if self._fleet.nodes[self._node].peers is not self:
             # This process has been replaced.
             await curio.sleep(timeout)
-            return None
+            return NoAnswer(TimeoutError())
         await curio.sleep(ONE_WAY_DELAY_S)
         if other in self._fleet.dead:
-            return ConnectionRefusedError('no process')
+            return NoAnswer(ConnectionRefusedError('no process'))
         if self._fleet.refuses_connection(self._node, other):
-            return ConnectionRefusedError('cut off')
+            return NoAnswer(ConnectionRefusedError('cut off'))
         if self._fleet.is_unreachable(self._node, other):
             await curio.sleep(timeout)
-            return None
+            return NoAnswer(TimeoutError())
         answer = await self._fleet.nodes[other].answer(question)
         await curio.sleep(ONE_WAY_DELAY_S)
         if self._fleet.loses_answer(question):
             await curio.sleep(timeout)
-            return None
-        return answer
+            return NoAnswer(TimeoutError())
+        return answer or NoAnswer(ConnectionResetError())
 
 
 class FleetNode:
--- a/deckdrum/testing/slots.py
+++ b/deckdrum/testing/slots.py
@@ -14,6 +14,7 @@
 from deckdrum.fleet.borrowing import DirectBackend
 from deckdrum.fleet.load_messages import AskSlots, SlotsAnswer
 from deckdrum.fleet.messages import Heartbeat
+from deckdrum.fleet.node_peers import NoAnswer
 from deckdrum.load.allocation import rank_holders
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.slot_groups import GroupSlots
@@ -76,13 +77,13 @@
         name = self._fleet.ranked[address.port]
         await curio.sleep(ONE_WAY_LATENCY_S)
         if name in self._fleet.stopped:
-            return ConnectionRefusedError()
+            return NoAnswer(ConnectionRefusedError())
         is_cut = bool({name, self.name} & self._fleet.unreachable)
         if is_cut and self._fleet.is_refusing:
-            return ConnectionRefusedError()
+            return NoAnswer(ConnectionRefusedError())
         if self.is_killed or is_cut:
             await curio.sleep(timeout)
-            return None
+            return NoAnswer(TimeoutError())
         if isinstance(request, Heartbeat):
             return request
         assert isinstance(request, AskSlots)
