Draw planned changes while nodes that run refuse connections

The drawn cases had no node that refuses and runs on, checked no reads, and wrote through every node, which tells a node that its primary is replaced. The new cases cut nodes off by reset or refused connections, at times with the store, while the primary drains, and check what each read sees.

The functions that inject faults are in a module of their own now.

--- a/deckdrum/leadership/tests/test_drawn_faults.py
+++ b/deckdrum/leadership/tests/test_drawn_faults.py
@@ -4,10 +4,11 @@
 
 from deckdrum.testing.drawn_faults import (
     DrawnCase,
-    DrawnFault,
     DrawnScenario,
     draw_case,
+    draw_refusing_case,
 )
+from deckdrum.testing.fault_actions import DrawnFault
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 
 
@@ -46,3 +47,9 @@
 )
 def test_drawn_faults_violate_nothing(seed: int) -> None:
     assert not _play(draw_case(seed))
+
+
+@pytest.mark.parametrize('seed', [9009, 9019, 9023, 9024, 9029])
+def test_nodes_that_refuse_while_they_run_violate_nothing(seed: int) -> None:
+    """A refusal counted as the end of a node, which read on."""
+    assert not _play(draw_refusing_case(seed))
--- a/deckdrum/standins/users/store.py
+++ b/deckdrum/standins/users/store.py
@@ -63,6 +63,8 @@
         Fault for all machines.
     turned_away : dict of str to StoreFault
         Faults for single machines, by machine name; override `fault`.
+    cut_off : set of str
+        Machines that get no answers, also to calls and watches in progress.
     revision : int
         Revision of the latest change.
     calls : Counter of str
@@ -73,6 +75,7 @@
     delay: float = 0.004
     fault: StoreFault = StoreFault.NONE
     turned_away: dict[str, StoreFault] = field(default_factory=dict)
+    cut_off: set[str] = field(default_factory=set)
     revision: int = 0
     calls: Counter[str] = field(default_factory=Counter)
     _stored: dict[str, _ByName] = field(default_factory=dict)
@@ -167,6 +170,9 @@
             return Reply.from_text(fault.value, status)
         await curio.sleep(self.delay)
         reply = await self._perform(request)
+        if machine in self.cut_off:
+            await curio.sleep(HANG_DURATION_S)
+            return None
         is_change = request.method != 'GET'
         if is_change and fault is StoreFault.ANSWERS_LOST:
             return None
--- a/deckdrum/testing/replaced_primaries.py
+++ b/deckdrum/testing/replaced_primaries.py
@@ -1,6 +1,6 @@
 """Writers, and checks of what replaced primaries committed."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 import curio
@@ -11,6 +11,7 @@
 
 _WRITE_INTERVAL_S: Final = 0.05
 _RECONNECT_DELAY_S: Final = 0.05
+_READ_INTERVAL_S: Final = 0.03
 #: Every such operation is a transaction of two writes.
 _TRANSACTION_PERIOD: Final = 4
 
@@ -29,6 +30,8 @@
     def __init__(self, deployment: Deployment, number: int) -> None:
         #: When each write was acknowledged, in kernel seconds by request id.
         self.acknowledged: dict[str, float] = {}
+        #: Number of commits that were acknowledged.
+        self.commits = 0
         self._deployment = deployment
         self._number = number
         self._statement_count = 0
@@ -67,6 +70,7 @@
         if reply.is_done:
             now = await curio.clock()
             self.acknowledged.update(dict.fromkeys(writes, now))
+            self.commits += 1
         return reply.state == 'I'
 
     async def _ask(self, client: LineClient, text: str) -> tuple[str, Reply]:
@@ -77,6 +81,63 @@
         return request_id, await client.read_reply()
 
 
+class Reader:
+    """A caller that reads through one node, one session after another.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Its nodes.
+    number : int
+        Number of the node.
+    writers : sequence of Writer
+        All writers of the deployment.
+    """
+
+    def __init__(
+        self, deployment: Deployment, number: int, writers: Sequence[Writer]
+    ) -> None:
+        #: Reads whose log lacked a commit acknowledged before they were sent.
+        self.stale: list[str] = []
+        self._deployment = deployment
+        self._number = number
+        self._writers = writers
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            try:
+                await self._run_session()
+            except (ConnectionError, curio.TaskTimeout):
+                # The node is down or does not answer; it is tried again.
+                await curio.sleep(_RECONNECT_DELAY_S)
+
+    async def _run_session(self) -> None:
+        client = await self._deployment.connect(CURRENT, self._number)
+        try:
+            while client.greeting.state == 'I':
+                if not await self._read(client):
+                    return
+                await curio.sleep(_READ_INTERVAL_S)
+        finally:
+            await client.close()
+        await curio.sleep(_RECONNECT_DELAY_S)
+
+    async def _read(self, client: LineClient) -> bool:
+        """Read once; return whether the session can be used again."""
+        required = sum(writer.commits for writer in self._writers)
+        sent_at = await curio.clock()
+        reply = await client.ask('READ a')
+        if reply.is_done:
+            commits = int(reply.rows[0].rpartition('-')[2])
+            if commits < required:
+                self.stale.append(
+                    f'a read of {sent_at:.3f} s through n{self._number} saw '
+                    f'{commits} of {required} commits'
+                )
+        return reply.state == 'I'
+
+
 def find_replaced_primary_writes(
     group: DatabaseGroup, acknowledged: Mapping[str, float]
 ) -> list[str]:
