Soak: stop nodes while they send long answers

All answers of the soak fit into a buffer of the kernel, so none could be cut by a node that closes a connection too early.

--- a/deckdrum/standins/users/databases.py
+++ b/deckdrum/standins/users/databases.py
@@ -55,6 +55,8 @@
         Loopback address of the databases.  A database that restarts needs its
         port again, which a connection of another process may have taken if
         that uses the same address.
+    padding_rows, padding_row_bytes : int
+        Number and size of the rows that follow the row of a read.
     servers : dict of str to DatabaseServer
         Databases by id, including stopped ones.
     executed_statements : list of ExecutedStatement
@@ -83,6 +85,8 @@
     synchronous_replicas: int = 0
     max_connections: int = 23
     host: str = '127.0.0.1'
+    padding_rows: int = 0
+    padding_row_bytes: int = 0
     servers: dict[str, DatabaseServer] = field(default_factory=dict)
     executed_statements: list[ExecutedStatement] = field(default_factory=list)
     promotions: list[tuple[str, str, int]] = field(default_factory=list)
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -63,6 +63,8 @@
         Connection limit of each database.
     host : str
         Loopback address of the databases.
+    padding_rows, padding_row_bytes : int
+        Number and size of the rows that follow the row of a read.
     executed_statements : list of ExecutedStatement
         Executed statements of all databases, in order.
     """
@@ -72,6 +74,8 @@
     statement_time: float
     max_connections: int
     host: str
+    padding_rows: int
+    padding_row_bytes: int
     executed_statements: list[ExecutedStatement]
 
     @abstractmethod
@@ -432,7 +436,9 @@
         if connection.transaction == 'WRITE' and self.role != PRIMARY:
             return self._reject(connection, 'READONLY')
         answer = self._record_execution(connection, request_id, text)
-        return f'ROW {arguments}-{len(self.log)}\r\n{answer}'
+        padding = 'x' * self.group.padding_row_bytes
+        rows = f'ROW {padding}\r\n' * self.group.padding_rows
+        return f'ROW {arguments}-{len(self.log)}\r\n{rows}{answer}'
 
     def _record_execution(
         self,
