--- a/deckdrum/node/tests/test_shutdown.py
+++ b/deckdrum/node/tests/test_shutdown.py
@@ -1,5 +1,7 @@
 """Shutdown of a node while it works, in virtual time."""
 
+from functools import partial
+
 import curio
 import pytest
 
@@ -36,35 +38,29 @@
     return ended - began
 
 
+async def _is_read_whole(delay: float, deployment: Deployment) -> bool:
+    """Return whether an answer that takes `delay` seconds survives a stop."""
+    running = deployment.nodes.pop(0)
+    client = await _connect_slowly(deployment, running, delay)
+    stopping = await curio.spawn(_stop, running)
+    await curio.sleep(READINESS_PROPAGATION_S - 0.1)
+    reply = await client.ask('READ a')
+    assert await stopping.join() < GRACE_S
+    await running.store.close()
+    return reply.state == 'I'
+
+
 @pytest.mark.parametrize('delay', [0.5, 1.6, 2.8])
 def test_answer_that_is_being_sent_is_not_cut_as_idle(delay: float) -> None:
     """A session counted as idle once its statement had been run."""
 
-    async def scenario(deployment: Deployment) -> None:
-        running = deployment.nodes.pop(0)
-        client = await _connect_slowly(deployment, running, delay)
-        stopping = await curio.spawn(_stop, running)
-        await curio.sleep(READINESS_PROPAGATION_S - 0.1)
-        assert (await client.ask('READ a')).state == 'I'
-        assert await stopping.join() < GRACE_S
-        await running.store.close()
-
-    run_scenario(scenario)
+    assert run_scenario(partial(_is_read_whole, delay))
 
 
 def test_answer_that_leaves_until_the_kill_is_not_cut_before_it() -> None:
     """All connections were closed half a second before the kill."""
 
-    async def scenario(deployment: Deployment) -> None:
-        running = deployment.nodes.pop(0)
-        client = await _connect_slowly(deployment, running, delay=3.55)
-        stopping = await curio.spawn(_stop, running)
-        await curio.sleep(READINESS_PROPAGATION_S - 0.1)
-        assert (await client.ask('READ a')).state == 'I'
-        assert await stopping.join() < GRACE_S
-        await running.store.close()
-
-    run_scenario(scenario)
+    assert run_scenario(partial(_is_read_whole, 3.55))
 
 
 def test_node_uses_no_primary_once_it_has_removed_its_registration() -> None:
--- a/deckdrum/testing/replaced_primaries.py
+++ b/deckdrum/testing/replaced_primaries.py
@@ -1,5 +1,6 @@
-"""Writers, and checks of what replaced primaries committed."""
+"""Writers, readers, and checks of what replaced primaries committed."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
@@ -9,15 +10,13 @@
 from deckdrum.standins.users.records import Commit, Takeover
 from deckdrum.testing.nodes import CURRENT, Deployment, LineClient, Reply
 
-_WRITE_INTERVAL_S: Final = 0.05
 _RECONNECT_DELAY_S: Final = 0.05
-_READ_INTERVAL_S: Final = 0.03
 #: Every such operation is a transaction of two writes.
 _TRANSACTION_PERIOD: Final = 4
 
 
-class Writer:
-    """A caller that writes through one node, one session after another.
+class NodeCaller(ABC):
+    """A caller that uses one node, one session after another.
 
     Parameters
     ----------
@@ -27,17 +26,15 @@
         Number of the node.
     """
 
+    #: Pause between two operations, in seconds.
+    _interval: float
+
     def __init__(self, deployment: Deployment, number: int) -> None:
-        #: When each write was acknowledged, in kernel seconds by request id.
-        self.acknowledged: dict[str, float] = {}
-        #: Number of commits that were acknowledged.
-        self.commits = 0
         self._deployment = deployment
         self._number = number
-        self._statement_count = 0
 
     async def run(self) -> None:
-        """Write until cancelled."""
+        """Run operations until cancelled."""
         while True:
             try:
                 await self._run_session()
@@ -45,19 +42,36 @@
                 # The node is down or does not answer; it is tried again.
                 await curio.sleep(_RECONNECT_DELAY_S)
 
+    @abstractmethod
+    async def _operate(self, client: LineClient) -> bool:
+        """Run one operation; return whether the session can be used again."""
+
     async def _run_session(self) -> None:
         client = await self._deployment.connect(CURRENT, self._number)
         try:
             while client.greeting.state == 'I':
-                if not await self._write(client):
+                if not await self._operate(client):
                     return
-                await curio.sleep(_WRITE_INTERVAL_S)
+                await curio.sleep(self._interval)
         finally:
             await client.close()
         await curio.sleep(_RECONNECT_DELAY_S)
 
-    async def _write(self, client: LineClient) -> bool:
-        """Run one operation; return whether the session can be used again."""
+
+class Writer(NodeCaller):
+    """A caller that writes; see `NodeCaller`."""
+
+    _interval = 0.05
+
+    def __init__(self, deployment: Deployment, number: int) -> None:
+        super().__init__(deployment, number)
+        #: When each write was acknowledged, in kernel seconds by request id.
+        self.acknowledged: dict[str, float] = {}
+        #: Number of commits that were acknowledged.
+        self.commits = 0
+        self._statement_count = 0
+
+    async def _operate(self, client: LineClient) -> bool:
         if self._statement_count % _TRANSACTION_PERIOD:
             request_id, reply = await self._ask(client, 'WRITE a 1')
             writes = [request_id]
@@ -81,8 +95,8 @@
         return request_id, await client.read_reply()
 
 
-class Reader:
-    """A caller that reads through one node, one session after another.
+class Reader(NodeCaller):
+    """A caller that reads; see `NodeCaller`.
 
     Parameters
     ----------
@@ -94,37 +108,17 @@
         All writers of the deployment.
     """
 
+    _interval = 0.03
+
     def __init__(
         self, deployment: Deployment, number: int, writers: Sequence[Writer]
     ) -> None:
+        super().__init__(deployment, number)
         #: Reads whose log lacked a commit acknowledged before they were sent.
         self.stale: list[str] = []
-        self._deployment = deployment
-        self._number = number
         self._writers = writers
 
-    async def run(self) -> None:
-        """Read until cancelled."""
-        while True:
-            try:
-                await self._run_session()
-            except (ConnectionError, curio.TaskTimeout):
-                # The node is down or does not answer; it is tried again.
-                await curio.sleep(_RECONNECT_DELAY_S)
-
-    async def _run_session(self) -> None:
-        client = await self._deployment.connect(CURRENT, self._number)
-        try:
-            while client.greeting.state == 'I':
-                if not await self._read(client):
-                    return
-                await curio.sleep(_READ_INTERVAL_S)
-        finally:
-            await client.close()
-        await curio.sleep(_RECONNECT_DELAY_S)
-
-    async def _read(self, client: LineClient) -> bool:
-        """Read once; return whether the session can be used again."""
+    async def _operate(self, client: LineClient) -> bool:
         required = sum(writer.commits for writer in self._writers)
         sent_at = await curio.clock()
         reply = await client.ask('READ a')
