Known red: a node that can open no stream to holders serves nothing

A first form of test_node_opens_connections_itself_if_a_cut_refuses_its_own closed the open streams to the holders too. Behind a cut that refuses new connections and keeps open ones, 0 of 10 writes were then done, before and after the fix: heartbeats over older streams succeed, so no holder counts as lost.

--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -335,6 +335,25 @@
     )
 
 
+def test_node_that_can_open_no_stream_to_holders_runs_statements() -> None:
+    """Heartbeats over older streams succeed, so no holder counts as lost."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        caller = _find_caller(deployment)
+        client = await deployment.connect(CURRENT, caller)
+        await deployment.isolate_node(caller, CutKind.REFUSE)
+        await deployment.nodes[caller].node.peers.forward_streams.close()
+        done = 0
+        for _ in range(10):
+            done += (await client.ask('WRITE a 1')).is_done
+            await curio.sleep(0.3)
+        assert done >= 8
+
+    run_linked_scenario(
+        scenario, nodes=NODES, max_connections=MAX_CONNECTIONS, settle=2.5
+    )
+
+
 def test_graceful_shutdown_of_a_holder_fails_no_statement() -> None:
     async def ask_repeatedly(
         deployment: Deployment, number: int
