--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -457,7 +457,7 @@
         if word == 'AFTER':
             position, _, text = rest.partition(' ')
             term, _, number = position.partition('.')
-            if (int(term), int(number)) > (db.term, db.applied):
+            if int(term) > db.term or int(number) > db.applied:
                 return f'ERROR LAGGING {db.name}\r\n'
             return await self._run(request, text)
         if word in {'STATUS', 'PAUSE', 'RESUME', 'DEMOTE'}:
@@ -849,6 +849,7 @@
         Client.count += 1
         self.name = f'c{Client.count:x}'
         self._number = 0
+        self._writer = None
 
     async def open(self):
         self._reader, self._writer = await asyncio.open_connection(
@@ -889,7 +890,8 @@
             reply.word = 'LOST'
 
     def close(self):
-        self._writer.close()
+        if self._writer is not None:
+            self._writer.close()
 
 
 def build_config(version=1, sync=0, max_connections=23, **limits):
