--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -569,6 +569,8 @@
         self.databases = {}
         self.runs = []
         self.promotions = []
+        #: Commits: time, database, term and request ids.
+        self.commits = []
         self.takeovers = []
         self.takeover_terms = []
         #: Links that are cut, as pairs of a node's and a database's name.
@@ -625,6 +627,9 @@
     async def commit(self, db, writes):
         """Append a commit; wait until enough replicas have received it."""
         db.log.append(tuple(writes))
+        self.commits.append(
+            (now(), db.name, db.term, [write[0] for write in writes])
+        )
         number = len(db.log)
         db.applied = number
         self.log('db.committed', db=db.name, position=db.received,
