Review: a node that could not register reads at a replaced primary

Cause: a planned change of the primary promotes at once when all registered nodes have ended the term; a node that the store turns away isn't registered and still has proof of that term.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import json
 import os
 import random
@@ -548,6 +549,11 @@
         return f'COMPLETE {self.db.name}.{len(self.group.runs):x}\r\n'
 
 
+def list_ids(log, applied):
+    """Return the ids of the writes in a log up to a position."""
+    return {write[0] for writes in log[:applied] for write in writes}
+
+
 class Group:
     """The databases of one service, and the API for promotions."""
 
@@ -616,9 +622,12 @@
             f'{key}:{value}' for key, value in sorted(conn.values.items())
         )
         self.runs.append({
-            'at': now(), 'db': conn.db.name, 'conn': conn.name, 'id': request,
+            'at': now(), 'db': conn.db.name, 'server': conn.db, 'conn': conn.name, 'id': request,
             'text': text, 'shape': shape, 'values': dict(conn.values),
             'position': (conn.db.term, conn.db.applied),
+            'seen': functools.partial(
+                list_ids, conn.db.log, conn.db.applied
+            ),
         })
         self.log('db.ran', db=conn.db.name, conn=conn.name, id=request,
                  text=repr(text[:60]), shape=shape, values=values or '-',
