Run statements locally on a node that can open no stream to holders

What callers saw: behind a cut that refuses new connections and keeps open ones, a node that is no holder and has no free stream to one answered each write with "no holder answers": 0 of 10.

Cause: a holder that refuses a stream was marked as unresponsive, but heartbeats over an older stream cleared the mark after 0.1 s. So never all holders counted as lost, and the node did not run the statement itself.

Why the fix works: an answer to a heartbeat does not show that a stream can be opened. The forwarder records for 1 s that it could open none to a holder, and chooses another one, or runs the statement if that holds for all of them. An open that succeeds clears it.

--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -45,6 +45,9 @@
 MAX_HOLDER_ATTEMPTS: Final = 4
 #: Time for which a holder that cannot reach the primary is avoided.
 HOLDER_BACKOFF_S: Final = 0.5
+#: Time for which a holder to which no stream could be opened is avoided.  Its
+#: answers to heartbeats over older streams do not show that one can be opened.
+STREAM_BACKOFF_S: Final = 1.0
 
 
 _RETRYABLE_CODES: Final = frozenset((Code.NOT_READY, Code.NO_PRIMARY))
@@ -86,6 +89,9 @@
         #: Time until which a holder that could not reach the primary is
         #: avoided, by name.
         self._backoff_until: dict[str, float] = {}
+        #: Time until which a holder counts as one to which this node can open
+        #: no stream, by name.
+        self._no_stream_until: dict[str, float] = {}
         self._loads = HolderLoads(runtime, data_centre)
 
     async def run_autocommit(
@@ -151,12 +157,19 @@
         transaction.is_open = True
         return StartedTransaction(forwarded.outcome, forwarded=transaction)
 
-    def _can_run_locally(self) -> bool:
+    def _can_run_locally(self, now: float) -> bool:
         """Return whether this node is a holder, or cut off from all holders."""
         if self._runtime.allocator.is_holder:
             return True
-        names = [holder.name for holder in self._runtime.allocator.others]
-        return all(map(self._health.is_unresponsive, names))
+        return all(
+            self._is_unreachable(holder.name, now)
+            for holder in self._runtime.allocator.others
+        )
+
+    def _is_unreachable(self, name: str, now: float) -> bool:
+        """Return whether a holder is silent or accepts no stream lately."""
+        is_closed = now < self._no_stream_until.get(name, float('-inf'))
+        return is_closed or self._health.is_unresponsive(name)
 
     async def _forward(
         self, pending: PendingForward
@@ -169,7 +182,7 @@
                 pending, now
             ):
                 continue
-            if holder is None and self._can_run_locally():
+            if holder is None and self._can_run_locally(now):
                 return None
             if holder is None or now >= pending.deadline:
                 return self._refuse(pending)
@@ -230,7 +243,9 @@
         )
         return None
 
-    def _list_candidates(self, pending: PendingForward) -> list[Member]:
+    def _list_candidates(
+        self, pending: PendingForward, now: float
+    ) -> list[Member]:
         """Return the holders that may be tried, the preferred one first."""
         return [
             holder
@@ -238,7 +253,7 @@
                 pending.state.workspace
             )
             if holder.name not in pending.tried
-            and not self._health.is_unresponsive(holder.name)
+            and not self._is_unreachable(holder.name, now)
         ]
 
     def _choose_holder(
@@ -251,7 +266,7 @@
         free = pending.next_holder
         if free is not None and free.name not in tried:
             return free
-        candidates = self._list_candidates(pending)
+        candidates = self._list_candidates(pending, now)
         preferred = [
             holder
             for holder in candidates
@@ -285,7 +300,7 @@
         if elapsed > objective * IMMEDIATE_REJECTION_FRACTION:
             return False
         pending.next_holder = self._loads.find_free(
-            self._list_candidates(pending),
+            self._list_candidates(pending, now),
             pending.state.workspace,
             now,
             objective - elapsed,
@@ -334,9 +349,12 @@
                     # stream would have an unknown outcome.
                     await channel.ask(Heartbeat())
         except (ConnectionError, curio.TaskTimeout) as error:
+            now = await curio.clock()
+            self._no_stream_until[holder.name] = now + STREAM_BACKOFF_S
             await self._health.record_failure(holder, error)
             await self._health.check_all()
             return _NOT_SENT
+        self._no_stream_until.pop(holder.name, None)
         self._runtime.counters.count('forwards')
         answer_task = await curio.spawn(_ask, channel, message, daemon=True)
         try:
