Test who counts as alive before a change, and who becomes a deputy

Two places that had taken a refused connection for the end of a process were mended without a test of their own.

--- a/deckdrum/leadership/tests/test_refused_connections.py
+++ b/deckdrum/leadership/tests/test_refused_connections.py
@@ -3,6 +3,8 @@
 import curio
 import pytest
 
+from deckdrum.leadership.context import PrimaryChangeReport
+from deckdrum.leadership.primary_change import PrimaryChanger
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 from deckdrum.testing.links import CutKind
@@ -109,3 +111,30 @@
 def _is_claimed(deployment: LinkedDeployment) -> bool:
     record = deployment.store.read('deckdrum-leadership', SERVICE)
     return bool(record['phase'] == 'fencing')
+
+
+@pytest.mark.parametrize('kind', [CutKind.SILENT, CutKind.RESET])
+def test_node_that_others_refuse_claims_no_change(kind: CutKind) -> None:
+    """Refusals counted towards the majority that a claim needs.
+
+    A node behind a cut then ended the term of a primary that the others used.
+    """
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        former = deployment.group.primary
+        await deployment.isolate_node(_ISOLATED, kind)
+        hidden = next(
+            server.name
+            for server in deployment.group.servers.values()
+            if server is not former
+        )
+        # One replica answers, which is less than a change has to fence.
+        await deployment.cut_link(_ISOLATED, hidden)
+        node = deployment.nodes[_ISOLATED].node
+        record = deployment.store.read('deckdrum-leadership', SERVICE)
+        changer = PrimaryChanger(node.services[SERVICE], node.tools)
+        report = PrimaryChangeReport(SERVICE, former.name, 'test', False)
+        assert not await changer.run(report)
+        assert deployment.store.read('deckdrum-leadership', SERVICE) == record
+
+    run_linked_scenario(scenario)
--- a/deckdrum/limits/tests/test_limits.py
+++ b/deckdrum/limits/tests/test_limits.py
@@ -6,6 +6,7 @@
 import curio
 import pytest
 
+from deckdrum.fleet.limit_messages import AskLimit, LimitAnswer, LimitRole
 from deckdrum.load.rate_limits import DEFAULT_TOLERANCE
 from deckdrum.outcomes import Code, Fate
 from deckdrum.testing.limits import LimitFleet, find_worst_window
@@ -181,6 +182,42 @@
     run_virtual(scenario)
 
 
+def test_deputy_counts_for_a_coordinator_that_answers_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next node became its successor, which admits the whole limit anew.
+
+    The coordinator had answered between the failed request and the choice.
+    """
+
+    async def scenario() -> None:
+        fleet = LimitFleet(NODES, GROWERS)
+        await fleet.start()
+        ranked = fleet.nodes[0].counter.rank(fleet.workspace.name)
+        coordinator, deputy, asking, *_ = (int(name[1:]) for name in ranked)
+        health = fleet.nodes[asking].peers.health
+        # It answers a heartbeat at once, so it never counts as unresponsive.
+        monkeypatch.setattr(health, 'record_failure', _forget_failure)
+        fleet.is_refusing = True
+        fleet.broken_links = {(asking, coordinator)}
+        roles = []
+        answer = fleet.nodes[deputy].counter.answer
+
+        async def note_role(request: AskLimit) -> LimitAnswer:
+            roles.append(request.asked_as)
+            return await answer(request)
+
+        monkeypatch.setattr(fleet.nodes[deputy].counter, 'answer', note_role)
+        await fleet.send(asking)
+        assert roles == [LimitRole.DEPUTY]
+
+    run_virtual(scenario)
+
+
+async def _forget_failure(*_: object) -> None:
+    """Record nothing."""
+
+
 def test_refusal_reports_that_nothing_ran_and_when_to_retry() -> None:
     async def scenario() -> None:
         fleet = LimitFleet(NODES, SMALL)
