Run a statement as it was when it was read

Cause: attempts kept the session, not the statement. A hedged attempt that still waits for a connection looks up the session's names and values when it gets one, and the session has gone on since the other attempt was answered. If the name did not exist any more, the attempt ended with a KeyError.

Why the fix works: `SessionState.capture` returns the statement as a frozen value when it is read: its request, prepared shape, session values, position, workspace and the transaction that it opens. Attempts, the router, retries, forwards and statements in a transaction get this value and know no session. The session records the position of its own changes itself.

--- a/deckdrum/forwarding/encoding.py
+++ b/deckdrum/forwarding/encoding.py
@@ -24,7 +24,7 @@
 from deckdrum.outcomes import Code, Refusal
 from deckdrum.outcomes.codes import CODES
 from deckdrum.serving.host import Outcome
-from deckdrum.serving.state import PreparedStatement, SessionState
+from deckdrum.serving.state import PreparedStatement, Statement
 from deckdrum.sessions import Position
 
 _READ: Final = 'read'
@@ -46,47 +46,42 @@
 
 
 def encode_forward(
-    request: Request,
+    statement: Statement,
     route: Route,
-    state: SessionState,
-    begin: Begin | None,
     version: int,
 ) -> Forward:
     """Return the message that forwards a statement.
 
     Parameters
     ----------
-    request : Request
+    statement : Statement
         The statement, or the first one of a transaction.
     route : Route
         Its route.
-    state : SessionState
-        State of the caller's session.
-    begin : Begin or None
-        The transaction that it opens.
     version : int
         Version of the configuration that provided the route.
     """
     opening = ''
+    begin = statement.begin
     if begin is not None:
         opening = _READ if begin.read_only else _WRITE
     return Forward(
-        request.id,
-        _encode_operation(request.operation),
-        _encode_prepared(state.find_prepared(request.operation)),
+        statement.request.id,
+        _encode_operation(statement.operation),
+        _encode_prepared(statement.prepared),
         astuple(route),
-        state.values,
-        _encode_position(state.min_position),
+        dict(statement.values),
+        _encode_position(statement.min_position),
         opening,
-        state.workspace,
-        state.fingerprint,
+        statement.workspace,
+        statement.fingerprint,
         version,
     )
 
 
 def encode_forward_next(
     request: Request,
-    prepared: PreparedStatement | None,
+    prepared: PreparedStatement | None = None,
 ) -> ForwardNext:
     """Return the message with the next statement of a transaction."""
     return ForwardNext(
--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -25,14 +25,14 @@
 from deckdrum.forwarding.shedding import LoadShedder
 from deckdrum.forwarding.transactions import RemoteTransaction
 from deckdrum.load.reports import IMMEDIATE_REJECTION_FRACTION
-from deckdrum.operations import Answer, Begin, Effect, Request
+from deckdrum.operations import Answer, Effect, Request
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving.executor import UNRESPONSIVE_AFTER_S, StatementExecutor
 from deckdrum.serving.host import Outcome
 from deckdrum.serving.retries import RetryBudget
 from deckdrum.serving.runners import StartedTransaction, StatementRunner
 from deckdrum.serving.runtime import ServiceRuntime
-from deckdrum.serving.state import SessionState
+from deckdrum.serving.state import Statement
 
 #: Fraction of the timeout after which a repeatable statement is forwarded to
 #: another holder even if the first is alive, since its stream may be broken.
@@ -96,22 +96,19 @@
 
     async def run_autocommit(
         self,
-        request: Request,
+        statement: Statement,
         effect: Effect,
         route: Route,
-        state: SessionState,
     ) -> Answer | Refusal:
         """Run a statement outside a transaction on a holder."""
         is_read = effect is Effect.READ
         version = self._peers.version
-        pending = await PendingForward.start(
-            request, None, route, state, version, is_read
-        )
+        pending = await PendingForward.start(statement, route, version, is_read)
         forwarded = await self._forward(pending)
         if forwarded is None:
             local_route = await pending.make_remaining_route()
             return await self._local_execution.run_autocommit(
-                request, effect, local_route, state
+                statement, effect, local_route
             )
         if isinstance(forwarded, Refusal):
             return forwarded
@@ -119,30 +116,22 @@
         await self._peers.forward_streams.put_back(
             holder.endpoint, forwarded.channel
         )
-        if isinstance(forwarded.outcome, Answer) and not is_read:
-            state.record_change(forwarded.outcome)
         return forwarded.outcome
 
     async def begin(
         self,
-        request: Request,
-        begin: Begin,
+        statement: Statement,
         route: Route,
-        state: SessionState,
     ) -> StartedTransaction | Refusal:
         """Open a transaction with its first statement on a holder."""
         # The holder rolls the transaction back if the stream breaks, so a
         # lost first statement may be repeated.
         version = self._peers.version
-        pending = await PendingForward.start(
-            request, begin, route, state, version, True
-        )
+        pending = await PendingForward.start(statement, route, version, True)
         forwarded = await self._forward(pending)
         if forwarded is None:
             local_route = await pending.make_remaining_route()
-            return await self._local_execution.begin(
-                request, begin, local_route, state
-            )
+            return await self._local_execution.begin(statement, local_route)
         if isinstance(forwarded, Refusal):
             return forwarded
         transaction = RemoteTransaction(
@@ -222,7 +211,7 @@
             pending.may_have_run = pending.may_have_run or attempt.was_sent
             is_doubtful = attempt.was_sent and not pending.is_repeatable
             return (
-                self._refuse_unknown_outcome(pending.request, holder)
+                self._refuse_unknown_outcome(pending.statement.request, holder)
                 if is_doubtful
                 else None
             )
@@ -250,7 +239,7 @@
         return [
             holder
             for holder in self._runtime.allocator.find_holders(
-                pending.state.workspace
+                pending.statement.workspace
             )
             if holder.name not in pending.tried
             and not self._is_unreachable(holder.name, now)
@@ -275,7 +264,7 @@
         if preferred:
             return self._loads.choose(
                 preferred,
-                pending.state.workspace,
+                pending.statement.workspace,
                 now,
                 uses_primary=pending.uses_primary,
             )
@@ -301,7 +290,7 @@
             return False
         pending.next_holder = self._loads.find_free(
             self._list_candidates(pending, now),
-            pending.state.workspace,
+            pending.statement.workspace,
             now,
             objective - elapsed,
             uses_primary=pending.uses_primary,
@@ -404,7 +393,7 @@
         if pending.refusal is not None and not pending.may_have_run:
             return pending.refusal
         reason = 'no holder answers'
-        self._log(pending.request, reason)
+        self._log(pending.statement.request, reason)
         code = Code.QUEUE_TIMEOUT
         if pending.may_have_run:
             code = Code.TRANSACTION_LOST
--- a/deckdrum/forwarding/pending.py
+++ b/deckdrum/forwarding/pending.py
@@ -10,10 +10,9 @@
 from deckdrum.fleet.node_messages import Forward, ForwardAnswer
 from deckdrum.forwarding.encoding import encode_forward
 from deckdrum.load.shedding import StatementKind
-from deckdrum.operations import Begin, Request
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.host import Outcome
-from deckdrum.serving.state import SessionState
+from deckdrum.serving.state import Statement
 
 #: Part of a statement's timeout reserved for the response to arrive; less than
 #: the holder's own reserve, so that the holder reports a timeout first.
@@ -47,9 +46,8 @@
 
     Attributes
     ----------
-    request, begin, route, state
-        The statement, the transaction that it opens, its route, and its
-        caller's session state.
+    statement, route
+        The statement as it was read, and its route.
     version : int
         Version of the configuration that provided the route.
     is_repeatable : bool
@@ -66,10 +64,8 @@
         Holder with free capacity to try after another one's queue was full.
     """
 
-    request: Request
-    begin: Begin | None
+    statement: Statement
     route: Route
-    state: SessionState
     version: int
     is_repeatable: bool
     began: float
@@ -82,19 +78,16 @@
     @property
     def uses_primary(self) -> bool:
         """Whether only the primary can run it."""
-        is_read = (
-            self.is_repeatable if self.begin is None else self.begin.read_only
-        )
+        begin = self.statement.begin
+        is_read = self.is_repeatable if begin is None else begin.read_only
         is_current = self.route.guarantee is ConsistencyGuarantee.CURRENT
         return is_current or not is_read
 
     @classmethod
     async def start(
         cls,
-        request: Request,
-        begin: Begin | None,
+        statement: Statement,
         route: Route,
-        state: SessionState,
         version: int,
         is_repeatable: bool,
     ) -> 'PendingForward':
@@ -102,10 +95,8 @@
         began: float = await curio.clock()
         deadline = began + route.statement_timeout - FORWARD_MARGIN_S
         return cls(
-            request,
-            begin,
+            statement,
             route,
-            state,
             version,
             is_repeatable,
             began,
@@ -117,7 +108,7 @@
         """What decides whether load shedding applies to it."""
         return StatementKind(
             max(0, self.route.priority),
-            self.state.workspace,
+            self.statement.workspace,
             needs_primary=self.uses_primary,
         )
 
@@ -132,9 +123,7 @@
         """Return the message that gives a holder `timeout` seconds."""
         route = replace(self.route, statement_timeout=timeout)
         return encode_forward(
-            self.request,
+            self.statement,
             route,
-            self.state,
-            self.begin,
             self.version,
         )
--- a/deckdrum/forwarding/tests/test_encoding.py
+++ b/deckdrum/forwarding/tests/test_encoding.py
@@ -70,7 +70,8 @@
     )
     state.prepared['s1'] = PreparedStatement(Effect.WRITE, 'q1')
     request = Request('id-1', operation)
-    message = transmit(encode_forward(request, ROUTE, state, begin, 5))
+    statement = state.capture(request, begin)
+    message = transmit(encode_forward(statement, ROUTE, 5))
     assert isinstance(message, Forward)
     assert decode_request(message) == request
     assert decode_route(message) == ROUTE
@@ -80,7 +81,7 @@
     assert message.workspace == 'growers'
     assert (message.fingerprint, message.version) == ('print', 5)
     prepared = decode_prepared(message)
-    assert prepared == state.find_prepared(operation)
+    assert prepared == statement.prepared
     following = transmit(encode_forward_next(request, prepared))
     assert isinstance(following, ForwardNext)
     assert decode_request(following) == request
--- a/deckdrum/forwarding/transactions.py
+++ b/deckdrum/forwarding/transactions.py
@@ -12,7 +12,7 @@
 from deckdrum.operations import Request, Rollback
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.serving.host import Outcome
-from deckdrum.serving.state import ForwardedTransaction, PreparedStatement
+from deckdrum.serving.state import ForwardedTransaction, Statement
 
 ROLLBACK_TIMEOUT_S: Final = 0.3
 
@@ -48,13 +48,12 @@
 
     async def run(
         self,
-        request: Request,
-        prepared: PreparedStatement | None,
+        statement: Statement,
         *,
         may_have_committed: bool,
     ) -> Outcome:
         """Run a statement; a refusal ends the transaction."""
-        message = encode_forward_next(request, prepared)
+        message = encode_forward_next(statement.request, statement.prepared)
         try:
             async with curio.timeout_after(self._timeout):
                 answer = await self._channel.ask(message)
@@ -73,7 +72,7 @@
         if not self.is_open:
             return
         self.is_open = False
-        message = encode_forward_next(Request('', Rollback()), None)
+        message = encode_forward_next(Request('', Rollback()))
         try:
             async with curio.timeout_after(ROLLBACK_TIMEOUT_S):
                 await self._channel.ask(message)
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -1,6 +1,7 @@
 """A single attempt to run a statement on one server."""
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -10,9 +11,7 @@
 from deckdrum.load.queueing import compute_retry_after
 from deckdrum.operations import (
     Answer,
-    Begin,
     Execute,
-    Operation,
     Prepare,
     Rejection,
     RejectionCause,
@@ -28,7 +27,7 @@
     ServerLease,
 )
 from deckdrum.serving.slots import NoSlotError, SlotPermit
-from deckdrum.serving.state import PreparedStatement, SessionState
+from deckdrum.serving.state import PreparedStatement, Statement
 from deckdrum.sessions import Position
 
 #: Lower bound for the timeout of an attempt.
@@ -83,18 +82,12 @@
     ----------
     handle : ServerHandle
         The server.
-    state : SessionState
-        The session whose values are set on the connection.
-    operation : Operation
-        The statement as the caller sent it.
-    request_id : str
-        The caller's id of the statement.
+    statement : Statement
+        The statement as it was read.
     min_position : Position or None
         Position that the server's log must include.
     deadline : float
         Time at which the attempt is given up.
-    begin : Begin or None
-        Opens a transaction before the statement; the connection is kept.
     start_deadline : float
         Time by which a connection is needed to meet the route's objective.
     priority : int
@@ -102,12 +95,9 @@
     """
 
     handle: ServerHandle
-    state: SessionState
-    operation: Operation
-    request_id: str
+    statement: Statement
     min_position: Position | None
     deadline: float
-    begin: Begin | None = None
     start_deadline: float = math.inf
     priority: int = 1
     #: The leased connection; kept after success if a transaction was opened.
@@ -183,7 +173,7 @@
         self.handle.record_answer(
             now, now - self.started_at if has_answer else None
         )
-        if self.begin is None or not isinstance(outcome, Answer):
+        if self.statement.begin is None or not isinstance(outcome, Answer):
             await self._release_lease(outcome.transaction_state)
         return outcome
 
@@ -216,10 +206,8 @@
         self.sent_at = await curio.clock()
         outcome = await run_on_link(
             lease.link,
-            self.state,
-            self.operation,
-            self.request_id,
-            self.min_position if self.begin is None else None,
+            self.statement,
+            self.min_position if self.statement.begin is None else None,
         )
         await self._release_slot()
         if isinstance(outcome, Answer):
@@ -233,25 +221,26 @@
         self, timeout: float
     ) -> Rejection | Refusal | None:
         """Acquire and prepare a connection; return why it failed, or None."""
-        self.handle.gate.priorities[self.state.database] = self.priority
+        statement = self.statement
+        self.handle.gate.priorities[statement.database] = self.priority
         try:
             lease = await self.handle.acquire(
-                self.state.database,
+                statement.database,
                 min(timeout, POOL_QUEUE_TIMEOUT_S),
-                self.state.values,
+                statement.values,
                 max(0, self.start_deadline - self.started_at),
-                self.state.workspace,
+                statement.workspace,
             )
         except NoSlotError:
             return await refuse_without_slot(self.handle)
         if isinstance(lease, Refusal):
             return lease
         self.lease = lease
-        rejection = await prepare_link(lease.link, self.state, self.operation)
-        if rejection is not None or self.begin is None:
+        rejection = await prepare_link(lease.link, statement)
+        if rejection is not None or statement.begin is None:
             return rejection
         begun = await lease.link.run(
-            Call(self.begin, min_position=self.min_position)
+            Call(statement.begin, min_position=self.min_position)
         )
         return begun if isinstance(begun, Rejection) else None
 
@@ -272,7 +261,7 @@
         """Release the connection if only BEGIN was sent on it, or nothing."""
         await self._release_lease(
             TransactionState.IDLE
-            if self.begin is None
+            if self.statement.begin is None
             else TransactionState.OPEN
         )
 
@@ -332,45 +321,43 @@
 
 async def run_on_link(
     link: BackendLink,
-    state: SessionState,
-    operation: Operation,
-    request_id: str,
+    statement: Statement,
     min_position: Position | None = None,
 ) -> Answer | Rejection:
     """Run a caller's statement on a prepared connection."""
-    if isinstance(operation, Execute):
-        statement = state.prepared[operation.name]
-        name = link.state.prepared[statement.effect, statement.template]
+    operation = statement.operation
+    prepared = statement.prepared
+    if isinstance(operation, Execute) and prepared is not None:
+        name = link.state.prepared[prepared.effect, prepared.template]
         operation = Execute(name, operation.arguments)
-    return await link.run(Call(operation, request_id, min_position))
+    return await link.run(Call(operation, statement.request.id, min_position))
 
 
 async def prepare_link(
     link: BackendLink,
-    state: SessionState,
-    operation: Operation,
+    statement: Statement,
 ) -> Rejection | None:
     """Set the session's values and prepare the statement on a connection.
 
     Returns a rejection by the server; the statement has not been sent then.
     """
-    if link.state.values != state.values:
-        rejection = await _replace_values(link, state)
+    if link.state.values != statement.values:
+        rejection = await _replace_values(link, statement.values)
         if rejection is not None:
             return rejection
-    if isinstance(operation, Execute):
-        return await _prepare_statement(link, state.prepared[operation.name])
+    if statement.prepared is not None:
+        return await _prepare_statement(link, statement.prepared)
     return None
 
 
 async def _replace_values(
     link: BackendLink,
-    state: SessionState,
+    session_values: Mapping[str, str],
 ) -> Rejection | None:
-    has_extra = any(name not in state.values for name in link.state.values)
+    has_extra = any(name not in session_values for name in link.state.values)
     if has_extra and not await link.reset():
         return Rejection(RejectionCause.OVERLOADED, 'cannot be reset')
-    for name, value in state.values.items():
+    for name, value in session_values.items():
         if link.state.values.get(name) == value:
             continue
         reply = await link.run(Call(SetValue(name, value)))
@@ -382,16 +369,16 @@
 
 async def _prepare_statement(
     link: BackendLink,
-    statement: PreparedStatement,
+    prepared: PreparedStatement,
 ) -> Rejection | None:
-    key = (statement.effect, statement.template)
+    key = (prepared.effect, prepared.template)
     if key in link.state.prepared:
         return None
     # A name is never reused on a connection: it must not refer to another
     # caller's statement.
     name = f'p{len(link.state.prepared) + 1}'
     reply = await link.run(
-        Call(Prepare(name, statement.effect, statement.template)),
+        Call(Prepare(name, prepared.effect, prepared.template)),
     )
     if isinstance(reply, Rejection):
         return reply
--- a/deckdrum/serving/dispatches.py
+++ b/deckdrum/serving/dispatches.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from deckdrum.operations import Answer, Begin, Rejection, Request
+from deckdrum.operations import Answer, Begin, Rejection
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.attempts import (
     Attempt,
@@ -14,7 +14,7 @@
     release_link,
 )
 from deckdrum.serving.routing import Target
-from deckdrum.serving.state import SessionState
+from deckdrum.serving.state import Statement
 
 #: Backoff after the primary has failed; doubled each time.
 MIN_RETRY_BACKOFF_S: Final = 0.01
@@ -28,12 +28,8 @@
 
     Attributes
     ----------
-    request : Request
-        The statement as the caller sent it.
-    state : SessionState
-        The caller's session.
-    begin : Begin or None
-        Opens a transaction before the statement.
+    statement : Statement
+        The statement as it was read.
     is_read : bool
         Whether the statement changes nothing.
     may_hedge : bool
@@ -58,9 +54,7 @@
         Whether a server may have run the statement without lasting effect.
     """
 
-    request: Request
-    state: SessionState
-    begin: Begin | None
+    statement: Statement
     is_read: bool
     may_hedge: bool
     began: float
@@ -74,6 +68,11 @@
     is_finished: bool = False
     may_have_run: bool = False
 
+    @property
+    def begin(self) -> Begin | None:
+        """Return the transaction that is opened before the statement."""
+        return self.statement.begin
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the statement can be repeated after a lost answer.
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -7,7 +7,7 @@
 
 from deckdrum.control import ConsistencyGuarantee, Route
 from deckdrum.fleet.policies import Policy
-from deckdrum.operations import Answer, Begin, Effect, Rejection, Request
+from deckdrum.operations import Answer, Effect, Rejection
 from deckdrum.outcomes import Code, Refusal, refuse
 from deckdrum.outcomes.errors import BrokenInvariantError
 from deckdrum.serving.attempts import (
@@ -31,7 +31,7 @@
 from deckdrum.serving.runners import StartedTransaction, StatementRunner
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
-from deckdrum.serving.state import PinnedConnection, SessionState
+from deckdrum.serving.state import PinnedConnection, Statement
 from deckdrum.sessions import Position
 
 #: Part of a statement's time limit reserved for returning the answer.
@@ -73,37 +73,29 @@
 
     async def run_autocommit(
         self,
-        request: Request,
+        statement: Statement,
         effect: Effect,
         route: Route,
-        state: SessionState,
     ) -> Answer | Refusal:
         """Run a statement outside a transaction."""
         is_read = effect is Effect.READ
-        dispatch = await self._create_dispatch(
-            request, route, state, None, is_read
-        )
+        dispatch = await self._create_dispatch(statement, route, is_read)
         finished = await self._run_dispatch(dispatch, route)
         if isinstance(finished, Refusal):
             return finished
         if is_read:
             return finished[1]
-        return await self.confirm_change(
-            finished[1], finished[0].target.term, state
-        )
+        return await self.confirm_change(finished[1], finished[0].target.term)
 
     async def begin(
         self,
-        request: Request,
-        begin: Begin,
+        statement: Statement,
         route: Route,
-        state: SessionState,
     ) -> StartedTransaction | Refusal:
         """Open a transaction on a server with its first statement."""
-        is_read = begin.read_only
-        dispatch = await self._create_dispatch(
-            request, route, state, begin, is_read
-        )
+        begin = statement.begin
+        is_read = begin is not None and begin.read_only
+        dispatch = await self._create_dispatch(statement, route, is_read)
         finished = await self._run_dispatch(dispatch, route)
         if isinstance(finished, Refusal):
             return finished
@@ -120,7 +112,6 @@
         self,
         answer: Answer,
         term: int,
-        state: SessionState,
     ) -> Answer | Refusal:
         """Return the answer of a change if its term is still valid.
 
@@ -149,16 +140,15 @@
                 primary=leadership_state.primary,
             )
             return refuse(Code.UNCONFIRMED, f'term {term} has ended')
-        state.record_change(answer)
         return answer
 
     def log_refusal(self, refusal: Refusal, dispatch: Dispatch) -> None:
         """Log the refusal of a request."""
         self.runtime.journal.record_rate_limited(
             'request.refused',
-            request=dispatch.request.id,
+            request=dispatch.statement.request.id,
             service=self.runtime.name,
-            workspace=dispatch.state.workspace,
+            workspace=dispatch.statement.workspace,
             code=refusal.code,
             fate=refusal.fate,
             term=self.runtime.leadership_state.term,
@@ -168,10 +158,8 @@
 
     async def _create_dispatch(
         self,
-        request: Request,
+        statement: Statement,
         route: Route,
-        state: SessionState,
-        begin: Begin | None,
         is_read: bool,
     ) -> Dispatch:
         await self.runtime.set_route_share(route)
@@ -180,9 +168,7 @@
         # Current reads run on the primary only, so they cannot be hedged.
         is_current = route.guarantee is ConsistencyGuarantee.CURRENT
         return Dispatch(
-            request,
-            state,
-            begin,
+            statement,
             is_read,
             is_read and not is_current,
             now,
@@ -261,12 +247,9 @@
             await curio.spawn(self._router.refresh_sample, route, daemon=True)
         attempt = Attempt(
             target.handle,
-            dispatch.state,
-            dispatch.request.operation,
-            dispatch.request.id,
+            dispatch.statement,
             target.min_position,
             dispatch.deadline,
-            dispatch.begin,
             dispatch.began
             + route.latency_objective
             - target.handle.response_times.mean,
@@ -288,7 +271,7 @@
         self.runtime.counters.count('leaving_servers_used')
         self.runtime.journal.record_rate_limited(
             'server.used_while_leaving',
-            request=dispatch.request.id,
+            request=dispatch.statement.request.id,
             service=self.runtime.name,
             server=target.handle.id,
             role='primary' if target.is_primary else 'replica',
@@ -308,7 +291,7 @@
         if dispatch.is_read:
             return await self._router.choose_reader(
                 route,
-                dispatch.state,
+                dispatch.statement,
                 dispatch.excluded_servers,
                 remaining,
                 dispatch.began + route.latency_objective,
@@ -420,7 +403,7 @@
             self.runtime.counters.count('answers_lost')
             self.runtime.journal.record_rate_limited(
                 'answer.lost',
-                request=dispatch.request.id,
+                request=dispatch.statement.request.id,
                 service=self.runtime.name,
                 server=attempt.handle.id,
                 seconds=round(now - attempt.sent_at, 3),
@@ -464,13 +447,15 @@
         target = finished.target
         role = 'primary' if target.is_primary else 'replica'
         kind = 'read' if dispatch.is_read else 'change'
-        self.runtime.counters.count_served(dispatch.state.database, kind, role)
+        self.runtime.counters.count_served(
+            dispatch.statement.database, kind, role
+        )
         now = await curio.clock()
         self.runtime.journal.record_rate_limited(
             'request.served',
-            request=dispatch.request.id,
-            database=dispatch.state.database,
-            workspace=dispatch.state.workspace,
+            request=dispatch.statement.request.id,
+            database=dispatch.statement.database,
+            workspace=dispatch.statement.workspace,
             kind=kind,
             server=target.handle.id,
             role=role,
--- a/deckdrum/serving/routing.py
+++ b/deckdrum/serving/routing.py
@@ -18,7 +18,7 @@
 from deckdrum.serving.replica_lag import find_creation
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
-from deckdrum.serving.state import SessionState
+from deckdrum.serving.state import Statement
 from deckdrum.sessions import Position
 from deckdrum.sessions.position import LOG_START
 
@@ -92,7 +92,7 @@
     async def choose_reader(
         self,
         route: Route,
-        state: SessionState,
+        statement: Statement,
         excluded_servers: Container[str],
         timeout: float,
         deadline: float,
@@ -107,8 +107,8 @@
         ----------
         route : Route
             Route with the consistency guarantee of the read.
-        state : SessionState
-            Session whose own changes may have to be visible.
+        statement : Statement
+            The read; its session's own changes may have to be visible.
         excluded_servers : container of str
             Servers that are running the read or have failed to.
         timeout : float
@@ -118,7 +118,7 @@
         """
         if route.guarantee is ConsistencyGuarantee.CURRENT:
             return await self.choose_primary(timeout)
-        min_position = await self._find_min_position(route, state)
+        min_position = await self._find_min_position(route, statement)
         if (
             min_position is None
             and Policy.SAMPLE_WAIT in self._runtime.policies
@@ -126,20 +126,23 @@
             # Sampling loads the primary less than running the read there.
             async with curio.ignore_after(min(timeout, READ_SAMPLE_TIMEOUT_S)):
                 await self._runtime.samples.sample()
-            min_position = await self._find_min_position(route, state)
+            min_position = await self._find_min_position(route, statement)
         gives_up_at = await curio.clock() + timeout
         if min_position is not None:
             replica = await self._pick_replica(
                 min_position,
                 excluded_servers,
                 route.latency_objective,
-                state.workspace,
+                statement.workspace,
             )
             if replica is not None:
                 return Target(replica, min_position, False, min_position.term)
             if self._runtime.is_uneven:
                 waited_for = await self._wait_for_replica(
-                    route, state, excluded_servers, min(deadline, gives_up_at)
+                    route,
+                    statement,
+                    excluded_servers,
+                    min(deadline, gives_up_at),
                 )
                 if waited_for is not None:
                     return waited_for
@@ -154,7 +157,7 @@
     async def _find_min_position(
         self,
         route: Route,
-        state: SessionState,
+        statement: Statement,
     ) -> Position | None:
         min_position = await self._runtime.find_min_position(
             route.max_age - AGE_MARGIN_S
@@ -162,7 +165,7 @@
         if min_position is None:
             return None
         if route.guarantee is ConsistencyGuarantee.READ_YOUR_WRITES:
-            return max(min_position, state.min_position)
+            return max(min_position, statement.min_position)
         return max(min_position, LOG_START)
 
     async def _choose_primary_for_read(
@@ -181,7 +184,7 @@
     async def _wait_for_replica(
         self,
         route: Route,
-        state: SessionState,
+        statement: Statement,
         excluded_servers: Container[str],
         deadline: float,
     ) -> Target | None:
@@ -193,7 +196,7 @@
         has_waited = False
         while True:
             # The position that the read needs may have changed meanwhile.
-            min_position = await self._find_min_position(route, state)
+            min_position = await self._find_min_position(route, statement)
             if min_position is None:
                 return None
             now = await curio.clock()
--- a/deckdrum/serving/runners.py
+++ b/deckdrum/serving/runners.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 
 from deckdrum.control import Route
-from deckdrum.operations import Answer, Begin, Effect, Request
+from deckdrum.operations import Answer, Effect
 from deckdrum.outcomes import Refusal
 from deckdrum.serving.state import (
     ForwardedTransaction,
     PinnedConnection,
-    SessionState,
+    Statement,
 )
 
 
@@ -31,19 +31,16 @@
     @abstractmethod
     async def run_autocommit(
         self,
-        request: Request,
+        statement: Statement,
         effect: Effect,
         route: Route,
-        state: SessionState,
     ) -> Answer | Refusal:
         """Run a statement outside a transaction."""
 
     @abstractmethod
     async def begin(
         self,
-        request: Request,
-        begin: Begin,
+        statement: Statement,
         route: Route,
-        state: SessionState,
     ) -> StartedTransaction | Refusal:
-        """Open a transaction with its first statement."""
+        """Open the statement's transaction, with it as the first one."""
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -190,8 +190,10 @@
         if runner is None:
             return refuse(Code.NOT_CONFIGURED, route.service)
         outcome = await runner.run_autocommit(
-            request, effect, route, self.state
+            self.state.capture(request), effect, route
         )
+        if isinstance(outcome, Answer) and effect is Effect.WRITE:
+            self.state.record_change(outcome)
         if is_unsent(outcome, is_read=effect is Effect.READ):
             await self._host.withdraw_operation(access)
         return outcome
--- a/deckdrum/serving/state.py
+++ b/deckdrum/serving/state.py
@@ -1,11 +1,14 @@
 """State of a caller's session."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from deckdrum.control import Route
 from deckdrum.operations import (
     Answer,
+    Begin,
     Effect,
     Execute,
     Operation,
@@ -26,6 +29,48 @@
     template: str
 
 
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """A caller's statement as it was read, with what its session had set.
+
+    Every attempt to run it uses this value.  The session may go on once one
+    attempt has been answered, so none may read the session's present state.
+
+    Attributes
+    ----------
+    request : Request
+        The statement as the caller sent it.
+    prepared : PreparedStatement or None
+        The prepared statement that it executes, if any.
+    values : mapping of str to str
+        Session variables.
+    min_position : Position
+        Position of the session's latest change.
+    database : str
+        Database name that the caller has connected to.
+    workspace : str
+        Workspace of the caller's key.
+    fingerprint : str
+        Fingerprint of the caller's key.
+    begin : Begin or None
+        Opens a transaction before the statement; the connection is kept.
+    """
+
+    request: Request
+    prepared: PreparedStatement | None
+    values: Mapping[str, str]
+    min_position: Position
+    database: str
+    workspace: str
+    fingerprint: str
+    begin: Begin | None = None
+
+    @property
+    def operation(self) -> Operation:
+        """Return the operation that the caller sent."""
+        return self.request.operation
+
+
 @dataclass(slots=True)
 class PinnedConnection:
     """A connection to a server that is held by an open transaction."""
@@ -42,8 +87,7 @@
     @abstractmethod
     async def run(
         self,
-        request: Request,
-        prepared: PreparedStatement | None,
+        statement: Statement,
         *,
         may_have_committed: bool,
     ) -> Answer | Refusal:
@@ -124,11 +168,24 @@
     min_position: Position = LOG_START
     transaction: Transaction | None = None
 
-    def find_prepared(self, operation: Operation) -> PreparedStatement | None:
-        """Return the prepared statement that an operation executes, if any."""
+    def capture(
+        self, request: Request, begin: Begin | None = None
+    ) -> Statement:
+        """Return a statement with the present state of the session."""
+        operation = request.operation
+        prepared = None
         if isinstance(operation, Execute):
-            return self.prepared.get(operation.name)
-        return None
+            prepared = self.prepared.get(operation.name)
+        return Statement(
+            request,
+            prepared,
+            MappingProxyType(dict(self.values)),
+            self.min_position,
+            self.database,
+            self.workspace,
+            self.fingerprint,
+            begin,
+        )
 
     def record_change(self, answer: Answer) -> None:
         """Record the position of a change, so that later reads include it."""
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -31,6 +31,7 @@
     ForwardedTransaction,
     PinnedConnection,
     SessionState,
+    Statement,
     Transaction,
 )
 
@@ -67,13 +68,15 @@
         """Run a statement; the first one opens the transaction."""
         if transaction.forwarded is not None:
             return await self._run_forwarded(
-                request,
+                self._state.capture(request),
                 transaction,
                 transaction.forwarded,
             )
         if transaction.pin is None:
             return await self._run_first(request, transaction)
-        return await self._run_pinned(request, transaction, transaction.pin)
+        return await self._run_pinned(
+            self._state.capture(request), transaction, transaction.pin
+        )
 
     async def fail(
         self,
@@ -110,16 +113,16 @@
             return Answer(transaction_state=self._state.transaction_state)
         if transaction.forwarded is not None:
             return await self._run_forwarded(
-                Request('', operation),
+                self._state.capture(Request('', operation)),
                 transaction,
                 transaction.forwarded,
             )
         pin = transaction.pin
         if pin is None:
             return Answer(transaction_state=self._state.transaction_state)
-        link = pin.lease.link
+        statement = self._state.capture(Request('', operation))
         try:
-            rejection = await prepare_link(link, self._state, operation)
+            rejection = await prepare_link(pin.lease.link, statement)
         except ConnectionError as error:
             return await self.fail(repr(error))
         if rejection is not None:
@@ -143,7 +146,8 @@
             return await self.fail(f'no group {route.service} here')
         transaction.route = route
         begin = Begin(transaction.read_only)
-        begun = await runner.begin(request, begin, route, self._state)
+        statement = self._state.capture(request, begin)
+        begun = await runner.begin(statement, route)
         if isinstance(begun, Refusal):
             transaction.is_failed = True
             if is_unsent(begun, is_read=transaction.read_only):
@@ -159,15 +163,14 @@
 
     async def _run_forwarded(
         self,
-        request: Request,
+        statement: Statement,
         transaction: Transaction,
         forwarded: ForwardedTransaction,
     ) -> Outcome:
         """Run a statement on the node that runs the transaction."""
-        is_commit = isinstance(request.operation, Commit)
+        is_commit = isinstance(statement.operation, Commit)
         outcome = await forwarded.run(
-            request,
-            self._state.find_prepared(request.operation),
+            statement,
             may_have_committed=is_commit and transaction.has_written,
         )
         if isinstance(outcome, Refusal) or is_commit:
@@ -180,7 +183,7 @@
 
     async def _run_pinned(
         self,
-        request: Request,
+        statement: Statement,
         transaction: Transaction,
         pin: PinnedConnection,
     ) -> Outcome:
@@ -197,25 +200,26 @@
             return await self.fail(NO_SLOT_REASON)
         try:
             return await self._run_admitted(
-                request, transaction, pin, permit, deadline
+                statement, transaction, pin, permit, deadline
             )
         finally:
             await gate.release(permit)
 
     async def _run_admitted(
         self,
-        request: Request,
+        statement: Statement,
         transaction: Transaction,
         pin: PinnedConnection,
         permit: SlotPermit,
         deadline: float,
     ) -> Outcome:
+        request = statement.request
         timeout = deadline - await curio.clock()
         if Policy.LOST_ANSWERS in self._host.policies:
             timeout = min(timeout, _compute_timeout(request, transaction, pin))
         try:
             async with curio.timeout_after(timeout):
-                reply = await self._send_until_run(request, pin)
+                reply = await self._send_until_run(statement, pin)
         except curio.TaskTimeout:
             pin.handle.record_timeout(await curio.clock())
             return await self._fail_pinned(request, 'no answer in time')
@@ -232,33 +236,28 @@
 
     async def _send_until_run(
         self,
-        request: Request,
+        statement: Statement,
         pin: PinnedConnection,
     ) -> Answer | Rejection:
         """Send a statement; repeat it if the server was too busy to run it."""
         for delay in BUSY_RETRY_DELAYS_S:
-            reply = await self._send_pinned(request, pin)
+            reply = await self._send_pinned(statement, pin)
             if not _can_repeat(reply):
                 return reply
             await curio.sleep(delay)
-        return await self._send_pinned(request, pin)
+        return await self._send_pinned(statement, pin)
 
     async def _send_pinned(
         self,
-        request: Request,
+        statement: Statement,
         pin: PinnedConnection,
     ) -> Answer | Rejection:
         link = pin.lease.link
-        rejection = await prepare_link(link, self._state, request.operation)
+        rejection = await prepare_link(link, statement)
         if rejection is not None:
             return rejection
         sent_at = await curio.clock()
-        reply = await run_on_link(
-            link,
-            self._state,
-            request.operation,
-            request.id,
-        )
+        reply = await run_on_link(link, statement)
         if isinstance(reply, Answer):
             seconds = await curio.clock() - sent_at
             pin.handle.response_times.record(seconds)
@@ -274,7 +273,10 @@
         executor = self._host.find_executor(transaction.route.service)
         if executor is None or not transaction.has_written:
             return answer
-        return await executor.confirm_change(answer, pin.term, self._state)
+        confirmed = await executor.confirm_change(answer, pin.term)
+        if isinstance(confirmed, Answer):
+            self._state.record_change(confirmed)
+        return confirmed
 
     async def _fail_pinned(self, request: Request, reason: str) -> Outcome:
         """Fail the transaction after a statement that was not answered."""
--- a/deckdrum/standins/users/records.py
+++ b/deckdrum/standins/users/records.py
@@ -23,6 +23,8 @@
     values: tuple[tuple[str, str], ...] = ()
     #: Workspace for which its connection was opened.
     who: str = ''
+    #: Shape of the prepared statement that it executed, if any.
+    shape: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/deckdrum/standins/users/servers.py
+++ b/deckdrum/standins/users/servers.py
@@ -417,11 +417,12 @@
         text: str,
     ) -> str:
         command, _, arguments = text.partition(' ')
+        shape = ''
         if command == 'EXECUTE':
             name, _, statement_arguments = arguments.partition(' ')
             if name not in connection.prepared:
                 return self._reject(connection, 'NOSTMT')
-            command = connection.prepared[name][0]
+            command, shape = connection.prepared[name]
             arguments = statement_arguments
         if command == 'WRITE':
             if self.role != PRIMARY:
@@ -432,10 +433,10 @@
                 connection.writes = []
                 if not await self.group.commit(self, writes):
                     return self._reject(connection, 'FAILED')
-            return self._record_execution(connection, request_id, text)
+            return self._record_execution(connection, request_id, text, shape)
         if connection.transaction == 'WRITE' and self.role != PRIMARY:
             return self._reject(connection, 'READONLY')
-        answer = self._record_execution(connection, request_id, text)
+        answer = self._record_execution(connection, request_id, text, shape)
         padding = 'x' * self.group.padding_row_bytes
         rows = f'ROW {padding}\r\n' * self.group.padding_rows
         return f'ROW {arguments}-{len(self.log)}\r\n{rows}{answer}'
@@ -445,6 +446,7 @@
         connection: Connection,
         request_id: str,
         text: str,
+        shape: str = '',
     ) -> str:
         ran = ExecutedStatement(
             self.name,
@@ -453,6 +455,7 @@
             len(self.log),
             tuple(sorted(connection.values.items())),
             connection.who,
+            shape,
         )
         self.group.executed_statements.append(ran)
         return f'COMPLETE {self.name}.{len(self.group.executed_statements)}\r\n'
