End the waiting attempts of a read that is answered, refuse truthfully

What callers saw: a read was answered, or refused as "not run", and a database ran it up to 0.4 s later; or it was refused as "not run" while a database was running it, because a hedged attempt had found no connection.

Cause: nothing stopped the other attempts when one had decided the outcome: they stayed in their queues and went on. A refusal by one attempt was returned whatever the others did.

Evidence, on the former code: an attempt waits in the queue of a server after the answer (1 in place of 0), and a read that a replica runs for 1.4 s gets "BUSY not run: no connection in time". With the statement as a value, a second run of the answered read was left (2 in place of 1).

Why the fix works: a dispatch ends its attempts. One that was not sent is cancelled and checks, in the step before it is sent, that it has not been ended; before a refusal is returned, its task is awaited. One that was sent goes on until its answer and then returns its connection. A refusal that says "not run" is held while another attempt is in flight, and becomes "nothing is kept" if one has ended without an answer. An attempt that ends by an unexpected error counts as one without an answer (attempt.broken); its caller waited without end.

--- a/deckdrum/outcomes/refusals.py
+++ b/deckdrum/outcomes/refusals.py
@@ -29,6 +29,32 @@
     text: str
     retry_after: float | None
 
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether the caller learns that no server has run the request.
+
+        Examples
+        --------
+        >>> refuse(Code.QUEUE_FULL).promises_not_run
+        True
+        >>> refuse(Code.TRANSACTION_LOST).promises_not_run
+        False
+        """
+        is_not_run = self.fate is Fate.NOT_RUN
+        return is_not_run and self.code is not Code.TRANSACTION_LOST
+
+    def qualify(self) -> 'Refusal':
+        """Return the refusal of a request that may have run without effect.
+
+        Examples
+        --------
+        >>> refuse(Code.QUEUE_FULL).qualify().code is Code.TRANSACTION_LOST
+        True
+        """
+        if self.promises_not_run:
+            return refuse(Code.TRANSACTION_LOST, f'no answer, then {self.text}')
+        return self
+
     def encode_detail(self) -> str:
         """Encode the machine-readable detail as JSON."""
         return json.dumps(
--- a/deckdrum/serving/attempts.py
+++ b/deckdrum/serving/attempts.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 import curio
 
@@ -111,14 +111,46 @@
     sent_at: float = float('inf')
     #: Whether `abandon` has closed the connection.
     is_abandoned: bool = False
+    #: The task that runs the attempt.
+    task: Any = None
+    #: Whether the caller has been answered, so that nothing more is sent.
+    is_ended: bool = False
+    #: Whether the connection is prepared and nothing was sent on it since.
+    _is_waiting_for_slot: bool = False
 
     async def run(self) -> AttemptOutcome:
         """Run the statement and release the connection unless it is kept."""
         try:
             return await self._run_in_time()
+        except BaseException:
+            await self.discard()
+            raise
         finally:
             await self._release_slot()
 
+    async def end(self, *, is_awaited: bool) -> None:
+        """End the attempt if it still waits; one that was sent goes on.
+
+        Parameters
+        ----------
+        is_awaited : bool
+            Whether to wait until nothing of the attempt is in progress.
+        """
+        if not self.was_sent and not self.is_ended:
+            self.is_ended = True
+            await self.task.cancel(blocking=is_awaited)
+
+    async def discard(self) -> None:
+        """Return the connection of an attempt that did not end as planned.
+
+        It is closed if something may be in progress on it.
+        """
+        lease = self.lease
+        self.lease = None
+        if lease is not None:
+            is_clean = self._is_waiting_for_slot and not self.statement.begin
+            await self.handle.release(lease, is_clean)
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the answer exceeds the server's answer timeout."""
         return now > self.sent_at + self.handle.response_times.timeout
@@ -163,9 +195,6 @@
                 return await self._give_up('the answer is lost', is_late=True)
             self.handle.record_failure(await curio.clock(), error)
             return await self._give_up(repr(error), is_late=False)
-        except curio.CancelledError:
-            await self._give_up('cancelled', is_late=True)
-            raise
         if isinstance(outcome, Refusal | NoAnswer):
             return outcome
         now = await curio.clock()
@@ -195,13 +224,9 @@
         lease = self.lease
         if lease is None:
             raise BrokenInvariantError('a prepared attempt has no connection')
-        self.permit = await gate.acquire(
-            self.priority,
-            await compute_slot_timeout(self.handle, self.deadline),
-        )
-        if self.permit is None:
-            await self._release_unsent()
-            return await refuse_without_slot(self.handle)
+        not_admitted = await self._acquire_slot()
+        if not_admitted is not None:
+            return not_admitted
         self.was_sent = True
         self.sent_at = await curio.clock()
         outcome = await run_on_link(
@@ -217,6 +242,22 @@
         self.sent_at = float('inf')
         return outcome
 
+    async def _acquire_slot(self) -> Refusal | NoAnswer | None:
+        """Wait for a slot; return why the statement is not sent, or None."""
+        self._is_waiting_for_slot = True
+        self.permit = await self.handle.gate.acquire(
+            self.priority,
+            await compute_slot_timeout(self.handle, self.deadline),
+        )
+        if self.permit is None:
+            await self._release_unsent()
+            return await refuse_without_slot(self.handle)
+        if self.is_ended:
+            # It was admitted before its task noticed that it is cancelled.
+            return await self._give_up('its caller is answered', is_late=True)
+        self._is_waiting_for_slot = False
+        return None
+
     async def _prepare_connection(
         self, timeout: float
     ) -> Rejection | Refusal | None:
@@ -245,10 +286,7 @@
         return begun if isinstance(begun, Rejection) else None
 
     async def _give_up(self, reason: str, *, is_late: bool) -> NoAnswer:
-        lease = self.lease
-        self.lease = None
-        if lease is not None:
-            await self.handle.release(lease, is_clean=False)
+        await self.discard()
         return NoAnswer(self.was_sent, is_late, reason)
 
     async def _release_slot(self) -> None:
@@ -302,11 +340,13 @@
     A transaction that is still open is rolled back.
     """
     is_clean = transaction_state is TransactionState.IDLE
-    if not is_clean:
-        # A rollback frees resources of the server, so it does not wait.
-        async with handle.gate.count():
-            is_clean = await _roll_back(lease.link)
-    await handle.release(lease, is_clean)
+    try:
+        if not is_clean:
+            # A rollback frees resources of the server, so it does not wait.
+            async with handle.gate.count():
+                is_clean = await _roll_back(lease.link)
+    finally:
+        await handle.release(lease, is_clean)
 
 
 async def _roll_back(link: BackendLink) -> bool:
--- a/deckdrum/serving/dispatches.py
+++ b/deckdrum/serving/dispatches.py
@@ -48,6 +48,10 @@
         Finished attempts in order of completion.
     running : list of Attempt
         Attempts in progress.
+    answered : FinishedAttempt or None
+        The attempt whose answer the caller gets.
+    final_refusal : Refusal or None
+        What the caller gets unless an attempt that was sent is answered.
     is_finished : bool
         Whether results that arrive from now on are discarded.
     may_have_run : bool
@@ -65,6 +69,8 @@
     last_failure: Rejection | NoAnswer | Refusal | None = None
     finished_attempts: Any = field(default_factory=curio.Queue)
     running: list[Attempt] = field(default_factory=list)
+    answered: 'FinishedAttempt | None' = None
+    final_refusal: Refusal | None = None
     is_finished: bool = False
     may_have_run: bool = False
 
@@ -82,6 +88,25 @@
         """
         return self.is_read or self.begin is not None
 
+    @property
+    def is_in_flight(self) -> bool:
+        """Whether a server may be running the statement."""
+        return any(attempt.was_sent for attempt in self.running)
+
+    async def end(self, *, is_awaited: bool) -> None:
+        """End what still waits, and release what finishes too late.
+
+        Parameters
+        ----------
+        is_awaited : bool
+            Whether to wait until nothing can be sent to a server any more.
+        """
+        self.is_finished = True
+        for attempt in list(self.running):
+            await attempt.end(is_awaited=is_awaited)
+        while not self.finished_attempts.empty():
+            await release_late_attempt(await self.finished_attempts.get())
+
     def compute_wait(self, longest: float) -> float:
         """Return the time until the running attempts are checked, in seconds.
 
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -180,15 +180,20 @@
         dispatch: Dispatch,
         route: Route,
     ) -> tuple[FinishedAttempt, Answer] | Refusal:
-        """Run a dispatch and release the connections of late attempts."""
+        """Run a dispatch, and end the attempts that its caller outlives.
+
+        Once a refusal is returned, nothing more is sent to a server.
+        """
         try:
-            return await self._dispatch_until_answered(dispatch, route)
-        finally:
-            dispatch.is_finished = True
-            while not dispatch.finished_attempts.empty():
-                await release_late_attempt(
-                    await dispatch.finished_attempts.get()
-                )
+            outcome = await self._dispatch_until_answered(dispatch, route)
+            is_refused = isinstance(outcome, Refusal)
+            await dispatch.end(is_awaited=is_refused)
+        except BaseException:
+            await dispatch.end(is_awaited=False)
+            if dispatch.answered is not None:
+                await release_late_attempt(dispatch.answered)
+            raise
+        return outcome
 
     async def _dispatch_until_answered(
         self,
@@ -197,20 +202,41 @@
     ) -> tuple[FinishedAttempt, Answer] | Refusal:
         """Start attempts until one succeeds or the statement is refused."""
         while True:
-            refusal = await self._start_attempt(dispatch, route)
+            refusal = dispatch.final_refusal
+            if refusal is None:
+                refusal = await self._start_attempt(dispatch, route)
             if refusal is not None and not dispatch.running:
-                self.log_refusal(refusal, dispatch)
-                return refusal
+                return self._refuse(refusal, dispatch)
             finished = await self._wait_for_attempt(dispatch)
             if finished is None:
                 continue
             if isinstance(finished.outcome, Answer):
+                dispatch.answered = finished
                 await self._record_success(dispatch, finished)
                 return finished, finished.outcome
-            refusal = await self._retry_policy.decide(dispatch, finished)
+            refusal = await self._decide(dispatch, finished)
             if refusal is not None:
-                self.log_refusal(refusal, dispatch)
-                return refusal
+                return self._refuse(refusal, dispatch)
+
+    async def _decide(
+        self, dispatch: Dispatch, finished: FinishedAttempt
+    ) -> Refusal | None:
+        """Return a refusal after a failed attempt, or None to go on."""
+        refusal = await self._retry_policy.decide(dispatch, finished)
+        if refusal is None:
+            return None
+        if dispatch.is_in_flight and refusal.promises_not_run:
+            # Another server may be running it, and may yet answer.
+            dispatch.final_refusal = refusal
+            return None
+        return refusal
+
+    def _refuse(self, refusal: Refusal, dispatch: Dispatch) -> Refusal:
+        """Log and return a refusal that is true after all attempts."""
+        if dispatch.may_have_run:
+            refusal = refusal.qualify()
+        self.log_refusal(refusal, dispatch)
+        return refusal
 
     async def _start_attempt(
         self, dispatch: Dispatch, route: Route
@@ -256,7 +282,7 @@
             route.priority,
         )
         dispatch.running.append(attempt)
-        await curio.spawn(
+        attempt.task = await curio.spawn(
             self._run_attempt, dispatch, attempt, target, route, daemon=True
         )
         return None
@@ -305,6 +331,29 @@
         target: Target,
         route: Route,
     ) -> None:
+        """Run an attempt and pass on its result, however it ends."""
+        try:
+            outcome = await self._run_and_record(
+                dispatch, attempt, target, route
+            )
+        except Exception as error:
+            # A defect: without a result the caller would wait without end.
+            await attempt.discard()
+            self._log_defect(dispatch, attempt, error)
+            outcome = NoAnswer(attempt.was_sent, False, repr(error))
+        finished = FinishedAttempt(attempt, target, outcome)
+        if dispatch.is_finished:
+            await release_late_attempt(finished)
+        else:
+            await dispatch.finished_attempts.put(finished)
+
+    async def _run_and_record(
+        self,
+        dispatch: Dispatch,
+        attempt: Attempt,
+        target: Target,
+        route: Route,
+    ) -> AttemptOutcome:
         if target.is_primary:
             outcome = await self._run_on_primary(dispatch, attempt, route)
         else:
@@ -313,11 +362,21 @@
             self.runtime.report_server_failure(attempt.handle)
         elif not isinstance(outcome, Refusal):
             self._record_position(attempt, target, outcome)
-        finished = FinishedAttempt(attempt, target, outcome)
-        if dispatch.is_finished:
-            await release_late_attempt(finished)
-        else:
-            await dispatch.finished_attempts.put(finished)
+        return outcome
+
+    def _log_defect(
+        self, dispatch: Dispatch, attempt: Attempt, error: Exception
+    ) -> None:
+        """Log an attempt that ended by an unexpected error."""
+        self.runtime.counters.count('attempts_broken')
+        self.runtime.journal.record_rate_limited(
+            'attempt.broken',
+            request=dispatch.statement.request.id,
+            service=self.runtime.name,
+            server=attempt.handle.id,
+            was_sent=attempt.was_sent,
+            error=repr(error),
+        )
 
     async def _run_on_primary(
         self, dispatch: Dispatch, attempt: Attempt, route: Route
@@ -431,6 +490,7 @@
             return False
         if (
             not dispatch.may_hedge
+            or dispatch.final_refusal is not None
             or len(dispatch.running) >= MAX_CONCURRENT_ATTEMPTS
         ):
             return False
