End a forwarded statement when its sender gives up, refuse truthfully

What callers saw: a read that one holder had taken without an answer was refused as "BUSY not run" when the next holder, or the node itself, refused it. A holder kept a statement in its queue, and sent it to a database later, when its sender had answered the caller.

Evidence: both tests fail on the former code: "BUSY not run: the queue is full" in place of "ABORTED", and a write that still waits for a slot after its caller was told that the outcome is unknown.

Why the fix works: a refusal after an attempt without an answer promises only that nothing is kept.

--- a/deckdrum/forwarding/forwarder.py
+++ b/deckdrum/forwarding/forwarder.py
@@ -107,8 +107,10 @@
         forwarded = await self._forward(pending)
         if forwarded is None:
             local_route = await pending.make_remaining_route()
-            return await self._local_execution.run_autocommit(
-                statement, effect, local_route
+            return pending.qualify(
+                await self._local_execution.run_autocommit(
+                    statement, effect, local_route
+                )
             )
         if isinstance(forwarded, Refusal):
             return forwarded
@@ -131,7 +133,9 @@
         forwarded = await self._forward(pending)
         if forwarded is None:
             local_route = await pending.make_remaining_route()
-            return await self._local_execution.begin(statement, local_route)
+            return pending.qualify(
+                await self._local_execution.begin(statement, local_route)
+            )
         if isinstance(forwarded, Refusal):
             return forwarded
         transaction = RemoteTransaction(
@@ -226,7 +230,9 @@
                 self._loads.record(holder, attempt.answer.load, now)
             if not self._find_free_holder(pending, outcome, now):
                 self._budget.record_success()
-                return ForwardResult(outcome, attempt.channel, holder)
+                return ForwardResult(
+                    pending.qualify(outcome), attempt.channel, holder
+                )
         await self._peers.forward_streams.put_back(
             holder.endpoint, attempt.channel
         )
--- a/deckdrum/forwarding/handler.py
+++ b/deckdrum/forwarding/handler.py
@@ -11,6 +11,7 @@
 from deckdrum.fleet.messages import MessageError
 from deckdrum.fleet.node_messages import Forward, ForwardNext
 from deckdrum.fleet.policies import Policy
+from deckdrum.forwarding.abandonment import AbandonedForwards
 from deckdrum.forwarding.admission import check_forward
 from deckdrum.forwarding.encoding import (
     decode_begin,
@@ -149,6 +150,7 @@
         self._registry = registry
         self._policies = policies
         self._counters = counters
+        self._abandoned = AbandonedForwards(counters)
 
     async def serve(self, channel: StreamChannel, message: Forward) -> None:
         """Run a statement and the rest of the transaction that it opens.
@@ -181,7 +183,7 @@
             prepared = decode_prepared(message)
             if isinstance(request.operation, Execute) and prepared is not None:
                 session.state.prepared[request.operation.name] = prepared
-            outcome = await session.execute(request)
+            outcome = await self._execute(session, channel, request)
             transaction = session.state.transaction
             is_open = transaction is not None and not transaction.is_failed
             load = await self._measure_load(message)
@@ -192,6 +194,15 @@
             await self._registry.finish_operation(session)
             message = await _receive_next(channel)
 
+    async def _execute(
+        self, session: CallerSession, channel: StreamChannel, request: Request
+    ) -> Outcome:
+        await self._abandoned.add(channel)
+        try:
+            return await session.execute(request)
+        finally:
+            self._abandoned.discard(channel)
+
     async def _measure_load(
         self, message: Forward | ForwardNext
     ) -> tuple[float, ...]:
--- a/deckdrum/forwarding/pending.py
+++ b/deckdrum/forwarding/pending.py
@@ -1,7 +1,7 @@
 """Statements that are being forwarded, and the results of their attempts."""
 
 from dataclasses import dataclass, field, replace
-from typing import Final
+from typing import Final, TypeVar
 
 import curio
 
@@ -14,6 +14,8 @@
 from deckdrum.serving.host import Outcome
 from deckdrum.serving.state import Statement
 
+OutcomeT = TypeVar('OutcomeT')
+
 #: Part of a statement's timeout reserved for the response to arrive; less than
 #: the holder's own reserve, so that the holder reports a timeout first.
 FORWARD_MARGIN_S: Final = 0.02
@@ -119,6 +121,15 @@
             self.route, statement_timeout=max(left, FORWARD_MARGIN_S)
         )
 
+    def qualify(self, outcome: OutcomeT) -> OutcomeT | Refusal:
+        """Return an outcome that is true after all attempts.
+
+        A holder, or this node, may refuse what an earlier holder has run.
+        """
+        if self.may_have_run and isinstance(outcome, Refusal):
+            return outcome.qualify()
+        return outcome
+
     def encode(self, timeout: float) -> Forward:
         """Return the message that gives a holder `timeout` seconds."""
         route = replace(self.route, statement_timeout=timeout)
--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -3,8 +3,13 @@
 import curio
 import pytest
 
+from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.health import HEARTBEAT_TIMEOUT_S
+from deckdrum.fleet.node_messages import Forward
+from deckdrum.forwarding.abandonment import CHECK_INTERVAL_S
+from deckdrum.forwarding.encoding import encode_outcome
 from deckdrum.forwarding.forwarder import HOLDER_RETRY_TIMEOUT_S
+from deckdrum.outcomes import Code, refuse
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 from deckdrum.testing.links import CutKind
 from deckdrum.testing.nodes import (
@@ -251,6 +256,65 @@
     )
 
 
+def test_read_that_may_have_run_is_not_refused_by_the_next_holder() -> None:
+    """The refusal of the second holder was passed on as "not run"."""
+
+    async def refuse_forward(channel: StreamChannel, _: Forward) -> None:
+        refusal = refuse(Code.QUEUE_FULL)
+        await channel.send(encode_outcome(refusal, is_open=False))
+
+    async def scenario(deployment: Deployment) -> None:
+        caller = _find_caller(deployment)
+        client = await deployment.connect(CURRENT, caller)
+        assert (await client.ask('READ a')).is_done
+        first = _find_first_holder(deployment, caller)
+        for number in _list_holders(deployment):
+            peers = deployment.nodes[number].node.peers
+            peers.run_forwarded_statement = refuse_forward
+        first.node.peers.run_forwarded_statement = _never_answer
+        reply = await client.ask('READ a')
+        assert reply.text.startswith('ABORTED')
+
+    run_scenario(
+        scenario, nodes=NODES, max_connections=MAX_CONNECTIONS, settle=2.5
+    )
+
+
+def test_waiting_statement_ends_when_its_sender_gives_up() -> None:
+    """A holder ran it after the sender had answered its caller."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        caller = _find_caller(deployment)
+        client = await deployment.connect(CURRENT, caller)
+        assert (await client.ask('WRITE a 1')).is_done
+        holders = [
+            deployment.nodes[number].node
+            for number in _list_holders(deployment)
+        ]
+        for holder in holders:
+            for handle in holder.services[SERVICE].servers.values():
+                # Statements get a connection, but no slot.
+                handle.gate.compute_limit = _admit_nothing
+        asking = await curio.spawn(client.ask, 'WRITE a 2')
+        await curio.sleep(0.2)
+        await deployment.isolate_node(caller, CutKind.RESET)
+        assert (await asking.join()).text.startswith('INDOUBT')
+        await curio.sleep(2 * CHECK_INTERVAL_S)
+        for holder in holders:
+            for handle in holder.services[SERVICE].servers.values():
+                assert not handle.gate.waiting
+                assert not handle.load
+        assert len(deployment.group.primary.log) == 1
+
+    run_linked_scenario(
+        scenario, nodes=NODES, max_connections=MAX_CONNECTIONS, settle=2.5
+    )
+
+
+def _admit_nothing(now: float) -> float:
+    return 0
+
+
 def test_holder_that_cannot_reach_the_primary_is_skipped() -> None:
     async def scenario(deployment: Deployment) -> None:
         caller = _find_caller(deployment)
