Return connections, slots and places however an attempt ends

An error in the caller's own task closed the connection without an answer.

Cause: pools, queues and gates returned what they had granted after the errors that were expected there, not after others. An attempt that died left no result, so its dispatch waited for it without end.

Why the fix works: what was granted is returned on every exception. A session answers a defect with "unknown" and rolls its transaction back. A connection on which an answer is outstanding refuses further requests: the rollback after a request that was given up would have taken that request's late answer for its own, and the connection would have gone back into the pool one answer behind.

--- a/deckdrum/backends/pool.py
+++ b/deckdrum/backends/pool.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import Any, Final, Generic, TypeVar
 
-import curio
-
 from deckdrum.load.eviction import DecayingUseCounts
 from deckdrum.members import FairQueue, GroupShare, Permit
 from deckdrum.outcomes import Refusal
@@ -179,7 +177,7 @@
             return permit
         try:
             link = await self._get_link(group, prefers, workspace)
-        except (ConnectionError, curio.CancelledError):
+        except BaseException:
             await self.queue.release(permit)
             raise
         return Lease(self.database, link, permit)
@@ -199,13 +197,15 @@
             Whether the whole answer has arrived and no transaction is open.
             Otherwise the connection is closed instead of being reused.
         """
-        if not is_clean or not lease.link.is_usable:
-            await lease.link.close()
-        elif lease.link.is_kept:
-            self._idle.append(lease.link)
-        else:
-            await lease.link.hand_back()
-        await self.queue.release(lease.permit)
+        try:
+            if not is_clean or not lease.link.is_usable:
+                await lease.link.close()
+            elif lease.link.is_kept:
+                self._idle.append(lease.link)
+            else:
+                await lease.link.hand_back()
+        finally:
+            await self.queue.release(lease.permit)
 
     async def warm(self) -> None:
         """Open one connection ahead of requests if fewer than wanted are open.
--- a/deckdrum/members/queue.py
+++ b/deckdrum/members/queue.py
@@ -186,7 +186,7 @@
         account.waiting.append(waiter)
         try:
             await self._wait_in_time(waiter, account, timeout, on_time_wait)
-        except curio.CancelledError:
+        except BaseException:
             await self._abandon(account, waiter)
             raise
         return waiter.permit or await self._refuse_waiter(account, waiter)
--- a/deckdrum/platform/backends.py
+++ b/deckdrum/platform/backends.py
@@ -57,11 +57,15 @@
         super().__init__()
         self.stream = stream
         self._reader = LineReader(stream)
+        #: Whether a request was sent whose complete answer was not read.
+        self._is_awaiting_answer = False
 
     @property
     def is_usable(self) -> bool:
         """Whether the connection is open and has no unread data."""
-        return self.stream.is_idle() and not self._reader.has_unread
+        if self._is_awaiting_answer or self._reader.has_unread:
+            return False
+        return self.stream.is_idle()
 
     async def run(self, call: Call) -> Answer | Rejection:
         """Run an operation and return its complete answer."""
@@ -109,13 +113,19 @@
             raise ConnectionAbortedError(str(error)) from error
 
     async def _query(self, request_id: str, text: str) -> Answer | Rejection:
+        if self._is_awaiting_answer:
+            # The next answer belongs to the earlier request.
+            raise ConnectionAbortedError('an earlier request was given up')
+        self._is_awaiting_answer = True
         await self.stream.send(encode_line('QUERY', request_id, text))
         try:
-            return await self._read_answer()
+            answer = await self._read_answer()
         except LineError as error:
             raise ConnectionAbortedError(
                 f'the database broke the protocol: {error}',
             ) from error
+        self._is_awaiting_answer = False
+        return answer
 
     async def _read_answer(self) -> Answer | Rejection:
         rows: list[str] = []
@@ -189,7 +199,7 @@
             raise ConnectionAbortedError(
                 f'{self.name} does not answer a new connection',
             ) from error
-        except (ConnectionError, curio.CancelledError):
+        except BaseException:
             await stream.close()
             raise
         link = self.wrap(stream)
--- a/deckdrum/serving/executor.py
+++ b/deckdrum/serving/executor.py
@@ -336,16 +336,16 @@
             outcome = await self._run_and_record(
                 dispatch, attempt, target, route
             )
-        except Exception as error:
-            # A defect: without a result the caller would wait without end.
+        except BaseException as error:
+            # Without a result the caller would wait without end.
             await attempt.discard()
-            self._log_defect(dispatch, attempt, error)
             outcome = NoAnswer(attempt.was_sent, False, repr(error))
-        finished = FinishedAttempt(attempt, target, outcome)
-        if dispatch.is_finished:
-            await release_late_attempt(finished)
-        else:
-            await dispatch.finished_attempts.put(finished)
+            await _pass_on(dispatch, FinishedAttempt(attempt, target, outcome))
+            if not isinstance(error, Exception):
+                raise
+            self._log_defect(dispatch, attempt, error)
+            return
+        await _pass_on(dispatch, FinishedAttempt(attempt, target, outcome))
 
     async def _run_and_record(
         self,
@@ -527,3 +527,11 @@
             tries=dispatch.attempt_count,
             seconds=round(now - dispatch.began, 3),
         )
+
+
+async def _pass_on(dispatch: Dispatch, finished: FinishedAttempt) -> None:
+    """Pass a result to the dispatch, or release it if that has finished."""
+    if dispatch.is_finished:
+        await release_late_attempt(finished)
+    else:
+        await dispatch.finished_attempts.put(finished)
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -79,6 +79,10 @@
         try:
             method = _OPERATION_METHODS[type(request.operation)]
             outcome = await method(self, request)
+        except Exception as error:
+            # A defect.  Without an answer the caller could not tell it from a
+            # failure of the network.
+            outcome = await self._fail_operation(error)
         finally:
             self.is_busy = False
             self.idle_since = await curio.clock()
@@ -108,6 +112,16 @@
                 transaction, TransactionState.OPEN
             )
 
+    async def _fail_operation(self, error: Exception) -> Refusal:
+        """Return the refusal of an operation that ended unexpectedly."""
+        transaction = self.state.transaction
+        if transaction is not None:
+            transaction.is_failed = True
+            await self._transactions.release_connection(
+                transaction, TransactionState.OPEN
+            )
+        return refuse(Code.CONNECTION_LOST, repr(error))
+
     async def _set_value(self, request: Request) -> Outcome:
         operation = request.operation
         if not isinstance(operation, SetValue) or self._has_failed():
--- a/deckdrum/serving/slots.py
+++ b/deckdrum/serving/slots.py
@@ -165,7 +165,7 @@
         self._waiting.append(waiter)
         try:
             await self._wait(waiter, timeout)
-        except curio.CancelledError:
+        except BaseException:
             if waiter.permit is None:
                 self._waiting.remove(waiter)
             else:
@@ -256,7 +256,7 @@
             return
         try:
             await self.on_demand()
-        except curio.CancelledError:
+        except BaseException:
             await self.release(permit)
             raise
 
