Bound the waits of a transaction for a server, keep acknowledged values

What callers saw: a SET in a transaction at a server that had fallen silent was never answered. When its connection broke, the caller was told that the transaction is lost, but later statements ran with the new value.

Cause: `apply_value` had no timeout, and the session took over a value before it was applied.

Why the fix works: setting a value has the timeout of a statement in a transaction, within the route's, and closes the connection when that passes. A value that is not acknowledged is not kept.

--- a/deckdrum/fleet/borrowing.py
+++ b/deckdrum/fleet/borrowing.py
@@ -313,8 +313,9 @@
     stream.detach()
     returned = ReturnLink(link.state.values, encode_prepared(link.state))
     try:
-        await stream.channel.send(returned)
-    except ConnectionError:
+        async with curio.timeout_after(LENDER_QUEUE_TIMEOUT_S):
+            await stream.channel.send(returned)
+    except (ConnectionError, curio.TaskTimeout):
         await stream.channel.close()
         return
     await curio.spawn(
--- a/deckdrum/node/lending.py
+++ b/deckdrum/node/lending.py
@@ -1,9 +1,11 @@
 """Lending server connections to nodes that have none."""
 
 from collections.abc import Mapping
+from typing import Final
 
 import curio
 
+from deckdrum.fleet.base import Message
 from deckdrum.fleet.borrowing import decode_state, encode_prepared
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.fleet.node_messages import (
@@ -20,6 +22,10 @@
 from deckdrum.utils import ByteStream
 from deckdrum.utils.counters import Counters
 
+#: Longest silence of a borrower.  It ends idle transactions much earlier; this
+#: returns the connection of one that is suspended.
+LOAN_IDLE_TIMEOUT_S: Final = 60.0
+
 _NOT_LENT = LinkLent(is_lent=False, is_full=False, values={}, prepared=())
 _FULL = LinkLent(is_lent=False, is_full=True, values={}, prepared=())
 
@@ -140,7 +146,7 @@
     response_task = await curio.spawn(_relay_responses, channel, stream)
     try:
         while True:
-            message = await channel.receive()
+            message = await _receive(channel)
             if isinstance(message, ReturnLink):
                 return message
             if not isinstance(message, RelayedBytes):
@@ -153,6 +159,23 @@
         await response_task.cancel()
 
 
+async def _receive(channel: StreamChannel) -> Message:
+    """Return the next message of the borrower.
+
+    Raises
+    ------
+    ConnectionError
+        If it has disconnected, or been silent for too long.
+    """
+    try:
+        async with curio.timeout_after(LOAN_IDLE_TIMEOUT_S):
+            return await channel.receive()
+    except curio.TaskTimeout as error:
+        raise ConnectionAbortedError(
+            f'a borrower was silent for {LOAN_IDLE_TIMEOUT_S} s'
+        ) from error
+
+
 async def _relay_responses(channel: StreamChannel, stream: ByteStream) -> None:
     while chunk := await stream.receive():
         try:
--- a/deckdrum/serving/session.py
+++ b/deckdrum/serving/session.py
@@ -126,11 +126,18 @@
         operation = request.operation
         if not isinstance(operation, SetValue) or self._has_failed():
             return _refuse_out_of_order(request)
-        self.state.values = {
-            **self.state.values,
-            operation.name: operation.value,
-        }
-        return await self._transactions.apply_value(operation)
+        acknowledged = self.state.values
+        self.state.values = {**acknowledged, operation.name: operation.value}
+        is_applied = False
+        try:
+            outcome = await self._transactions.apply_value(operation)
+            is_applied = isinstance(outcome, Answer)
+        finally:
+            if not is_applied:
+                # Statements run with the values that the caller knows to be
+                # set.
+                self.state.values = acknowledged
+        return outcome
 
     async def _prepare(self, request: Request) -> Outcome:
         operation = request.operation
--- a/deckdrum/serving/transactions.py
+++ b/deckdrum/serving/transactions.py
@@ -121,10 +121,19 @@
         if pin is None:
             return Answer(transaction_state=self._state.transaction_state)
         statement = self._state.capture(Request('', operation))
+        timeout = transaction.route.statement_timeout - ANSWER_MARGIN_S
+        if Policy.LOST_ANSWERS in self._host.policies:
+            timeout = min(
+                timeout, _compute_timeout(statement.request, transaction, pin)
+            )
         try:
-            rejection = await prepare_link(pin.lease.link, statement)
+            async with curio.timeout_after(timeout):
+                rejection = await prepare_link(pin.lease.link, statement)
+        except curio.TaskTimeout:
+            pin.handle.record_timeout(await curio.clock())
+            return await self._fail_pinned(statement.request, 'no answer')
         except ConnectionError as error:
-            return await self.fail(repr(error))
+            return await self._fail_pinned(statement.request, repr(error))
         if rejection is not None:
             return await self.fail(rejection.text, rejection.transaction_state)
         return Answer(transaction_state=self._state.transaction_state)
@@ -284,9 +293,9 @@
         if transaction is None or transaction.pin is None:
             return refuse(Code.TRANSACTION_LOST, reason)
         pin = transaction.pin
-        await pin.handle.release(pin.lease, is_clean=False)
         transaction.pin = None
         transaction.is_failed = True
+        await pin.handle.release(pin.lease, is_clean=False)
         is_commit = isinstance(request.operation, Commit)
         if is_commit and transaction.has_written:
             return refuse(Code.CONNECTION_LOST, reason)
