Soak: what is in use at the end against statements in progress

A connection, slot or place in a queue that is never returned shows only when a node runs out of them. When the callers have finished, the soak reads the metrics of each node for up to 5 s and reports what was in use each time.

--- a/deckdrum/soak/runner.py
+++ b/deckdrum/soak/runner.py
@@ -21,6 +21,7 @@
 from deckdrum.soak.partition_faults import PARTITION_FAULTS
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.soak.records import Attempt
+from deckdrum.soak.resources import find_unreturned
 from deckdrum.standins.users import StoreFault
 
 #: Longest wait until every node serves, at the start and after the faults.
@@ -128,6 +129,9 @@
             await task.join()
         await curio.sleep(_SETTLE_DELAY_S)
         self._check_guarantees()
+        self._report.violations.extend(
+            await find_unreturned(self._environment.nodes)
+        )
 
     async def _inject_faults(self) -> None:
         """Run all series of faults for the planned time."""
