Count proof of a term only from a node's registration on

Cause: a change of the primary asks the registered nodes, lists them again once the replicas are fenced, and waits for no proof if all have ended the term. A node that is not registered could have proof from before the fencing.

Why the fix works: proofs asked for before the node sees its own entry do not count. Either the change finds the node in its list, or the node's proofs are from after the fencing, which then rules them out. A node that replaces a former process of its name counts from its start. Until then it forwards its callers' statements to members.

--- a/deckdrum/leadership/state.py
+++ b/deckdrum/leadership/state.py
@@ -56,6 +56,10 @@
         self.renewal_failed_at = float('-inf')
         #: Set whenever the primary or its term changes.
         self.changed = curio.Event()
+        #: Since when changes of the primary ask this node for its consent, in
+        #: kernel seconds: proofs from before do not count.  A change that asks
+        #: all members waits for no proof of others.  Infinite for no member.
+        self.member_since = float('-inf')
         #: Set when the node is about to be no member: changes of the primary
         #: ask members only whether they use it.
         self.is_retired = False
@@ -114,6 +118,8 @@
         if not self.required_proofs:
             return float('inf')
         proof = self._proofs.find(self.primary)
+        if proof.asked_at < self.member_since:
+            return float('-inf')
         return proof.asked_at + PROOF_LIFETIME_S
 
     def is_primary_usable(self, now: float) -> bool:
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -295,6 +295,8 @@
     async def _handle_view_change(self, _: Kind) -> None:
         """Schedule the application of a change of the view."""
         self._registration.check_previous_registration()
+        self._registration.record_membership(await curio.clock())
+        self._service_manager.apply_membership(self._registration.member_since)
         await self._view_changed.set()
 
     async def _apply_changes(self) -> None:
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -45,6 +45,9 @@
         #: Whether an earlier incarnation of this node is registered, so that
         #: primary changes have asked for its consent since before the start.
         self.was_registered = False
+        #: Since when primary changes ask this node for its consent, in kernel
+        #: seconds; infinite while it is not registered.
+        self.member_since = float('inf')
         self._has_checked_registration = False
         self._member = Member(
             settings.name,
@@ -78,7 +81,30 @@
         entry = self._view.get_member(self._settings.name)
         # If the list was empty, this incarnation may already have registered.
         is_own = entry is not None and entry.record == self._member
-        self.was_registered = entry is not None and not is_own
+        is_leaving = (
+            entry is not None
+            and isinstance(entry.record, Member)
+            and entry.record.is_leaving
+        )
+        self.was_registered = (
+            entry is not None and not is_own and not is_leaving
+        )
+
+    def record_membership(self, now: float) -> None:
+        """Record since when the view lists this node.
+
+        An entry that an earlier incarnation was about to remove does not count,
+        as the list may be that of a peer, and old.
+        """
+        entry = self._view.get_member(self._settings.name)
+        record = None if entry is None else entry.record
+        is_own = isinstance(record, Member) and record.run == self._member.run
+        if self.was_registered and record is not None:
+            self.member_since = float('-inf')
+        elif not is_own:
+            self.member_since = float('inf')
+        elif self.member_since > now:
+            self.member_since = now
 
     @property
     def member(self) -> Member:
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -60,6 +60,8 @@
         self._executors: dict[str, StatementExecutor] = {}
         self._forwarders: dict[str, Forwarder] = {}
         self._supervisor_tasks: list[Any] = []
+        #: Since when this node is a member, in kernel seconds.
+        self._member_since = float('inf')
 
     def find_executor(self, service: str) -> StatementExecutor | None:
         """Return what runs a group's statements on this node."""
@@ -94,6 +96,12 @@
             if was_registered:
                 await self._apply_leadership_proof(declaration.name)
 
+    def apply_membership(self, member_since: float) -> None:
+        """Record since when changes of primaries ask this node for consent."""
+        self._member_since = member_since
+        for runtime in self.services.values():
+            runtime.leadership_state.member_since = member_since
+
     async def retire(self) -> None:
         """Stop supervising the groups and using their primaries."""
         for task in self._supervisor_tasks:
@@ -161,6 +169,7 @@
             self._counters,
             self._tools.policies,
         )
+        runtime.leadership_state.member_since = self._member_since
         monitor = PrimaryMonitor(runtime, self._tools)
         runtime.on_server_failure = monitor.handle_server_failure
         router = Router(runtime, own.data_centre)
--- a/deckdrum/serving/allocation.py
+++ b/deckdrum/serving/allocation.py
@@ -69,6 +69,9 @@
         self.others: list[Member] = []
         #: Whether this node is a holder.
         self.is_holder = True
+        #: The members to which this node forwards all statements while it is
+        #: none itself, nearest first.
+        self._deputies: list[Member] = []
         self._service = service
         self._peers = peers
         self._policies = policies
@@ -162,12 +165,18 @@
     ) -> None:
         self.others = [members[name] for name in holders if name != own.name]
         self.others.sort(key=partial(rank_lender, own))
+        self._deputies = []
+        if own.name not in members:
+            # It may use no primary; see `LeadershipState.member_since`.
+            self._deputies = self.others or _list_others(own, members)
         self._peers.health.set_required_peers(self._service, self.others)
         self.is_holder = not holders or own.name in holders
         self._own = own.name
         self._ranked_holders.clear()
 
     def _rank_holders(self, workspace: str) -> list[Member]:
+        if self._deputies:
+            return self._deputies
         if not workspace or Policy.WORKSPACE_HOLDERS not in self._policies:
             return [] if self.is_holder else self.others
         others = {holder.name: holder for holder in self.others}
@@ -192,6 +201,13 @@
     return remaining
 
 
+def _list_others(own: Member, members: Mapping[str, Member]) -> list[Member]:
+    """Return the other nodes that are not leaving, nearest first."""
+    remaining = list_remaining_nodes(own, members)
+    others = [members[name] for name in remaining if name != own.name]
+    return sorted(others, key=partial(rank_lender, own))
+
+
 def has_uneven_machines(own: Member, members: Mapping[str, Member]) -> bool:
     """Return whether the capacities of all registered nodes are uneven."""
     return is_uneven(list_capacities(own, members))
