Count servers without an entry among those that confirm writes

Cause: a change asks for enough fenced replicas among the servers that the node knows, and it forgets a server 4.5 s after its entry has gone.

A planned change needs only a replica with the whole log of the primary that has stepped down.

--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -18,6 +18,7 @@
     DrainStatus,
     DrainTracker,
 )
+from deckdrum.control.left_servers import LeftServers
 from deckdrum.control.log_events import build_log_event
 from deckdrum.control.record_cache import RecordCache
 from deckdrum.control.records import Configuration, Member
@@ -83,6 +84,8 @@
         self._caches = {kind: RecordCache() for kind in Kind}
         #: Servers no longer listed, with the time of their removal.
         self._removed: dict[str, tuple[float, BackendServer]] = {}
+        #: Servers no longer listed that may still confirm writes.
+        self.left_servers = LeftServers()
         #: Drain starts of servers, both announced and unlisted ones.
         self._drains = DrainTracker(drain_time)
 
@@ -323,6 +326,7 @@
     async def _update_drain_status(self, server: BackendServer) -> None:
         """Record whether a listed server is draining."""
         self._removed.pop(server.id, None)
+        self.left_servers.record_listing(server)
         if server.is_draining:
             self._drains.mark_draining(server.id, await curio.clock())
         else:
@@ -348,6 +352,7 @@
         if isinstance(present.record, BackendServer):
             now = await curio.clock()
             self._removed[present.name] = (now, present.record)
+            self.left_servers.record_removal(present.record, now)
             self._drains.mark_draining(present.name, now)
 
     def _log_applied(
--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -10,9 +10,11 @@
 import curio
 
 from deckdrum.backends import ServerStatus
+from deckdrum.control.left_servers import LeftServers
 from deckdrum.leadership.context import POLL_INTERVAL_S
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
+from deckdrum.sessions import Position
 
 #: Longest wait for enough fenced replicas; after it a group without synchronous
 #: replicas continues with those that are fenced.
@@ -45,11 +47,18 @@
     ----------
     runtime : ServiceRuntime
         The group.
+    left_servers : LeftServers
+        Servers whose entries are gone.
     """
 
-    def __init__(self, runtime: ServiceRuntime) -> None:
+    def __init__(
+        self, runtime: ServiceRuntime, left_servers: LeftServers
+    ) -> None:
         self._runtime = runtime
+        self._left_servers = left_servers
         self._former = ''
+        #: End of the log of the primary that has stepped down, if known.
+        self.final: Position | None = None
 
     def describe(self) -> str:
         """Return the last known state of each server, for the log."""
@@ -61,6 +70,7 @@
     async def count_reachable_replicas(self, former: str) -> int:
         """Return how many servers other than the former primary answer."""
         self._former = former
+        self.final = None
         replicas = self._list_replicas(former)
         tasks = [
             await curio.spawn(_is_responsive, handle) for handle in replicas
@@ -104,9 +114,30 @@
                 await curio.sleep(POLL_INTERVAL_S)
         return fenced
 
-    def is_enough(self, fenced: Mapping[str, ServerStatus]) -> bool:
-        """Return whether a change may continue with these fenced replicas."""
-        return len(fenced) >= self.required or self._can_continue_with(fenced)
+    async def is_enough(self, fenced: Mapping[str, ServerStatus]) -> bool:
+        """Return whether a change may continue with these fenced replicas.
+
+        A group without synchronous replicas accepts fewer than required, so
+        that a server that is lost for good does not block its failover.
+
+        Servers whose entries are gone may have confirmed writes.  They do not
+        matter if a replica has the whole log of a primary that stepped down.
+        """
+        synchronous = self._runtime.declaration.synchronous_replicas
+        if not synchronous:
+            return len(fenced) >= self.required or bool(fenced)
+        if len(fenced) < self.required:
+            return False
+        final = self.final
+        if final is not None and any(
+            status.received >= final for status in fenced.values()
+        ):
+            return True
+        left = self._left_servers.list_names(
+            self._runtime.name, await curio.clock()
+        )
+        names = self._list_names() | left
+        return len(fenced) >= len(names) - synchronous
 
     @property
     def required(self) -> int:
@@ -117,9 +148,7 @@
         The former primary counts as a server also when its entry is gone:
         nodes that still list it need fewer proofs than replicas remain.
         """
-        names = set(self._runtime.servers)
-        if self._former:
-            names.add(self._former)
+        names = self._list_names()
         required = max(1, len(names) - len(names) // 2)
         synchronous = self._runtime.declaration.synchronous_replicas
         if not synchronous:
@@ -143,14 +172,12 @@
             if name != former
         ]
 
-    def _can_continue_with(self, fenced: Mapping[str, ServerStatus]) -> bool:
-        """Return whether fewer fenced replicas than required are accepted.
-
-        Only a group without synchronous replicas accepts them, so that a
-        server that is lost for good does not block its failover.
-        """
-        synchronous = self._runtime.declaration.synchronous_replicas
-        return bool(fenced) and not synchronous
+    def _list_names(self) -> set[str]:
+        """Return the servers that are known, and the former primary."""
+        names = set(self._runtime.servers)
+        if self._former:
+            names.add(self._former)
+        return names
 
 
 def rank_promotion_candidates(
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -83,7 +83,7 @@
         self._runtime = runtime
         self._context = context
         self._records = LeadershipRecordStore(runtime, context)
-        self._fencing = ReplicaFencing(runtime)
+        self._fencing = ReplicaFencing(runtime, context.view.left_servers)
         self._observer = PeerObserver(runtime, context.peers)
         self._promoter = ServerPromoter(runtime, context, self._records)
 
@@ -285,7 +285,7 @@
         )
         if leader is not None:
             return leader
-        if not self._fencing.is_enough(fenced):
+        if not await self._fencing.is_enough(fenced):
             leader = await self._ask_for_leader(claim, unfenced)
             if leader is not None:
                 return leader
@@ -335,6 +335,7 @@
         report.step_down_requested = True
         status = await former.execute_command('step_down', term)
         final = None if status is None else status.received
+        self._fencing.final = final
         await self._catch_up(final, former.id)
         await report.record_phase('step down')
 
--- a/deckdrum/leadership/tests/test_lapsed_servers.py
+++ b/deckdrum/leadership/tests/test_lapsed_servers.py
@@ -55,6 +55,51 @@
     run_scenario(scenario, synchronous_replicas=1, lag=0.01)
 
 
+def test_replica_that_serves_on_without_an_entry_is_waited_for() -> None:
+    """It alone had confirmed writes, and the other replica was promoted."""
+
+    async def scenario(deployment: Deployment) -> None:
+        services = [{'name': SERVICE, 'maxConns': 23, 'syncReplicas': 1}]
+        await deployment.configure(2, services=services)
+        lagging, complete = _list_replicas(deployment)
+        complete.is_listed = False
+        await deployment.store.delete('servers', complete.name)
+        lagging.is_replication_blocked = True
+        client = await deployment.connect(CURRENT)
+        for _ in range(_WRITES):
+            assert (await client.ask('WRITE a 1')).is_done
+        await curio.sleep(_FORGOTTEN_S)
+        primary = deployment.group.primary
+        await primary.crash()
+        writing = await curio.spawn(client.write_until_done, 30)
+        await curio.sleep(7)
+        assert not deployment.group.promotions
+        await primary.start()
+        await writing.join()
+        assert len(primary.log) == _WRITES + 1
+
+    run_scenario(scenario, synchronous_replicas=1, lag=0.01)
+
+
+def test_planned_change_does_not_wait_for_a_server_without_an_entry() -> None:
+    """A replica with the whole log of the primary needs no other one."""
+
+    async def scenario(deployment: Deployment) -> None:
+        services = [{'name': SERVICE, 'maxConns': 23, 'syncReplicas': 1}]
+        await deployment.configure(2, services=services)
+        _, leaving = _list_replicas(deployment)
+        leaving.is_listed = False
+        await deployment.store.delete('servers', leaving.name)
+        client = await deployment.connect(CURRENT)
+        assert (await client.ask('WRITE a 1')).is_done
+        await curio.sleep(_FORGOTTEN_S)
+        await deployment.group.primary.drain()
+        await deployment.wait_for(lambda: bool(deployment.group.takeovers))
+        await client.write_until_done()
+
+    run_scenario(scenario, synchronous_replicas=1, lag=0.01)
+
+
 def test_group_without_synchronous_replicas_replaces_a_forgotten_primary() -> (
     None
 ):
