Make a leftover primary of an earlier term step down to fence it

Cause: a synchronous group of three needs both other servers fenced. One of them still leads its old term, a primary obeys no fence, and a primary of an earlier term was made to step down only while the group had one.

Why the fix works: a server that reports to lead an earlier term than the primary to be replaced has been replaced itself; the change makes it step down, then fences it like any replica.

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from deckdrum.backends import ServerStatus
+from deckdrum.backends import ServerRole, ServerStatus
 from deckdrum.control.left_servers import LeftServers
 from deckdrum.leadership.context import POLL_INTERVAL_S
 from deckdrum.serving.runtime import ServiceRuntime
@@ -96,11 +96,21 @@
         self,
         term: int,
         former: str,
+        former_term: int = 0,
     ) -> dict[str, ServerStatus]:
         """Fence the replicas; return the states of those that are fenced.
 
         Replicas that refuse connections are waited for as silent ones are: they
         may run behind a cut and still prove the old term to nodes.
+
+        Parameters
+        ----------
+        term : int
+            Term for which they are fenced.
+        former : str
+            The primary to be replaced.
+        former_term : int
+            The term that it led; 0 if unknown.
         """
         self._former = former
         replicas = self._list_replicas(former)
@@ -108,7 +118,7 @@
         required = self.required
         async with curio.ignore_after(FENCE_TIMEOUT_S):
             while len(fenced) < len(replicas):
-                await _fence_each(replicas, term, fenced)
+                await _fence_each(replicas, term, former_term, fenced)
                 if len(fenced) >= required and len(fenced) + 1 >= len(replicas):
                     break
                 await curio.sleep(POLL_INTERVAL_S)
@@ -248,19 +258,30 @@
 async def _fence_each(
     replicas: Iterable[ServerHandle],
     term: int,
+    former_term: int,
     fenced: dict[str, ServerStatus],
 ) -> None:
     async with curio.TaskGroup() as fencing:
         for handle in replicas:
             if handle.id not in fenced:
-                await fencing.spawn(_fence_one, handle, term, fenced)
+                await fencing.spawn(
+                    _fence_one, handle, term, former_term, fenced
+                )
 
 
 async def _fence_one(
     handle: ServerHandle,
     term: int,
+    former_term: int,
     fenced: dict[str, ServerStatus],
 ) -> None:
     status = await handle.execute_command('hold', term)
+    if status is None:
+        return
+    if status.role is ServerRole.PRIMARY and status.term < former_term:
+        # A primary that was replaced and has not met its successor since.  Only
+        # replicas can be fenced.
+        await handle.execute_command('step_down', former_term)
+        status = await handle.execute_command('hold', term)
     if status is not None and status.fenced_term >= term:
         fenced[handle.id] = status
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -273,7 +273,9 @@
                 return None
             await self._step_down(report, term)
         # An unplanned change fences at once, as nodes may be unreachable.
-        fenced = await self._fencing.fence(term, report.former)
+        fenced = await self._fencing.fence(
+            term, report.former, claim.record.former_term
+        )
         await report.record_phase('hold')
         votes: TermEndVotes = await ending.join()
         await report.record_phase('end term')
