Count an entry that is being removed after a second only

A restarted node that is told by a peer, not by the store, that its former process is registered may be told of an entry that is gone by now, if that process had marked it as leaving. Peers learn of the removal within half a second, so the entry counts if it is still listed after one. Not counting it at all would leave a fleet that is restarted in turn during an outage of the store without any node that may use a primary.

--- a/deckdrum/control/left_servers.py
+++ b/deckdrum/control/left_servers.py
@@ -34,6 +34,9 @@
 
     def record_removal(self, server: BackendServer, now: float) -> None:
         """Record that the entry of a server is gone."""
+        for name, (removed_at, _) in list(self._removed.items()):
+            if now - removed_at >= CONFIRMATION_TIME_S:
+                self._removed.pop(name)
         self._removed[server.id] = (now, server)
 
     def record_listing(self, listed: BackendServer) -> None:
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -13,6 +13,9 @@
 
 REGISTRATION_CHECK_INTERVAL_S: Final = 1.0
 DEREGISTER_TIMEOUT_S: Final = 0.3
+#: Time after which an entry that was about to be removed has not been, if the
+#: view still has it: peers learn of changes within half a second.
+LEAVING_ENTRY_DELAY_S: Final = 1.0
 
 
 class NodeRegistration:
@@ -93,18 +96,12 @@
     def record_membership(self, now: float) -> None:
         """Record since when the view lists this node.
 
-        An entry that an earlier incarnation was about to remove does not count,
-        as the list may be that of a peer, and old.
+        An entry that an earlier incarnation was about to remove counts only
+        after `LEAVING_ENTRY_DELAY_S`: the list may be that of a peer, and old.
         """
         entry = self._view.get_member(self._settings.name)
         record = None if entry is None else entry.record
-        is_own = isinstance(record, Member) and record.run == self._member.run
-        if self.was_registered and record is not None:
-            self.member_since = float('-inf')
-        elif not is_own:
-            self.member_since = float('inf')
-        elif self.member_since > now:
-            self.member_since = now
+        self.member_since = self._find_membership(record, now)
 
     @property
     def member(self) -> Member:
@@ -132,6 +129,16 @@
             # The next incarnation of this node replaces the entry.
             self._journal.record('member.not_withdrawn', reason=repr(error))
 
+    def _find_membership(self, record: object, now: float) -> float:
+        """Return since when this node is a member, by its listed entry."""
+        if not isinstance(record, Member):
+            return float('inf')
+        if self.was_registered:
+            return float('-inf')
+        is_own = record.run == self._member.run
+        delay = 0 if is_own else LEAVING_ENTRY_DELAY_S
+        return min(self.member_since, now + delay)
+
     async def _register(self, known: Entry | None) -> None:
         revision = known.revision if known else 0
         try:
