--- a/deckdrum/serving/tests/test_broken_steps.py
+++ b/deckdrum/serving/tests/test_broken_steps.py
@@ -1,5 +1,6 @@
 """Every step of an attempt fails once, and nothing stays in use."""
 
+from functools import partial
 from typing import Any, Final
 
 import curio
@@ -7,6 +8,7 @@
 
 from deckdrum.backends import Pool
 from deckdrum.fleet.borrowing import DirectBackend
+from deckdrum.fleet.policies import ALL_POLICIES, Policy, exclude_policies
 from deckdrum.members import FairQueue
 from deckdrum.platform.backends import PlatformBackend, PlatformLink
 from deckdrum.serving import attempts, transactions
@@ -60,6 +62,17 @@
     (RetryPolicy, 'decide'),
     (Router, 'choose_primary'),
 )
+#: Steps at a node that forwards or borrows, or at its peer.
+_REMOTE_STEPS: Final = (
+    (ServerHandle, 'acquire'),
+    (FairQueue, 'acquire'),
+    (attempts, 'prepare_link'),
+    (PlatformLink, 'run'),
+    (PlatformLink, '_read_answer'),
+    (SlotGate, 'acquire'),
+    (ServerHandle, 'record_answer'),
+    (StatementExecutor, '_record_success'),
+)
 _ERRORS: Final = (
     KeyError,
     ValueError,
@@ -99,16 +112,33 @@
 def _is_anything_in_use(deployment: Deployment) -> bool:
     """Return whether connections, slots or places in queues are taken."""
     runtimes = [each.node.services[SERVICE] for each in deployment.nodes]
-    return any(
-        handle.load or handle.gate.in_flight or handle.gate.waiting
-        for handle in _list_handles(deployment)
-    ) or any(runtime.statements.count for runtime in runtimes)
+    is_lent = any(each.node.lent_connections for each in deployment.nodes)
+    is_running = any(runtime.statements.count for runtime in runtimes)
+    return (
+        is_lent
+        or is_running
+        or any(
+            handle.load or handle.gate.in_flight or handle.gate.waiting
+            for handle in _list_handles(deployment)
+        )
+    )
 
 
 async def _wait_until_unused(deployment: Deployment) -> None:
     await deployment.wait_for(lambda: not _is_anything_in_use(deployment))
 
 
+def _find_caller(deployment: Deployment) -> int:
+    """Return a node without own connections to the primary, or the first."""
+    primary = deployment.group.primary.name
+    numbers = [
+        number
+        for number, running in enumerate(deployment.nodes)
+        if not running.node.services[SERVICE].servers[primary].is_holder
+    ]
+    return [*numbers, 0][0]
+
+
 async def _run_statements(
     deployment: Deployment,
     database: str,
@@ -117,7 +147,7 @@
     lost_answers: int,
 ) -> None:
     """Run all statements; each is answered, unless the session may close."""
-    client = await deployment.connect(database)
+    client = await deployment.connect(database, _find_caller(deployment))
     for server in deployment.group.servers.values():
         server.lost_answers = lost_answers
     for statement in _STATEMENTS:
@@ -145,27 +175,61 @@
 ) -> None:
     """Errors other than a KeyError held connections, slots and callers."""
 
-    async def scenario(deployment: Deployment) -> None:
-        broken = 0
-        client = await deployment.connect(CURRENT)
-        step = BrokenStep(owner, name)
-        step.install(monkeypatch)
-        for error in _ERRORS:
-            for calls_before in range(_MAX_CALLS_BEFORE):
-                for database in (CURRENT, OWN_WRITES):
-                    step.arm(error('broken'), calls_before)
-                    await _run_statements(
-                        deployment,
-                        database,
-                        may_close=error is curio.CancelledError,
-                        lost_answers=lost_answers,
-                    )
-                    broken += step.is_broken
-                    step.error = None
-                    await _wait_until_unused(deployment)
-        assert broken
-        for server in deployment.group.servers.values():
-            server.lost_answers = 0
-        await _check_service(client)
-
-    run_scenario(scenario, max_connections=_CONNECTIONS, settle=0.5)
+    step = BrokenStep(owner, name)
+    step.install(monkeypatch)
+    run_scenario(
+        partial(_break_repeatedly, step=step, lost_answers=lost_answers),
+        max_connections=_CONNECTIONS,
+        settle=0.5,
+    )
+
+
+@pytest.mark.parametrize(('owner', 'name'), _REMOTE_STEPS)
+@pytest.mark.parametrize(
+    'policies', [ALL_POLICIES, exclude_policies(['forwarding'])]
+)
+def test_nothing_stays_in_use_on_other_nodes_either(
+    policies: frozenset[Policy],
+    owner: Any,
+    name: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Statements that are forwarded, and those on connections that are lent."""
+    step = BrokenStep(owner, name)
+    step.install(monkeypatch)
+    run_scenario(
+        partial(_break_repeatedly, step=step),
+        nodes=12,
+        max_connections=9,
+        settle=2.5,
+        policies=policies,
+    )
+
+
+async def _break_repeatedly(
+    deployment: Deployment, step: BrokenStep, lost_answers: int = 0
+) -> None:
+    """Let a step fail by each error, at each of its first calls."""
+    broken = 0
+    client = await deployment.connect(CURRENT)
+    for error in _ERRORS:
+        for calls_before in range(_MAX_CALLS_BEFORE):
+            for database in (CURRENT, OWN_WRITES):
+                step.arm(error('broken'), calls_before)
+                await _run_statements(
+                    deployment,
+                    database,
+                    may_close=error is curio.CancelledError,
+                    lost_answers=lost_answers,
+                )
+                broken += step.is_broken
+                step.error = None
+                await _wait_until_unused(deployment)
+    assert broken
+    caller = deployment.nodes[_find_caller(deployment)].node
+    handle = caller.services[SERVICE].servers[deployment.group.primary.name]
+    is_remote = caller.counters.events['forwards'] or handle.loans.stats.opened
+    assert handle.is_holder or is_remote
+    for server in deployment.group.servers.values():
+        server.lost_answers = 0
+    await _check_service(client)
