--- a/deckdrum/leadership/context.py
+++ b/deckdrum/leadership/context.py
@@ -10,7 +10,6 @@
 from deckdrum.fleet.detours import DetourDialer
 from deckdrum.fleet.node_peers import NodePeers
 from deckdrum.fleet.policies import ALL_POLICIES, Policy
-from deckdrum.leadership.peer_observation import Leader
 from deckdrum.leadership.promotion_client import PromotionClient
 from deckdrum.store.records import GroupRecord
 from deckdrum.utils import Journal
@@ -88,28 +87,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class TermEndVotes:
-    """Which nodes have confirmed that they stopped using a term's primary.
-
-    Attributes
-    ----------
-    has_majority : bool
-        Whether more than half of the registered nodes have stopped.
-    is_unanimous : bool
-        Whether every node that was asked has stopped, and none is missing.
-    asked : frozenset of str
-        The nodes that were asked, including this one.
-    leader : Leader or None
-        A primary of a later term that a node uses.
-    """
-
-    has_majority: bool
-    is_unanimous: bool
-    asked: frozenset[str]
-    leader: Leader | None
-
-
 @dataclass(frozen=True, slots=True)
 class LeadershipClaim:
     """The exclusive right to change a group's primary.
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -26,22 +26,18 @@
 and looks for a server that the claim before has promoted.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 import curio
 
 from deckdrum.backends import ServerRole, ServerStatus
-from deckdrum.control import Kind
 from deckdrum.fleet.messages import Heartbeat
-from deckdrum.fleet.node_messages import EndTerm, TermEnded
-from deckdrum.fleet.node_peers import NoAnswer, PeerAnswer
 from deckdrum.leadership.context import (
     POLL_INTERVAL_S,
     LeadershipClaim,
     LeadershipContext,
     PrimaryChangeReport,
-    TermEndVotes,
 )
 from deckdrum.leadership.fencing import (
     PromotionCandidate,
@@ -52,18 +48,18 @@
 from deckdrum.leadership.record_store import LeadershipRecordStore
 from deckdrum.leadership.server_promotion import ServerPromoter
 from deckdrum.leadership.state import PROOF_LIFETIME_S
+from deckdrum.leadership.term_end import (
+    END_TERM_TIMEOUT_S,
+    TermEnd,
+    TermEndVotes,
+)
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.sessions import Position
 
-#: Longest wait for nodes to confirm the end of a term; more than a round trip
-#: between data centres plus one statement in progress.
-END_TERM_TIMEOUT_S: Final = 0.3
 #: Longest wait for a successor to catch up in a planned change.
 SUCCESSOR_CATCH_UP_TIMEOUT_S: Final = 1.5
-#: Unresponsive nodes that one log line names.
-MAX_LOGGED_NODES: Final = 8
 
 
 class PrimaryChanger:
@@ -85,6 +81,7 @@
         self._records = LeadershipRecordStore(runtime, context)
         self._fencing = ReplicaFencing(runtime, context.view.left_servers)
         self._observer = PeerObserver(runtime, context.peers)
+        self._term_end = TermEnd(runtime, context)
         self._promoter = ServerPromoter(runtime, context, self._records)
 
     async def run(self, report: PrimaryChangeReport) -> bool:
@@ -214,7 +211,7 @@
             return ended
         fenced, votes = ended
         fenced_at = await curio.clock()
-        all_ended = await self._has_ended_everywhere(votes)
+        all_ended = await self._term_end.has_ended_everywhere(votes)
         if not all_ended:
             unfenced = self._fencing.list_unfenced(fenced, report.former)
             asking = await curio.spawn(self._ask_for_leader, claim, unfenced)
@@ -261,7 +258,7 @@
         a server that leads already.
         """
         term = claim.record.term
-        ending = await curio.spawn(self._end_term, report, claim)
+        ending = await curio.spawn(self._term_end.ask_nodes, report, claim)
         if report.is_planned:
             planned: TermEndVotes = await ending.join()
             if planned.leader is not None:
@@ -341,66 +338,6 @@
         await self._catch_up(final, former.id)
         await report.record_phase('step down')
 
-    async def _end_term(
-        self, report: PrimaryChangeReport, claim: LeadershipClaim
-    ) -> TermEndVotes:
-        """Tell every node to stop using the primary; return which have."""
-        term = claim.record.term - 1
-        await self._runtime.leadership_state.end_term(
-            term, 'this node changes the primary'
-        )
-        question = EndTerm(
-            self._runtime.name,
-            term,
-            report.is_planned,
-            claim.fencing_token,
-        )
-        own_task = await curio.spawn(
-            self._runtime.close_term,
-            term,
-            report.is_planned,
-            claim.fencing_token,
-            daemon=True,
-        )
-        answers = await self._context.peers.ask_all(
-            question, END_TERM_TIMEOUT_S
-        )
-        await own_task.join()
-        unresponsive = {
-            name: answer
-            for name, answer in answers.items()
-            if not isinstance(answer, TermEnded)
-        }
-        if unresponsive:
-            self._log_unresponsive(unresponsive, term)
-        # Plus one for this node.
-        stopped = len(answers) - len(unresponsive) + 1
-        registered = self._context.peers.count_registered()
-        has_majority = stopped * 2 > registered
-        # A node whose registration lapsed may still run, cut off, with proof.
-        is_unanimous = (
-            not unresponsive and not self._context.peers.has_gone_members
-        )
-        return TermEndVotes(
-            has_majority,
-            is_unanimous,
-            frozenset((self._context.node, *answers)),
-            _find_later_leader(answers.values()),
-        )
-
-    async def _has_ended_everywhere(self, votes: TermEndVotes) -> bool:
-        """Return whether no node has proof of the old term any more.
-
-        Called once the replicas are fenced, so nodes that register later get
-        no proof.  Nodes that registered without being asked may have some.
-        """
-        if not votes.is_unanimous:
-            return False
-        view = self._context.view
-        if not await view.refresh(Kind.MEMBERS):
-            return False
-        return view.members.keys() <= votes.asked
-
     async def _catch_up(self, final: Position | None, former: str) -> None:
         """Wait until a successor has received all acknowledged writes."""
         if final is None:
@@ -437,41 +374,12 @@
         self._log('leadership.change_given_up', report, report.reason)
         return False
 
-    def _log_unresponsive(
-        self, answers: Mapping[str, PeerAnswer], term: int
-    ) -> None:
-        self._runtime.journal.record(
-            'leadership.nodes_silent',
-            service=self._runtime.name,
-            term=term,
-            nodes=list(answers)[:MAX_LOGGED_NODES],
-            count=len(answers),
-            reasons=sorted({_describe(each) for each in answers.values()}),
-        )
-
     def _log(
         self, event: str, report: PrimaryChangeReport, reason: str
     ) -> None:
         report.log(self._runtime.journal, event, reason)
 
 
-def _describe(answer: PeerAnswer) -> str:
-    """Return why an answer does not count, for the log."""
-    if isinstance(answer, NoAnswer):
-        return type(answer.error).__name__
-    return type(answer).__name__
-
-
-def _find_later_leader(answers: Iterable[PeerAnswer]) -> Leader | None:
-    """Return the latest primary that nodes use in a later term, if any."""
-    leaders = [
-        Leader(answer.later_primary, answer.later_term)
-        for answer in answers
-        if isinstance(answer, TermEnded) and answer.later_term
-    ]
-    return max(leaders, key=lambda leader: leader.term, default=None)
-
-
 def _find_sole_leader(
     claim: LeadershipClaim, unfenced: Sequence[ServerHandle]
 ) -> Leader | None:
--- /dev/null
+++ b/deckdrum/leadership/term_end.py
@@ -0,0 +1,157 @@
+"""Asking every node to end a term, and what their answers prove.
+
+Only a node that confirms no longer has proof of the term: one that refuses
+connections may run on behind a cut.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+import curio
+
+from deckdrum.control import Kind
+from deckdrum.fleet.node_messages import EndTerm, TermEnded
+from deckdrum.fleet.node_peers import NoAnswer, PeerAnswer
+from deckdrum.leadership.context import (
+    LeadershipClaim,
+    LeadershipContext,
+    PrimaryChangeReport,
+)
+from deckdrum.leadership.peer_observation import Leader
+from deckdrum.serving.runtime import ServiceRuntime
+
+#: Longest wait for nodes to confirm the end of a term; more than a round trip
+#: between data centres plus one statement in progress.
+END_TERM_TIMEOUT_S: Final = 0.3
+#: Nodes that one log line names.
+MAX_LOGGED_NODES: Final = 8
+
+
+@dataclass(frozen=True, slots=True)
+class TermEndVotes:
+    """Which nodes have confirmed that they stopped using a term's primary.
+
+    Attributes
+    ----------
+    has_majority : bool
+        Whether more than half of the registered nodes have stopped.
+    is_unanimous : bool
+        Whether every node that was asked has stopped, and none is missing.
+    asked : frozenset of str
+        The nodes that were asked, including this one.
+    leader : Leader or None
+        A primary of a later term that a node uses.
+    """
+
+    has_majority: bool
+    is_unanimous: bool
+    asked: frozenset[str]
+    leader: Leader | None
+
+
+class TermEnd:
+    """Ends a term of one group at all nodes.
+
+    Parameters
+    ----------
+    runtime : ServiceRuntime
+        The group.
+    context : LeadershipContext
+        Services of the node.
+    """
+
+    def __init__(
+        self, runtime: ServiceRuntime, context: LeadershipContext
+    ) -> None:
+        self._runtime = runtime
+        self._context = context
+
+    async def ask_nodes(
+        self, report: PrimaryChangeReport, claim: LeadershipClaim
+    ) -> TermEndVotes:
+        """Tell every node to stop using the primary; return which have."""
+        term = claim.record.term - 1
+        await self._runtime.leadership_state.end_term(
+            term, 'this node changes the primary'
+        )
+        question = EndTerm(
+            self._runtime.name,
+            term,
+            report.is_planned,
+            claim.fencing_token,
+        )
+        own_task = await curio.spawn(
+            self._runtime.close_term,
+            term,
+            report.is_planned,
+            claim.fencing_token,
+            daemon=True,
+        )
+        answers = await self._context.peers.ask_all(
+            question, END_TERM_TIMEOUT_S
+        )
+        await own_task.join()
+        unresponsive = {
+            name: answer
+            for name, answer in answers.items()
+            if not isinstance(answer, TermEnded)
+        }
+        if unresponsive:
+            self._log_unresponsive(unresponsive, term)
+        # Plus one for this node.
+        stopped = len(answers) - len(unresponsive) + 1
+        registered = self._context.peers.count_registered()
+        has_majority = stopped * 2 > registered
+        # A node whose registration lapsed may still run, cut off, with proof.
+        is_unanimous = (
+            not unresponsive and not self._context.peers.has_gone_members
+        )
+        return TermEndVotes(
+            has_majority,
+            is_unanimous,
+            frozenset((self._context.node, *answers)),
+            _find_later_leader(answers.values()),
+        )
+
+    async def has_ended_everywhere(self, votes: TermEndVotes) -> bool:
+        """Return whether no node has proof of the old term any more.
+
+        Called once the replicas are fenced, so nodes that register later get
+        no proof.  Nodes that registered without being asked may have some.
+        """
+        if not votes.is_unanimous:
+            return False
+        view = self._context.view
+        if not await view.refresh(Kind.MEMBERS):
+            return False
+        return view.members.keys() <= votes.asked
+
+    def _log_unresponsive(
+        self, answers: Mapping[str, PeerAnswer], term: int
+    ) -> None:
+        self._runtime.journal.record(
+            'leadership.nodes_silent',
+            service=self._runtime.name,
+            term=term,
+            nodes=list(answers)[:MAX_LOGGED_NODES],
+            count=len(answers),
+            reasons=sorted({_describe(each) for each in answers.values()}),
+        )
+
+
+def _describe(answer: PeerAnswer) -> str:
+    """Return why an answer does not count, for the log."""
+    if isinstance(answer, NoAnswer):
+        return type(answer.error).__name__
+    return type(answer).__name__
+
+
+def _find_later_leader(answers: Iterable[PeerAnswer]) -> Leader | None:
+    """Return the latest primary that nodes use in a later term, if any."""
+    leaders = [
+        Leader(answer.later_primary, answer.later_term)
+        for answer in answers
+        if isinstance(answer, TermEnded) and answer.later_term
+    ]
+    return max(leaders, key=lambda leader: leader.term, default=None)
