Ask nodes whose entries were removed a short time ago to end a term

What callers saw: a node that is restarted while the store turns it away reads at a replaced primary for some tenths of a second, if the store carries out the removal of its former process's entry late.

A driver asks the nodes that it knows as registered. It knew of the removal first, and the node, which counts from its start if its former entry is listed, had proof.

--- a/deckdrum/control/view.py
+++ b/deckdrum/control/view.py
@@ -22,6 +22,7 @@
 from deckdrum.control.log_events import build_log_event
 from deckdrum.control.record_cache import RecordCache
 from deckdrum.control.records import Configuration, Member
+from deckdrum.control.removed_members import RemovedMembers
 from deckdrum.control.store import (
     Changes,
     ControlStore,
@@ -86,6 +87,8 @@
         self._removed: dict[str, tuple[float, BackendServer]] = {}
         #: Servers no longer listed that may still confirm writes.
         self.left_servers = LeftServers()
+        #: Nodes that may not know yet that their entries are gone.
+        self.removed_members = RemovedMembers()
         #: Drain starts of servers, both announced and unlisted ones.
         self._drains = DrainTracker(drain_time)
 
@@ -320,6 +323,8 @@
             return
         if isinstance(entry.record, BackendServer):
             await self._update_drain_status(entry.record)
+        if isinstance(entry.record, Member):
+            self.removed_members.record_listing(entry.name)
         self._caches[kind].upsert(entry)
         self._log_applied(entry.record, entry.revision, source)
 
@@ -349,8 +354,10 @@
             revision=self._caches[kind].revision,
             told_by=source,
         )
+        now = await curio.clock()
+        if isinstance(present.record, Member):
+            self.removed_members.record_removal(present.record, now)
         if isinstance(present.record, BackendServer):
-            now = await curio.clock()
             self._removed[present.name] = (now, present.record)
             self.left_servers.record_removal(present.record, now)
             self._drains.mark_draining(present.name, now)
--- a/deckdrum/leadership/term_end.py
+++ b/deckdrum/leadership/term_end.py
@@ -10,7 +10,7 @@
 
 import curio
 
-from deckdrum.control import Kind
+from deckdrum.control import Kind, Member
 from deckdrum.fleet.node_messages import EndTerm, TermEnded
 from deckdrum.fleet.node_peers import NoAnswer, PeerAnswer
 from deckdrum.leadership.context import (
@@ -88,28 +88,24 @@
             claim.fencing_token,
             daemon=True,
         )
-        answers = await self._context.peers.ask_all(
-            question, END_TERM_TIMEOUT_S
-        )
+        peers = self._context.peers
+        asked = [*peers.others, *await self._list_removed()]
+        answers = await peers.ask_each(asked, question, END_TERM_TIMEOUT_S)
         await own_task.join()
-        unresponsive = {
-            name: answer
+        confirmed = {
+            name
             for name, answer in answers.items()
-            if not isinstance(answer, TermEnded)
+            if isinstance(answer, TermEnded)
         }
-        if unresponsive:
-            self._log_unresponsive(unresponsive, term)
+        self._log_unresponsive(answers, term)
         # Plus one for this node.
-        stopped = len(answers) - len(unresponsive) + 1
-        registered = self._context.peers.count_registered()
-        has_majority = stopped * 2 > registered
+        stopped = len(self._context.view.members.keys() & confirmed) + 1
+        has_majority = stopped * 2 > peers.count_registered()
         # A node whose registration lapsed may still run, cut off, with proof.
-        is_unanimous = (
-            not unresponsive and not self._context.peers.has_gone_members
-        )
+        has_asked_all = not peers.has_gone_members
         return TermEndVotes(
             has_majority,
-            is_unanimous,
+            has_asked_all and answers.keys() <= confirmed,
             frozenset((self._context.node, *answers)),
             _find_later_leader(answers.values()),
         )
@@ -118,25 +114,49 @@
         """Return whether no node has proof of the old term any more.
 
         Called once the replicas are fenced, so nodes that register later get
-        no proof.  Nodes that registered without being asked may have some.
+        no proof.  Nodes that registered without being asked may have some, and
+        so may those that do not know yet that their entries are gone.
         """
         if not votes.is_unanimous:
             return False
         view = self._context.view
         if not await view.refresh(Kind.MEMBERS):
             return False
-        return view.members.keys() <= votes.asked
+        removed = view.removed_members.list_recent(await curio.clock())
+        names = {*view.members, *(member.name for member in removed)}
+        unasked = sorted(names - votes.asked)
+        if unasked:
+            self._runtime.journal.record(
+                'leadership.nodes_unasked',
+                service=self._runtime.name,
+                nodes=unasked[:MAX_LOGGED_NODES],
+                count=len(unasked),
+            )
+        return not unasked
+
+    async def _list_removed(self) -> list[Member]:
+        """Return the other nodes whose entries have gone a short time ago."""
+        view = self._context.view
+        removed = view.removed_members.list_recent(await curio.clock())
+        return [each for each in removed if each.name != self._context.node]
 
     def _log_unresponsive(
         self, answers: Mapping[str, PeerAnswer], term: int
     ) -> None:
+        unresponsive = {
+            name: answer
+            for name, answer in answers.items()
+            if not isinstance(answer, TermEnded)
+        }
+        if not unresponsive:
+            return
         self._runtime.journal.record(
             'leadership.nodes_silent',
             service=self._runtime.name,
             term=term,
-            nodes=list(answers)[:MAX_LOGGED_NODES],
-            count=len(answers),
-            reasons=sorted({_describe(each) for each in answers.values()}),
+            nodes=list(unresponsive)[:MAX_LOGGED_NODES],
+            count=len(unresponsive),
+            reasons=sorted({_describe(each) for each in unresponsive.values()}),
         )
 
 
