Confirm no end of a term for a group that is not open yet

What callers would see: a node that has just started reads at a replaced primary, or acknowledges writes there.

Cause: a node without a configuration answered that it had ended the term, but kept nothing of it. A change takes that for the end of all use of the primary, and waits for no proof.

Why the fix works: without an answer the change waits until proof has expired.

--- a/deckdrum/node/peer_requests.py
+++ b/deckdrum/node/peer_requests.py
@@ -59,7 +59,7 @@
         self._limits = limits
 
     async def handle(self, request: Message) -> Message | None:
-        """Return the response; None if the message is not a known request."""
+        """Return the response; None if the request cannot be answered."""
         respond = _HANDLERS.get(type(request))
         return None if respond is None else await respond(self, request)
 
@@ -129,19 +129,24 @@
     async def _lend_limit_share(self, request: AskLimitShare) -> Message:
         return await self._limits.shares.answer(request)
 
-    async def _end_term(self, request: EndTerm) -> Message:
+    async def _end_term(self, request: EndTerm) -> Message | None:
+        """End a term; None for a group that this node has not opened yet.
+
+        Once it has, it may get proof of the term, so it confirms nothing.
+        """
         runtime = self._services.get(request.service)
-        if runtime is not None:
-            await runtime.close_term(
-                request.term,
-                request.may_finish,
-                request.fence,
+        if runtime is None:
+            return None
+        await runtime.close_term(
+            request.term,
+            request.may_finish,
+            request.fence,
+        )
+        state = runtime.leadership_state
+        if state.has_primary:
+            return TermEnded(
+                request.service, request.term, state.term, state.primary
             )
-            state = runtime.leadership_state
-            if state.has_primary:
-                return TermEnded(
-                    request.service, request.term, state.term, state.primary
-                )
         return TermEnded(request.service, request.term)
 
 
@@ -155,7 +160,7 @@
     return is_primary and handle.has_answered(since)
 
 
-_HandlerMethod = Callable[[PeerRequestHandler, Any], Awaitable[Message]]
+_HandlerMethod = Callable[[PeerRequestHandler, Any], Awaitable[Message | None]]
 _Handlers = MappingProxyType[type[Message], _HandlerMethod]
 _HANDLERS: Final[_Handlers] = MappingProxyType(
     {
