Count the consent of a node's present process only

Cause: a change compared the names of the nodes that had been asked with those that are listed. The process that confirmed may be gone, and the next one, which counted from its start, gets proof from a replica that is not fenced yet.

Why the fix works: the runs of the members are compared, so a restart makes the change wait until proof has expired. A node that is not registered anew counts only once it has read the leadership records itself, or once a change to which its former process agreed has fenced the replicas.

test_entry_of_a_former_process_counts_unless_it_is_being_removed asked that such an entry counts from the start, which is the fault; the tests in its place state the exact time from which on it counts.

--- a/deckdrum/leadership/term_end.py
+++ b/deckdrum/leadership/term_end.py
@@ -38,15 +38,15 @@
         Whether more than half of the registered nodes have stopped.
     is_unanimous : bool
         Whether every node that was asked has stopped, and none is missing.
-    asked : frozenset of str
-        The nodes that were asked, including this one.
+    asked : frozenset of tuple
+        The other nodes that were asked, by name and run.
     leader : Leader or None
         A primary of a later term that a node uses.
     """
 
     has_majority: bool
     is_unanimous: bool
-    asked: frozenset[str]
+    asked: frozenset[tuple[str, str]]
     leader: Leader | None
 
 
@@ -106,7 +106,7 @@
         return TermEndVotes(
             has_majority,
             has_asked_all and answers.keys() <= confirmed,
-            frozenset((self._context.node, *answers)),
+            frozenset((member.name, member.run) for member in asked),
             _find_later_leader(answers.values()),
         )
 
@@ -115,16 +115,21 @@
 
         Called once the replicas are fenced, so nodes that register later get
         no proof.  Nodes that registered without being asked may have some, and
-        so may those that do not know yet that their entries are gone.
+        so may those that do not know yet that their entries are gone.  A node
+        that restarted has not confirmed: its former process has.
         """
         if not votes.is_unanimous:
             return False
         view = self._context.view
         if not await view.refresh(Kind.MEMBERS):
             return False
-        removed = view.removed_members.list_recent(await curio.clock())
-        names = {*view.members, *(member.name for member in removed)}
-        unasked = sorted(names - votes.asked)
+        known = [*view.members.values(), *await self._list_removed()]
+        unasked = [
+            member.name
+            for member in known
+            if member.name != self._context.node
+            and (member.name, member.run) not in votes.asked
+        ]
         if unasked:
             self._runtime.journal.record(
                 'leadership.nodes_unasked',
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -200,6 +200,7 @@
             data_centre=self.settings.data_centre,
             peer_address=str(self.settings.peer_address),
         )
+        self._registration.start(await curio.clock())
         await self.peers.start()
         for kind in Kind:
             await self._keep_running(self.feed.run, kind)
@@ -294,7 +295,6 @@
 
     async def _handle_view_change(self, _: Kind) -> None:
         """Schedule the application of a change of the view."""
-        self._registration.check_previous_registration()
         self._registration.record_membership(await curio.clock())
         self._service_manager.apply_membership(self._registration.member_since)
         await self._view_changed.set()
@@ -305,10 +305,7 @@
             await curio.sleep(CHANGE_DEBOUNCE_DELAY_S)
             self._view_changed.clear()
             await self.host.counter.apply_members()
-            await self._service_manager.apply_view(
-                self._registration.member,
-                was_registered=self._registration.was_registered,
-            )
+            await self._service_manager.apply_view(self._registration.member)
 
     async def _run_maintenance(self) -> None:
         """Roll back idle transactions and forget removed servers."""
--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -8,14 +8,16 @@
 
 from deckdrum.control import ControlStore, ControlView, Entry, Kind, Member
 from deckdrum.fleet.settings import NodeSettings
+from deckdrum.leadership.fencing import FENCE_TIMEOUT_S
+from deckdrum.leadership.term_end import END_TERM_TIMEOUT_S
 from deckdrum.outcomes.errors import StoreError
 from deckdrum.utils import Journal
 
 REGISTRATION_CHECK_INTERVAL_S: Final = 1.0
 DEREGISTER_TIMEOUT_S: Final = 0.3
-#: Time after which an entry that was about to be removed has not been, if the
-#: view still has it: peers learn of changes within half a second.
-LEAVING_ENTRY_DELAY_S: Final = 1.0
+#: Time after the start of a process by which a change of a primary to which its
+#: former process has agreed has fenced the replicas.
+FORMER_CONSENT_S: Final = END_TERM_TIMEOUT_S + FENCE_TIMEOUT_S
 
 
 class NodeRegistration:
@@ -45,13 +47,11 @@
         self._store = store
         self._journal = journal
         self._is_deregistered = False
-        #: Whether an earlier incarnation of this node is registered, so that
-        #: primary changes have asked for its consent since before the start.
-        self.was_registered = False
         #: Since when primary changes ask this node for its consent, in kernel
         #: seconds; infinite while it is not registered.
         self.member_since = float('inf')
-        self._has_checked_registration = False
+        #: When this process started, in kernel seconds.
+        self._started_at = float('inf')
         self._member = Member(
             settings.name,
             str(settings.peer_address),
@@ -60,6 +60,10 @@
             capacity=settings.capacity,
         )
 
+    def start(self, now: float) -> None:
+        """Record when this process started."""
+        self._started_at = now
+
     async def run(self) -> None:
         """Renew the entry whenever it is missing or replaced, without end."""
         while True:
@@ -74,30 +78,12 @@
                 else REGISTRATION_CHECK_INTERVAL_S / 10
             )
 
-    def check_previous_registration(self) -> None:
-        """Find out from the first member list if the node was registered."""
-        if self._has_checked_registration or not self._view.get_revision(
-            Kind.MEMBERS
-        ):
-            return
-        self._has_checked_registration = True
-        entry = self._view.get_member(self._settings.name)
-        # If the list was empty, this incarnation may already have registered.
-        is_own = entry is not None and entry.record == self._member
-        is_leaving = (
-            entry is not None
-            and isinstance(entry.record, Member)
-            and entry.record.is_leaving
-        )
-        self.was_registered = (
-            entry is not None and not is_own and not is_leaving
-        )
-
     def record_membership(self, now: float) -> None:
         """Record since when the view lists this node.
 
-        An entry that an earlier incarnation was about to remove counts only
-        after `LEAVING_ENTRY_DELAY_S`: the list may be that of a peer, and old.
+        An entry of a former process counts once this one knows of each change
+        to which that has agreed: from the time at which it read the leadership
+        records, or `FORMER_CONSENT_S` after its start.
         """
         entry = self._view.get_member(self._settings.name)
         record = None if entry is None else entry.record
@@ -133,11 +119,11 @@
         """Return since when this node is a member, by its listed entry."""
         if not isinstance(record, Member):
             return float('inf')
-        if self.was_registered:
-            return float('-inf')
-        is_own = record.run == self._member.run
-        delay = 0 if is_own else LEAVING_ENTRY_DELAY_S
-        return min(self.member_since, now + delay)
+        if record.run == self._member.run:
+            return min(self.member_since, now)
+        # The record shows a change to which the former process has agreed.
+        read_at = self._view.listed_at.get(Kind.LEADERSHIP, float('inf'))
+        return min(self._started_at + FORMER_CONSENT_S, read_at)
 
     async def _register(self, known: Entry | None) -> None:
         revision = known.revision if known else 0
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -78,12 +78,8 @@
             return self._forwarders[service]
         return self.find_executor(service)
 
-    async def apply_view(self, own: Member, *, was_registered: bool) -> None:
-        """Update groups, servers, leadership and allocation from the view.
-
-        `was_registered` tells that an earlier incarnation of this node was in
-        the first member list that it read.
-        """
+    async def apply_view(self, own: Member) -> None:
+        """Update groups, servers, leadership and allocation from the view."""
         configuration = self._tools.view.configuration
         if configuration is None:
             return
@@ -93,8 +89,7 @@
         )
         for declaration in configuration.services.values():
             await self._apply_declaration(declaration, own, workspace_count)
-            if was_registered:
-                await self._apply_leadership_proof(declaration.name)
+            await self._apply_leadership_proof(declaration.name)
 
     def apply_membership(self, member_since: float) -> None:
         """Record since when changes of primaries ask this node for consent."""
@@ -142,18 +137,16 @@
     async def _apply_leadership_proof(self, service: str) -> None:
         """Use the listed leadership records as proof, without asking a server.
 
-        They prove leadership only if this node was registered when it read
-        them: a primary change that began since then waits for the consent of
-        the registered nodes only.
+        They prove leadership only if changes of a primary asked this node for
+        its consent when it read them.
         """
         view = self._tools.view
-        listed_at = view.listed_at.get(Kind.LEADERSHIP)
-        if listed_at is not None:
-            revision, record = view.get_leadership(service) or (0, None)
-            leadership_state = self.services[service].leadership_state
-            await leadership_state.record_store_answer(
-                revision, record, listed_at
-            )
+        listed_at = view.listed_at.get(Kind.LEADERSHIP, float('-inf'))
+        if listed_at < self._member_since:
+            return
+        revision, record = view.get_leadership(service) or (0, None)
+        leadership_state = self.services[service].leadership_state
+        await leadership_state.record_store_answer(revision, record, listed_at)
 
     async def _open(
         self,
--- a/deckdrum/node/tests/test_registration.py
+++ b/deckdrum/node/tests/test_registration.py
@@ -8,11 +8,12 @@
 
 from deckdrum.control import Entry, Kind, Member
 from deckdrum.fleet.settings import NodeSettings
-from deckdrum.node.registration import LEAVING_ENTRY_DELAY_S, NodeRegistration
+from deckdrum.node.registration import FORMER_CONSENT_S, NodeRegistration
 from deckdrum.utils import Address
 from deckdrum.utils.journal import open_null_journal
 
 _NAME: Final = 'n0'
+_STARTED_AT: Final = 6.5
 _NOW: Final = 7.0
 _FORMER: Final = Member(_NAME, '127.0.0.1:1', 'a', 'former')
 
@@ -25,6 +26,7 @@
     revisions: dict[Kind, int] = field(
         default_factory=lambda: {Kind.MEMBERS: 1}
     )
+    listed_at: dict[Kind, float] = field(default_factory=dict)
 
     def get_member(self, name: str) -> Entry | None:
         """Return the entry, if there is one."""
@@ -40,36 +42,57 @@
 def _build(view: _View) -> NodeRegistration:
     settings = NodeSettings(_NAME, 'a', Address('127.0.0.1', 1))
     # The store is not used.
-    return NodeRegistration(
+    registration = NodeRegistration(
         settings,
         view,  # type: ignore[arg-type]
         None,  # type: ignore[arg-type]
         open_null_journal('test'),
     )
+    registration.start(_STARTED_AT)
+    return registration
 
 
 @pytest.mark.parametrize(
     ('listed', 'since'),
     [
         (None, float('inf')),
-        (_FORMER, float('-inf')),
-        (replace(_FORMER, is_leaving=True), _NOW + LEAVING_ENTRY_DELAY_S),
+        (_FORMER, _STARTED_AT + FORMER_CONSENT_S),
+        (replace(_FORMER, is_leaving=True), _STARTED_AT + FORMER_CONSENT_S),
     ],
 )
-def test_entry_of_a_former_process_counts_unless_it_is_being_removed(
+def test_entry_of_a_former_process_counts_once_its_consent_has_no_effect(
     listed: Member | None, since: float
 ) -> None:
+    """A change to which it has agreed may still be fencing the replicas."""
     registration = _build(_View(listed))
-    registration.check_previous_registration()
     registration.record_membership(_NOW)
     registration.record_membership(_NOW + 1)
     assert registration.member_since == since
 
 
+def test_entry_of_a_former_process_counts_from_reading_the_records_on() -> None:
+    """They show every change to which the former process has agreed."""
+    view = _View(_FORMER, listed_at={Kind.LEADERSHIP: _NOW})
+    registration = _build(view)
+    registration.record_membership(_NOW + 0.1)
+    assert registration.member_since == _NOW
+
+
+def test_own_entry_counts_at_once_in_place_of_that_of_a_former_process() -> (
+    None
+):
+    view = _View(_FORMER)
+    registration = _build(view)
+    registration.record_membership(_NOW)
+    view.record = registration.member
+    registration.record_membership(_NOW + 0.1)
+    registration.record_membership(_NOW + 1)
+    assert registration.member_since == _NOW + 0.1
+
+
 def test_own_entry_counts_from_the_moment_at_which_it_is_listed() -> None:
     view = _View()
     registration = _build(view)
-    registration.check_previous_registration()
     view.record = registration.member
     registration.record_membership(_NOW)
     registration.record_membership(_NOW + 1)
--- a/deckdrum/standins/users/store.py
+++ b/deckdrum/standins/users/store.py
@@ -63,6 +63,8 @@
         Fault for all machines.
     turned_away : dict of str to StoreFault
         Faults for single machines, by machine name; override `fault`.
+    refused_kinds : dict of str to set
+        Kinds of objects for which single machines get 429, by machine name.
     cut_off : set of str
         Machines that get no answers, also to calls and watches in progress.
     revision : int
@@ -75,6 +77,7 @@
     delay: float = 0.004
     fault: StoreFault = StoreFault.NONE
     turned_away: dict[str, StoreFault] = field(default_factory=dict)
+    refused_kinds: dict[str, set[str]] = field(default_factory=dict)
     cut_off: set[str] = field(default_factory=set)
     revision: int = 0
     calls: Counter[str] = field(default_factory=Counter)
@@ -159,7 +162,7 @@
         self, machine: str, request: Request
     ) -> Reply | None:
         self.calls[request.method] += 1
-        fault = self.turned_away.get(machine, self.fault)
+        fault = self._find_fault(machine, request)
         if fault is StoreFault.RESET:
             return None
         if fault is StoreFault.SILENT:
@@ -178,8 +181,14 @@
             return None
         return reply
 
+    def _find_fault(self, machine: str, request: Request) -> StoreFault:
+        kind = _split_path(request)[0]
+        if kind in self.refused_kinds.get(machine, ()):
+            return StoreFault.MANY
+        return self.turned_away.get(machine, self.fault)
+
     async def _perform(self, request: Request) -> Reply:
-        kind, _, name = request.path.removeprefix(_PATH_PREFIX).partition('/')
+        kind, name = _split_path(request)
         if request.method == 'GET':
             return await self._read(request, kind, name)
         if request.method == 'DELETE':
@@ -274,6 +283,12 @@
         return Reply.from_json(current)
 
 
+def _split_path(request: Request) -> tuple[str, str]:
+    """Return kind and name of the object that a request concerns."""
+    kind, _, name = request.path.removeprefix(_PATH_PREFIX).partition('/')
+    return kind, name
+
+
 def _get_revision(stored: dict[str, Any]) -> int:
     revision: int = stored['meta']['revision']
     return revision
