Fence the former primary in takeovers of synchronous groups

Cause: the server that an unfinished claim replaces was neither fenced nor counted in the takeovers of that claim, though it is a replica again or leads a term that has ended. A synchronous group of three needs both remaining servers.

Why the fix works: a takeover never resumes the term that its claim has ended, so the former primary may be made to step down and be fenced like any server, and the most advanced of the fenced servers has every acknowledged write. It is asked only if the others are too few, so other changes are as before. The tests of leadership pass (325, 3 expected failures).

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 import curio
@@ -124,6 +125,31 @@
                 await curio.sleep(POLL_INTERVAL_S)
         return fenced
 
+    async def fence_former(
+        self,
+        term: int,
+        former_term: int,
+        fenced: Mapping[str, ServerStatus],
+    ) -> dict[str, ServerStatus]:
+        """Fence the former primary of a change that is taken over, too.
+
+        Its term has been ended and never resumes, so it counts like any other
+        server that may have synchronous writes.  It may be a replica again, or
+        still lead that term.  A group without synchronous replicas accepts the
+        others, so it needs none that has missed a term.
+
+        Returns
+        -------
+        dict of str to ServerStatus
+            The states of all fenced servers.
+        """
+        with_former = dict(fenced)
+        former = self._runtime.servers.get(self._former)
+        is_counted = bool(self._runtime.declaration.synchronous_replicas)
+        if former is not None and is_counted:
+            await _fence_one(former, term, former_term + 1, with_former)
+        return with_former
+
     async def is_enough(self, fenced: Mapping[str, ServerStatus]) -> bool:
         """Return whether a change may continue with these fenced replicas.
 
@@ -198,7 +224,8 @@
     """Return the replicas that may be promoted, the best first.
 
     The most advanced log comes first; among equals, servers that are not
-    draining.  With synchronous replicas only the most advanced are returned.
+    draining, and the former primary last: the platform may take it for the
+    present one.  With synchronous replicas only the most advanced are returned.
     """
     eligible = {
         name: status
@@ -210,20 +237,27 @@
         (
             PromotionCandidate(handle, eligible[name])
             for name, handle in runtime.servers.items()
-            if name in eligible and name != former
+            if name in eligible
         ),
-        key=_get_rank,
+        key=partial(_get_rank, former),
     )
     if not runtime.declaration.synchronous_replicas:
         return ranked
     return [each for each in ranked if each.status.received == end]
 
 
-def _get_rank(candidate: PromotionCandidate) -> tuple[int, int, bool, str]:
+def _get_rank(
+    former: str, candidate: PromotionCandidate
+) -> tuple[int, int, bool, bool, str]:
     received = candidate.status.received
     handle = candidate.handle
-    is_draining = handle.server.is_draining
-    return -received.term, -received.offset, is_draining, handle.id
+    return (
+        -received.term,
+        -received.offset,
+        handle.id == former,
+        handle.server.is_draining,
+        handle.id,
+    )
 
 
 def _describe_state(handle: ServerHandle) -> str:
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -288,6 +288,11 @@
             leader = await self._ask_for_leader(claim, unfenced)
             if leader is not None:
                 return leader
+            if report.is_takeover:
+                fenced = await self._fencing.fence_former(
+                    term, claim.record.former_term, fenced
+                )
+        if not await self._fencing.is_enough(fenced):
             report.failure_detail = (
                 f'too few replicas fenced: {self._fencing.describe()}'
             )
