Draw successors that are lost for good, and restarts without registration

The drawn faults started each crashed server again, and every restarted node could register, so they met neither the former primary that takeovers left out nor nodes that nobody asks. Two more draws do.

A restarted node knows the others as seeds now, as on a platform.

--- a/deckdrum/leadership/tests/test_drawn_faults.py
+++ b/deckdrum/leadership/tests/test_drawn_faults.py
@@ -2,12 +2,14 @@
 
 import pytest
 
-from deckdrum.testing.drawn_faults import (
+from deckdrum.testing.drawn_cases import (
     DrawnCase,
-    DrawnScenario,
     draw_case,
+    draw_losing_case,
+    draw_membership_case,
     draw_refusing_case,
 )
+from deckdrum.testing.drawn_faults import DrawnScenario
 from deckdrum.testing.fault_actions import DrawnFault
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 
@@ -17,7 +19,10 @@
         return await DrawnScenario(deployment, case).play()
 
     found: list[str] = run_linked_scenario(
-        scenario, case.nodes, synchronous_replicas=case.synchronous_replicas
+        scenario,
+        case.nodes,
+        synchronous_replicas=case.synchronous_replicas,
+        lag=case.lag,
     )
     return found
 
@@ -53,3 +58,17 @@
 def test_nodes_that_refuse_while_they_run_violate_nothing(seed: int) -> None:
     """A refusal counted as the end of a node, which read on."""
     assert not _play(draw_refusing_case(seed))
+
+
+@pytest.mark.parametrize('seed', [1, 4, 5, 12, 21, 28])
+def test_group_recovers_from_the_loss_of_a_successor(seed: int) -> None:
+    """Former primaries were not fenced, so too few servers were."""
+    assert not _play(draw_losing_case(seed))
+
+
+@pytest.mark.parametrize('seed', [0, 1, 2, 81])
+def test_nodes_that_restart_without_registration_violate_nothing(
+    seed: int,
+) -> None:
+    """Nodes that nobody asked for their consent read at replaced primaries."""
+    assert not _play(draw_membership_case(seed))
--- a/deckdrum/leadership/tests/test_former_consent.py
+++ b/deckdrum/leadership/tests/test_former_consent.py
@@ -56,12 +56,7 @@
         store.refused_kinds[f'n{number}'] = {_LEADERSHIP}
         if is_turned_away:
             store.turned_away[f'n{number}'] = StoreFault.BUSY
-        seeds = tuple(
-            each.node.settings.peer_address
-            for each in deployment.nodes
-            if each.node is not running
-        )
-        deployment.nodes[number] = await deployment.start_node(number, seeds)
+        await deployment.restart_node(number)
 
     async def end_change(self, driver: int, slow_for: float) -> None:
         """Let the driver reach the slow replica, and wait for the successor."""
--- a/deckdrum/leadership/tests/test_removed_members.py
+++ b/deckdrum/leadership/tests/test_removed_members.py
@@ -46,13 +46,9 @@
         await deployment.nodes[number].node.begin_shutdown()
     await deployment.kill_node(number)
     deployment.store.turned_away[f'n{number}'] = StoreFault.BUSY
-    seeds = tuple(
-        running.node.settings.peer_address
-        for running in deployment.nodes[:number]
-    )
-    restarted = await deployment.start_node(number, seeds)
-    deployment.nodes[number] = restarted
-    await deployment.wait_for(lambda: restarted.node.is_ready)
+    await deployment.restart_node(number)
+    restarted = deployment.nodes[number].node
+    await deployment.wait_for(lambda: restarted.is_ready)
 
 
 async def _replace_primary(deployment: LinkedDeployment) -> float:
--- a/deckdrum/testing/fault_actions.py
+++ b/deckdrum/testing/fault_actions.py
@@ -8,14 +8,22 @@
 
 import curio
 
-from deckdrum.standins.users import Connectivity, DatabaseServer, StoreFault
+from deckdrum.standins.users import (
+    Connectivity,
+    DatabaseGroup,
+    DatabaseServer,
+    StoreFault,
+)
 from deckdrum.testing.linked_nodes import LinkedDeployment
 from deckdrum.testing.links import CutKind
 
 #: One of so many nodes that refuse connections keeps the store.
 _STORE_PERIOD: Final = 3
-#: Kind of a fault that `refuse_node` injects; it is not drawn with the others.
-REFUSING_FAULT: Final = 'refuse node'
+#: One of so many servers that are lost stays listed.
+_LISTED_PERIOD: Final = 3
+_UNLISTED_AFTER_S: Final = 3.6
+_TAKEOVER_TIMEOUT_S: Final = 8.0
+_POLL_INTERVAL_S: Final = 0.005
 _PLATFORM_DELAYS_S: Final = (0.4, 0.8, 2.0, 4.0)
 _SLOW_STORE_DELAYS_S: Final = (0.25, 1.0)
 _STORE_FAULTS: Final = tuple(
@@ -51,6 +59,7 @@
     deployment: LinkedDeployment
     former: DatabaseServer
     _stopped_nodes: set[int] = field(default_factory=set)
+    _lost_servers: set[str] = field(default_factory=set)
 
     @property
     def driver(self) -> int:
@@ -75,15 +84,28 @@
         servers = list(self.deployment.group.servers.values())
         return servers[target % len(servers)]
 
-    async def replace_node(self, number: int, duration: float) -> None:
-        """Kill a node, and start it again under its name."""
+    def is_lost(self, server: DatabaseServer) -> bool:
+        """Return whether a server is lost for good."""
+        return server.name in self._lost_servers
+
+    async def lose_server(self, server: DatabaseServer) -> None:
+        """Stop a server for good."""
+        self._lost_servers.add(server.name)
+        await server.crash()
+
+    async def replace_node(self, number: int, duration: float) -> bool:
+        """Kill a node, and start it again under its name.
+
+        Returns whether it was done: another fault may have stopped the node.
+        """
         if number in self._stopped_nodes:
-            return
+            return False
         self._stopped_nodes.add(number)
         await self.deployment.kill_node(number)
         await curio.sleep(duration)
         await self.deployment.restart_node(number)
         self._stopped_nodes.discard(number)
+        return True
 
 
 async def cut_driver(change: FaultyChange, fault: DrawnFault) -> None:
@@ -214,7 +236,34 @@
         return
     await server.crash()
     await curio.sleep(fault.duration)
-    await server.start()
+    if not change.is_lost(server):
+        await server.start()
+
+
+async def lose_successor(change: FaultyChange, fault: DrawnFault) -> None:
+    """Lose the first successor for good once it has led for some time.
+
+    Its entry goes later, or not at all, and no node may see it lead.
+    """
+    deployment = change.deployment
+    if not await _wait_for_takeover(deployment.group):
+        return
+    server = change.successor
+    if fault.target % 2:
+        for number, _ in enumerate(deployment.nodes):
+            await deployment.cut_link(number, server.name)
+    await curio.sleep(fault.duration)
+    await change.lose_server(server)
+    await curio.sleep(_UNLISTED_AFTER_S)
+    if fault.target % _LISTED_PERIOD:
+        await deployment.store.delete('servers', server.name)
+
+
+async def _wait_for_takeover(group: DatabaseGroup) -> bool:
+    async with curio.ignore_after(_TAKEOVER_TIMEOUT_S):
+        while not group.takeovers:
+            await curio.sleep(_POLL_INTERVAL_S)
+    return bool(group.takeovers)
 
 
 async def hang_successor(change: FaultyChange, fault: DrawnFault) -> None:
@@ -248,7 +297,8 @@
 
 
 Action = Callable[[FaultyChange, DrawnFault], Awaitable[None]]
-ACTIONS: Final[Mapping[str, Action]] = MappingProxyType(
+#: Actions that are drawn for every case.
+DRAWN_ACTIONS: Final[Mapping[str, Action]] = MappingProxyType(
     {
         'cut driver': cut_driver,
         'cut server': cut_server,
--- a/deckdrum/testing/linked_nodes.py
+++ b/deckdrum/testing/linked_nodes.py
@@ -70,8 +70,16 @@
         return running
 
     async def restart_node(self, number: int) -> None:
-        """Start a node that was stopped again under its name."""
-        self.nodes[number] = await self.start_node(number)
+        """Start a node that was stopped again under its name.
+
+        The other nodes are its seeds.
+        """
+        seeds = tuple(
+            running.node.settings.peer_address
+            for other, running in enumerate(self.nodes)
+            if other != number
+        )
+        self.nodes[number] = await self.start_node(number, seeds)
 
     async def _dial(
         self, number: int, address: Address, timeout: float
