--- a/deckdrum/commands/bench.py
+++ b/deckdrum/commands/bench.py
@@ -81,6 +81,7 @@
             options.callers,
             has_urgent_routes=options.urgent,
             synchronous_replicas=0 if options.asynchronous else 1,
+            has_membership_faults=options.membership,
         )
         report = curio.run(run_soak, plan, folder)
         print_lines(*_describe_soak(seed, report))
@@ -209,6 +210,11 @@
         action='store_true',
         help='acknowledge changes before any replica has received them',
     )
+    parser.add_argument(
+        '--membership',
+        action='store_true',
+        help='nodes join and restart without the store, a server is lost',
+    )
     parser.add_argument(
         '--output',
         type=Path,
--- a/deckdrum/soak/environment.py
+++ b/deckdrum/soak/environment.py
@@ -41,6 +41,8 @@
         Version of the latest configuration.
     faulty_servers : set of str
         Ids of the databases on which a fault is active.
+    added_nodes : int
+        Number of nodes that joined after the start.
     has_urgent_routes : bool
         Whether the routes have the priorities 0, 1 and 2, and the first node a
         larger machine than the others.
@@ -58,6 +60,7 @@
     partitions: Partitions = field(default_factory=Partitions)
     version: int = 1
     faulty_servers: set[str] = field(default_factory=set)
+    added_nodes: int = 0
     has_urgent_routes: bool = False
     synchronous_replicas: int = 1
 
@@ -76,7 +79,22 @@
         for server in self.group.servers.values():
             await self._publish_through_link(server)
         for number in range(nodes):
-            await self._start_node(number)
+            await self.start_node(number)
+
+    async def start_node(self, number: int) -> NodeProcess:
+        """Start the process of a node that has none yet."""
+        node = NodeProcess(
+            number,
+            ZONES[number % len(ZONES)],
+            await self.store.open_endpoint(f'n{number}'),
+            self.group.promotion_address,
+            self.folder,
+            self._choose_limits(number),
+        )
+        self.nodes.append(node)
+        self.partitions.add_node(node)
+        node.start()
+        return node
 
     def build_config(self) -> dict[str, Any]:
         """Return the configuration of the latest version."""
@@ -157,16 +175,3 @@
         if not self.has_urgent_routes:
             return {}
         return {'cpuQuota': 0.5, 'cores': 1 if number else _LARGE_MACHINE_CORES}
-
-    async def _start_node(self, number: int) -> None:
-        node = NodeProcess(
-            number,
-            ZONES[number % len(ZONES)],
-            await self.store.open_endpoint(f'n{number}'),
-            self.group.promotion_address,
-            self.folder,
-            self._choose_limits(number),
-        )
-        self.nodes.append(node)
-        self.partitions.add_node(node)
-        node.start()
--- a/deckdrum/soak/partition_faults.py
+++ b/deckdrum/soak/partition_faults.py
@@ -95,7 +95,9 @@
         async with curio.TaskGroup() as tasks:
             await tasks.spawn(_hold_blocks, environment, blocks, duration)
             if primary is not None:
-                await tasks.spawn(_replace, environment, primary, duration)
+                await tasks.spawn(
+                    replace_primary, environment, primary, duration
+                )
         return f'{_join(nodes)}, {primary.name if primary else "no"} replaced'
 
 
@@ -235,7 +237,7 @@
     ]
 
 
-async def _replace(
+async def replace_primary(
     environment: SoakEnvironment, primary: DatabaseServer, duration: float
 ) -> None:
     """Let a primary drain, or crash, for the second half of a fault."""
--- a/deckdrum/soak/processes.py
+++ b/deckdrum/soak/processes.py
@@ -33,6 +33,7 @@
 _NETWORK_COUNTS: Final = (200, 250)
 #: Last octet of the databases' address, above those of the nodes.
 _DATABASE_HOST: Final = 250
+_SEED_HOSTS: Final = (1, 2, 3)
 _TERMINATING_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGKILL))
 #: Time between SIGTERM and SIGKILL.
 TERMINATION_GRACE_S: Final = 4.0
@@ -63,6 +64,12 @@
     return f'{_choose_network(os.getpid())}.{_DATABASE_HOST}'
 
 
+def _list_seeds() -> list[str]:
+    """Return the addresses of the first machines, as a platform names them."""
+    network = _choose_network(os.getpid())
+    return [f'{network}.{host}:{_READINESS_PORT}' for host in _SEED_HOSTS]
+
+
 class NodeProcess:
     """Process of one node: ``python -m deckdrum.testing.partitioned_program``.
 
@@ -241,7 +248,7 @@
                 'readiness': f'{self.host}:{_READINESS_PORT}',
             },
             'portRange': _PEER_PORTS,
-            'seeds': [],
+            'seeds': _list_seeds(),
             'bounds': {'graceS': TERMINATION_GRACE_S},
             'platform': {'address': str(store)},
             'cloudApi': {'address': str(promotion_address)},
--- a/deckdrum/soak/runner.py
+++ b/deckdrum/soak/runner.py
@@ -18,6 +18,7 @@
     MIN_FAULT_DURATION_S,
 )
 from deckdrum.soak.links import LinkState
+from deckdrum.soak.membership_faults import MEMBERSHIP_FAULTS
 from deckdrum.soak.partition_faults import PARTITION_FAULTS
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.soak.records import Attempt
@@ -29,6 +30,8 @@
 #: Time for late answers and replication once the callers have finished.
 _SETTLE_DELAY_S: Final = 1.0
 _POLL_INTERVAL_S: Final = 0.1
+#: How often each membership fault stands among the others.
+_MEMBERSHIP_WEIGHT: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +54,9 @@
     synchronous_replicas : int
         Number of replicas that must receive a change before it is
         acknowledged.
+    has_membership_faults : bool
+        Whether nodes join and restart that the store turns away, and a server
+        is lost for good.
     """
 
     seed: int
@@ -60,6 +66,7 @@
     series: int = 2
     has_urgent_routes: bool = False
     synchronous_replicas: int = 1
+    has_membership_faults: bool = False
 
 
 @dataclass(slots=True)
@@ -98,6 +105,9 @@
             has_urgent_routes=plan.has_urgent_routes,
             synchronous_replicas=plan.synchronous_replicas,
         )
+        self._kinds = FAULTS + PARTITION_FAULTS
+        if plan.has_membership_faults:
+            self._kinds += MEMBERSHIP_FAULTS * _MEMBERSHIP_WEIGHT
         self._report = SoakReport()
         self._callers: list[Caller] = []
         self._are_faults_over = False
@@ -157,7 +167,7 @@
     async def _run_fault_series(self) -> None:
         """Inject one fault after another until the planned time is over."""
         while not self._are_faults_over:
-            fault = self._randomness.choice(FAULTS + PARTITION_FAULTS)
+            fault = self._randomness.choice(self._kinds)
             duration = self._randomness.uniform(
                 MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S
             )
--- a/deckdrum/soak/tests/test_soak.py
+++ b/deckdrum/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
     # One claim promoted two servers, and a replaced primary's writes were
     # acknowledged.
     SoakPlan(seed=222, seconds=8, synchronous_replicas=0),
+    SoakPlan(seed=7001, seconds=8, has_membership_faults=True),
 )
 
 
