--- a/deckdrum/failover/tests/builders.py
+++ b/deckdrum/failover/tests/builders.py
@@ -87,6 +87,8 @@
 
     def __init__(self, name: str) -> None:
         super().__init__(build_entry(name), Credentials('u', 'p', 'a'))
+        #: Whether it answers no order to fence it.
+        self.is_lost = False
         #: Terms in which it was promoted.
         self.promotions: list[int] = []
 
@@ -99,7 +101,8 @@
         self, link: DatabaseLink, term: int
     ) -> DatabaseState | None:
         """Return the state of a fenced database."""
-        return build_state(role=Role.FENCED, fenced=term)
+        state = build_state(role=Role.FENCED, fenced=term)
+        return None if self.is_lost else state
 
     async def promote(
         self, link: DatabaseLink, term: int
--- a/deckdrum/failover/tests/test_record.py
+++ b/deckdrum/failover/tests/test_record.py
@@ -1,6 +1,5 @@
 """What a driver does to the group record, and when it may."""
 
-from deckdrum.databases import DatabaseLink, DatabaseState
 from deckdrum.failover.tests.builders import (
     NAMES,
     MemoryStore,
@@ -61,25 +60,12 @@
     assert store.updates == 2
 
 
-class _LostDatabase(ObedientDatabase):
-    """Database that answers no order."""
-
-    async def fence(
-        self, link: DatabaseLink, term: int
-    ) -> DatabaseState | None:
-        """Return nothing."""
-        return None
-
-
 def test_takeover_fences_the_former_primary_if_its_successor_is_lost() -> None:
     """Two of three are needed, and an unfinished claim names one of them."""
     store = MemoryStore()
     store.body = build_record(2, 'd1', Phase.FENCING, driver='p2').encode()
-    databases = [
-        ObedientDatabase('d1'),
-        _LostDatabase('d2'),
-        ObedientDatabase('d3'),
-    ]
+    databases = [ObedientDatabase(name) for name in NAMES]
+    databases[1].is_lost = True
     assert run_virtual(run_failover, build_view(store), databases)
     assert store.record.term == 3
     assert store.record.primary in {'d1', 'd3'}
