Forward statements until the entry of a former process counts

Cause: only a node without any entry forwarded its callers' statements.

Why the fix works: each node forwards until changes of primaries ask it for its consent. The new test fails on the former code.

The members that a node forwards to are no longer called deputies, which are something else in limits.

--- a/deckdrum/leadership/tests/test_unregistered_nodes.py
+++ b/deckdrum/leadership/tests/test_unregistered_nodes.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from deckdrum.node.registration import FORMER_CONSENT_S
 from deckdrum.standins.users import StoreFault
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 from deckdrum.testing.nodes import CURRENT, SERVICE, LineClient
@@ -89,3 +90,26 @@
         assert runtime.leadership_state.is_primary_usable(await curio.clock())
 
     run_linked_scenario(scenario)
+
+
+def test_restarted_node_without_the_store_serves_through_others() -> None:
+    """It refused or delayed statements until its former entry counted."""
+
+    async def scenario(deployment: LinkedDeployment) -> None:
+        deployment.store.fault = StoreFault.SILENT
+        await deployment.kill_node(2)
+        started_at = await curio.clock()
+        await deployment.restart_node(2)
+        restarted = deployment.nodes[2].node
+        await deployment.wait_for(lambda: restarted.is_ready)
+        client = await deployment.connect(CURRENT, 2)
+        assert (await client.ask('WRITE a 1')).is_done
+        now = await curio.clock()
+        assert now - started_at < FORMER_CONSENT_S
+        state = restarted.services[SERVICE].leadership_state
+        assert not state.is_primary_usable(now)
+        await curio.sleep(FORMER_CONSENT_S)
+        assert (await client.ask('WRITE a 1')).is_done
+        assert state.is_primary_usable(await curio.clock())
+
+    run_linked_scenario(scenario)
--- a/deckdrum/node/core.py
+++ b/deckdrum/node/core.py
@@ -295,10 +295,17 @@
 
     async def _handle_view_change(self, _: Kind) -> None:
         """Schedule the application of a change of the view."""
-        self._registration.record_membership(await curio.clock())
-        self._service_manager.apply_membership(self._registration.member_since)
+        await self._apply_membership()
         await self._view_changed.set()
 
+    async def _apply_membership(self) -> None:
+        """Record since when this node is a member, and whether it is one."""
+        now = await curio.clock()
+        self._registration.record_membership(now)
+        self._service_manager.apply_membership(
+            self._registration.member_since, now
+        )
+
     async def _apply_changes(self) -> None:
         while True:
             await self._view_changed.wait()
@@ -308,10 +315,11 @@
             await self._service_manager.apply_view(self._registration.member)
 
     async def _run_maintenance(self) -> None:
-        """Roll back idle transactions and forget removed servers."""
+        """Do what depends on time: idle transactions, removed servers."""
         while True:
             await curio.sleep(MAINTENANCE_INTERVAL_S)
             await self.view.expire_removed_servers()
+            await self._apply_membership()
             configuration = self.view.configuration
             if configuration is not None:
                 limit = configuration.idle_transaction_limit
--- a/deckdrum/node/services.py
+++ b/deckdrum/node/services.py
@@ -91,11 +91,15 @@
             await self._apply_declaration(declaration, own, workspace_count)
             await self._apply_leadership_proof(declaration.name)
 
-    def apply_membership(self, member_since: float) -> None:
-        """Record since when changes of primaries ask this node for consent."""
+    def apply_membership(self, member_since: float, now: float) -> None:
+        """Record since when changes of primaries ask this node for consent.
+
+        Until then it forwards the statements of its callers.
+        """
         self._member_since = member_since
         for runtime in self.services.values():
             runtime.leadership_state.member_since = member_since
+            runtime.allocator.set_membership(is_member=member_since <= now)
 
     async def retire(self) -> None:
         """Stop supervising the groups and using their primaries."""
@@ -163,6 +167,9 @@
             self._tools.policies,
         )
         runtime.leadership_state.member_since = self._member_since
+        runtime.allocator.set_membership(
+            is_member=self._member_since <= await curio.clock()
+        )
         monitor = PrimaryMonitor(runtime, self._tools)
         runtime.on_server_failure = monitor.handle_server_failure
         router = Router(runtime, own.data_centre)
--- a/deckdrum/serving/allocation.py
+++ b/deckdrum/serving/allocation.py
@@ -71,7 +71,8 @@
         self.is_holder = True
         #: The members to which this node forwards all statements while it is
         #: none itself, nearest first.
-        self._deputies: list[Member] = []
+        self._forward_targets: list[Member] = []
+        self._is_member = True
         self._service = service
         self._peers = peers
         self._policies = policies
@@ -133,6 +134,12 @@
         """Return whether the current allocation was made for these inputs."""
         return self._allocated_for == inputs
 
+    def set_membership(self, *, is_member: bool) -> None:
+        """Set whether changes of primaries ask this node for its consent."""
+        if is_member != self._is_member:
+            self._is_member = is_member
+            self._ranked_holders.clear()
+
     def find_holders(self, workspace: str) -> list[Member]:
         """Return the holders ranked above this node, the best first."""
         ranked = self._ranked_holders.get(workspace)
@@ -165,18 +172,16 @@
     ) -> None:
         self.others = [members[name] for name in holders if name != own.name]
         self.others.sort(key=partial(rank_lender, own))
-        self._deputies = []
-        if own.name not in members:
-            # It may use no primary; see `LeadershipState.member_since`.
-            self._deputies = self.others or _list_others(own, members)
+        self._forward_targets = self.others or _list_others(own, members)
         self._peers.health.set_required_peers(self._service, self.others)
         self.is_holder = not holders or own.name in holders
         self._own = own.name
         self._ranked_holders.clear()
 
     def _rank_holders(self, workspace: str) -> list[Member]:
-        if self._deputies:
-            return self._deputies
+        if self._forward_targets and not self._is_member:
+            # It may use no primary; see `LeadershipState.member_since`.
+            return self._forward_targets
         if not workspace or Policy.WORKSPACE_HOLDERS not in self._policies:
             return [] if self.is_holder else self.others
         others = {holder.name: holder for holder in self.others}
