Find a leader beside a lost server in takeovers of synchronous groups

What callers would see: a primary and its successor are lost, the next successor leads, its order had no answer, and no node serves what needs a primary for as long as the lost server is listed (RECOVER, syncReplicas 1).

Cause: a driver takes a server that it finds leading for the primary only if it is the only one that is not fenced. The lost server is not fenced either.

Why the fix works: with enough servers fenced beside the leader, and none of them with a write of a later term, no other server has confirmed a write since. The leader is ordered again before it is used, as before, which settles who leads.

The drawn cases look for lost writes in the log of a server that runs: in case 107 the last primary was the lost server, while the group was in a planned change.

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -13,6 +13,7 @@
 from deckdrum.backends import ServerRole, ServerStatus
 from deckdrum.control.left_servers import LeftServers
 from deckdrum.leadership.context import POLL_INTERVAL_S
+from deckdrum.leadership.peer_observation import Leader
 from deckdrum.serving.runtime import ServiceRuntime
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.sessions import Position
@@ -152,6 +153,29 @@
                 await _fence_each(handles, term, former_term + 1, every)
         return every
 
+    async def find_leader(
+        self, former_term: int, fenced: Mapping[str, ServerStatus]
+    ) -> Leader | None:
+        """Return a server that leads a later term, if no other one matters.
+
+        Others that are not fenced may have been promoted as well.  None of
+        their writes was confirmed by a synchronous replica if the fenced ones
+        have received nothing of a later term.
+        """
+        handle = max(self._runtime.servers.values(), key=_get_led_term)
+        term = _get_led_term(handle)
+        if handle.status is None or term <= former_term:
+            return None
+        if not self._runtime.declaration.synchronous_replicas:
+            return None
+        received = [status.received.term for status in fenced.values()]
+        if max(received, default=0) > term:
+            return None
+        # It has all the writes that it has acknowledged itself.
+        complete = {**fenced, handle.id: handle.status}
+        is_enough = await self.is_enough(complete)
+        return Leader(handle.id, term) if is_enough else None
+
     async def is_enough(self, fenced: Mapping[str, ServerStatus]) -> bool:
         """Return whether a change may continue with these fenced replicas.
 
@@ -262,6 +286,14 @@
     )
 
 
+def _get_led_term(handle: ServerHandle) -> int:
+    """Return the term that a server said it leads; 0 if none."""
+    status = handle.status
+    if status is None or status.role is not ServerRole.PRIMARY:
+        return 0
+    return status.term
+
+
 def _describe_state(handle: ServerHandle) -> str:
     status = handle.status
     if status is None:
--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -285,18 +285,10 @@
         if leader is not None:
             return leader
         if not await self._fencing.is_enough(fenced):
-            leader = await self._ask_for_leader(claim, unfenced)
-            if leader is not None:
-                return leader
-            if report.is_takeover:
-                fenced = await self._fencing.fence_leftovers(
-                    term, claim.record.former_term, fenced
-                )
-        if not await self._fencing.is_enough(fenced):
-            report.failure_detail = (
-                f'too few replicas fenced: {self._fencing.describe()}'
-            )
-            return None
+            completed = await self._complete_fencing(report, claim, fenced)
+            if completed is None or isinstance(completed, Leader):
+                return completed
+            fenced = completed
         if len(fenced) < self._fencing.required and not votes.has_majority:
             report.failure_detail = (
                 'too few replicas fenced and nodes stopped: '
@@ -305,6 +297,32 @@
             return None
         return fenced, votes
 
+    async def _complete_fencing(
+        self,
+        report: PrimaryChangeReport,
+        claim: LeadershipClaim,
+        fenced: dict[str, ServerStatus],
+    ) -> dict[str, ServerStatus] | Leader | None:
+        """Fence more servers, or find one that leads, if too few are fenced."""
+        unfenced = self._fencing.list_unfenced(fenced, report.former)
+        leader = await self._ask_for_leader(claim, unfenced)
+        if leader is not None:
+            return leader
+        if report.is_takeover:
+            former_term = claim.record.former_term
+            fenced = await self._fencing.fence_leftovers(
+                claim.record.term, former_term, fenced
+            )
+            if await self._fencing.is_enough(fenced):
+                return fenced
+            leader = await self._fencing.find_leader(former_term, fenced)
+            if leader is not None:
+                return leader
+        report.failure_detail = (
+            f'too few replicas fenced: {self._fencing.describe()}'
+        )
+        return None
+
     def _find_own_leader(self) -> Leader | None:
         """Return the primary of the claimed term that this node has found."""
         state = self._runtime.leadership_state
--- a/deckdrum/leadership/tests/test_drawn_faults.py
+++ b/deckdrum/leadership/tests/test_drawn_faults.py
@@ -12,6 +12,7 @@
 from deckdrum.testing.drawn_faults import DrawnScenario
 from deckdrum.testing.fault_actions import DrawnFault
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
+from deckdrum.testing.membership_actions import LOSING_FAULT
 
 
 def _play(case: DrawnCase) -> list[str]:
@@ -46,6 +47,24 @@
     assert not _play(case)
 
 
+def test_takeover_finds_a_second_successor_that_no_node_has_seen() -> None:
+    """A lost server beside it hid that all others were fenced."""
+    # Its entry stays.
+    lost = DrawnFault(LOSING_FAULT, 0, 0.49, 3)
+    unanswered = DrawnFault('lose answer', 0.35, 0, 0)
+    case = DrawnCase(
+        nodes=3,
+        synchronous_replicas=1,
+        loss='silent',
+        unanswered=0,
+        # Longer than a driver waits for the effect of an order without answer.
+        promotion_time=1.0,
+        is_checking_fences=False,
+        faults=(lost, unanswered),
+    )
+    assert not _play(case)
+
+
 @pytest.mark.parametrize(
     'seed',
     [1006, 1120, 3793, 3832, 3840, 3855, 8528, 4000, 4001, 4002, 4003],
@@ -60,7 +79,7 @@
     assert not _play(draw_refusing_case(seed))
 
 
-@pytest.mark.parametrize('seed', [1, 4, 5, 12, 21, 28])
+@pytest.mark.parametrize('seed', [1, 4, 5, 12, 21, 28, 134, 148])
 def test_group_recovers_from_the_loss_of_a_successor(seed: int) -> None:
     """Former primaries were not fenced, so too few servers were."""
     assert not _play(draw_losing_case(seed))
--- a/deckdrum/testing/drawn_faults.py
+++ b/deckdrum/testing/drawn_faults.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from deckdrum.standins.users import Connectivity
+from deckdrum.standins.users import Connectivity, DatabaseServer
 from deckdrum.testing.drawn_cases import DrawnCase
 from deckdrum.testing.fault_actions import DrawnFault, FaultyChange
 from deckdrum.testing.linked_nodes import LinkedDeployment
@@ -158,7 +158,7 @@
             return []
         kept = {
             request_id
-            for entry in self._deployment.group.primary.log
+            for entry in self._find_latest_server().log
             for request_id, _ in entry.writes
         }
         return [
@@ -166,3 +166,11 @@
             for request_id in acknowledged
             if request_id not in kept
         ]
+
+    def _find_latest_server(self) -> DatabaseServer:
+        """Return the primary; during a change that which has most."""
+        group = self._deployment.group
+        if group.primary.is_running:
+            return group.primary
+        running = [each for each in group.servers.values() if each.is_running]
+        return max(running, key=lambda each: (each.term, len(each.log)))
