Look for a leader beside lost servers in synchronous groups only, and without servers

A driver whose group has lost all its entries meanwhile would have failed on the maximum of nothing. Found by reading; the tests of leftovers, drawn faults and takeovers pass.

--- a/deckdrum/leadership/fencing.py
+++ b/deckdrum/leadership/fencing.py
@@ -162,12 +162,15 @@
         their writes was confirmed by a synchronous replica if the fenced ones
         have received nothing of a later term.
         """
-        handle = max(self._runtime.servers.values(), key=_get_led_term)
-        term = _get_led_term(handle)
-        if handle.status is None or term <= former_term:
-            return None
         if not self._runtime.declaration.synchronous_replicas:
             return None
+        handles = self._runtime.servers.values()
+        handle = max(handles, key=_get_led_term, default=None)
+        if handle is None or handle.status is None:
+            return None
+        term = _get_led_term(handle)
+        if term <= former_term:
+            return None
         received = [status.received.term for status in fenced.values()]
         if max(received, default=0) > term:
             return None
