--- a/deckdrum/leadership/primary_change.py
+++ b/deckdrum/leadership/primary_change.py
@@ -23,7 +23,9 @@
 Nothing is claimed before enough replicas or nodes have answered.
 
 If a driver dies, another node takes over its claim.  It announces a later term,
-and looks for a server that the claim before has promoted.
+and looks for a server that the claim before has promoted.  The terms before a
+claim never resume once it is taken over, so that servers which still lead them
+can be fenced as well.
 """
 
 from collections.abc import Sequence
