--- a/deckdrum/forwarding/tests/test_forwarding.py
+++ b/deckdrum/forwarding/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 from deckdrum.forwarding.encoding import encode_outcome
 from deckdrum.forwarding.forwarder import HOLDER_RETRY_TIMEOUT_S
 from deckdrum.outcomes import Code, refuse
+from deckdrum.testing.line_client import Reply
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 from deckdrum.testing.links import CutKind
 from deckdrum.testing.nodes import (
@@ -18,7 +19,6 @@
     OWN_WRITES,
     SERVICE,
     Deployment,
-    Reply,
     RunningNode,
     run_scenario,
 )
--- a/deckdrum/forwarding/tests/test_shedding.py
+++ b/deckdrum/forwarding/tests/test_shedding.py
@@ -8,13 +8,13 @@
 from deckdrum.fleet.channels import StreamChannel
 from deckdrum.forwarding.encoding import decode_route, encode_outcome
 from deckdrum.outcomes import Code, refuse
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
     OWN_WRITES,
     SERVICE,
     Deployment,
-    LineClient,
     RunningNode,
     build_route,
     run_scenario,
--- a/deckdrum/leadership/tests/test_healing.py
+++ b/deckdrum/leadership/tests/test_healing.py
@@ -10,12 +10,8 @@
 
 from deckdrum.leadership.state import LeadershipState
 from deckdrum.standins.users import Connectivity, DatabaseServer
-from deckdrum.testing.nodes import (
-    CURRENT,
-    Deployment,
-    LineClient,
-    run_scenario,
-)
+from deckdrum.testing.line_client import LineClient
+from deckdrum.testing.nodes import CURRENT, Deployment, run_scenario
 
 HEALING_STEP_S = 0.05
 #: Time after the partition in which its effects show.
--- a/deckdrum/leadership/tests/test_refused_connections.py
+++ b/deckdrum/leadership/tests/test_refused_connections.py
@@ -6,9 +6,10 @@
 from deckdrum.leadership.context import PrimaryChangeReport
 from deckdrum.leadership.primary_change import PrimaryChanger
 from deckdrum.standins.users import StoreFault
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
 from deckdrum.testing.links import CutKind
-from deckdrum.testing.nodes import CURRENT, SERVICE, LineClient
+from deckdrum.testing.nodes import CURRENT, SERVICE
 
 #: The node that is cut off from the others.  It reaches the databases.
 _ISOLATED = 2
--- a/deckdrum/leadership/tests/test_removed_members.py
+++ b/deckdrum/leadership/tests/test_removed_members.py
@@ -10,8 +10,9 @@
 import pytest
 
 from deckdrum.standins.users import StoreFault
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
-from deckdrum.testing.nodes import CURRENT, LineClient
+from deckdrum.testing.nodes import CURRENT
 
 _RESTARTED = 2
 _MEMBERS = 'deckdrum-members'
--- a/deckdrum/leadership/tests/test_unregistered_nodes.py
+++ b/deckdrum/leadership/tests/test_unregistered_nodes.py
@@ -5,8 +5,9 @@
 
 from deckdrum.node.registration import FORMER_CONSENT_S
 from deckdrum.standins.users import StoreFault
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.linked_nodes import LinkedDeployment, run_linked_scenario
-from deckdrum.testing.nodes import CURRENT, SERVICE, LineClient
+from deckdrum.testing.nodes import CURRENT, SERVICE
 
 
 async def _add_turned_away(
--- a/deckdrum/node/tests/test_lifecycle.py
+++ b/deckdrum/node/tests/test_lifecycle.py
@@ -7,11 +7,11 @@
 
 from deckdrum.node.shutdown import GracefulShutdown
 from deckdrum.standins.users import StoreFault
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.nodes import (
     CURRENT,
     SERVICE,
     Deployment,
-    LineClient,
     run_scenario,
 )
 from deckdrum.utils import Address
--- a/deckdrum/node/tests/test_shutdown.py
+++ b/deckdrum/node/tests/test_shutdown.py
@@ -6,11 +6,10 @@
 import pytest
 
 from deckdrum.node.shutdown import READINESS_PROPAGATION_S, GracefulShutdown
+from deckdrum.testing.line_client import LineClient, Reply
 from deckdrum.testing.nodes import (
     CURRENT,
     Deployment,
-    LineClient,
-    Reply,
     RunningNode,
     run_scenario,
 )
--- a/deckdrum/platform/tests/test_golden.py
+++ b/deckdrum/platform/tests/test_golden.py
@@ -6,12 +6,12 @@
 import curio
 import pytest
 
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
     OWN_WRITES,
     Deployment,
-    LineClient,
     run_scenario,
 )
 
--- a/deckdrum/platform/tests/test_wire.py
+++ b/deckdrum/platform/tests/test_wire.py
@@ -31,7 +31,8 @@
     encode_position,
 )
 from deckdrum.sessions import Position
-from deckdrum.testing.nodes import CURRENT, Deployment, LineClient, run_scenario
+from deckdrum.testing.line_client import LineClient
+from deckdrum.testing.nodes import CURRENT, Deployment, run_scenario
 from deckdrum.utils import dial
 
 #: Error words that guarantee to clients that no change was kept.
--- a/deckdrum/serving/tests/test_broken_steps.py
+++ b/deckdrum/serving/tests/test_broken_steps.py
@@ -20,12 +20,12 @@
 from deckdrum.serving.servers import ServerHandle
 from deckdrum.serving.slots import SlotGate
 from deckdrum.testing.broken_steps import BrokenStep
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.nodes import (
     CURRENT,
     OWN_WRITES,
     SERVICE,
     Deployment,
-    LineClient,
     run_scenario,
 )
 
--- a/deckdrum/serving/tests/test_leaving_servers.py
+++ b/deckdrum/serving/tests/test_leaving_servers.py
@@ -7,12 +7,12 @@
 import curio
 import pytest
 
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
     OWN_WRITES,
     Deployment,
-    LineClient,
     run_scenario,
 )
 from deckdrum.testing.objectives import DRAIN_TIME_S, WRITE_GAP_P99_S
--- a/deckdrum/serving/tests/test_lending.py
+++ b/deckdrum/serving/tests/test_lending.py
@@ -14,12 +14,12 @@
     RESERVED_CONNECTIONS,
     allocate_connections,
 )
+from deckdrum.testing.line_client import Reply
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
     SERVICE,
     Deployment,
-    Reply,
     run_scenario,
 )
 
--- a/deckdrum/serving/tests/test_load_reports.py
+++ b/deckdrum/serving/tests/test_load_reports.py
@@ -7,11 +7,11 @@
 from deckdrum.load.reports import SERVER_REPORT_LIFETIME_S
 from deckdrum.serving.load_reports import LoadReports, ServerLoad
 from deckdrum.serving.routing import Router
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.nodes import (
     BOUNDED,
     SERVICE,
     Deployment,
-    LineClient,
     run_scenario,
 )
 
--- a/deckdrum/serving/tests/test_lost_answers.py
+++ b/deckdrum/serving/tests/test_lost_answers.py
@@ -3,13 +3,12 @@
 import curio
 
 from deckdrum.serving.retries import RETRY_BUDGET_CAPACITY
+from deckdrum.testing.line_client import LineClient, Reply
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
     SERVICE,
     Deployment,
-    LineClient,
-    Reply,
     run_scenario,
 )
 
--- a/deckdrum/serving/tests/test_slot_permits.py
+++ b/deckdrum/serving/tests/test_slot_permits.py
@@ -6,13 +6,13 @@
 import pytest
 
 from deckdrum.serving.slots import SlotGate
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
     OWN_WRITES,
     SERVICE,
     Deployment,
-    LineClient,
     build_route,
     run_scenario,
 )
--- a/deckdrum/soak/callers.py
+++ b/deckdrum/soak/callers.py
@@ -8,13 +8,8 @@
 
 from deckdrum.soak.processes import NodeProcess
 from deckdrum.soak.records import Attempt, AttemptOutcome
-from deckdrum.testing.nodes import (
-    BOUNDED,
-    CURRENT,
-    OWN_WRITES,
-    LineClient,
-    Reply,
-)
+from deckdrum.testing.line_client import LineClient, Reply
+from deckdrum.testing.nodes import BOUNDED, CURRENT, OWN_WRITES
 
 #: Transaction state of a session outside any transaction.
 _IDLE: Final = 'I'
--- a/deckdrum/standins/users/tests/test_databases.py
+++ b/deckdrum/standins/users/tests/test_databases.py
@@ -9,12 +9,8 @@
 from deckdrum.platform.promotion_client import PlatformPromotionClient
 from deckdrum.standins.users import Connectivity, DatabaseServer
 from deckdrum.standins.users.databases import STEP_DOWN_DELAY_S
-from deckdrum.testing.nodes import (
-    SERVICE,
-    Deployment,
-    LineClient,
-    run_scenario,
-)
+from deckdrum.testing.line_client import LineClient
+from deckdrum.testing.nodes import SERVICE, Deployment, run_scenario
 from deckdrum.utils import dial
 
 
--- a/deckdrum/testing/nodes.py
+++ b/deckdrum/testing/nodes.py
@@ -3,7 +3,7 @@
 import itertools
 import os
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from types import TracebackType
 from typing import Any, Final, Self, TextIO
@@ -17,7 +17,8 @@
 from deckdrum.platform.frontend import Frontend
 from deckdrum.platform.promotion_client import PlatformPromotionClient
 from deckdrum.platform.store import PlatformStore
-from deckdrum.standins.users import DatabaseGroup, StandinStore, read_line
+from deckdrum.standins.users import DatabaseGroup, StandinStore
+from deckdrum.testing.line_client import LineClient
 from deckdrum.utils import Address, Stream, dial, open_journal
 from deckdrum.utils.counters import Counters
 from deckdrum.utils.journal import open_null_journal
@@ -43,10 +44,7 @@
 _POLL_INTERVAL_S: Final = 0.02
 #: Time after which the nodes of a new deployment know each other.
 DISCOVERY_TIME_S: Final = 1.5
-WRITE_TIMEOUT_S: Final = 8.0
-_WRITE_RETRY_DELAY_S: Final = 0.05
 _CONDITION_TIMEOUT_S: Final = 5.0
-_REPLY_TIMEOUT_S: Final = 6.0
 
 
 def build_route(host: str, kind: str, **fields: Any) -> dict[str, Any]:
@@ -89,86 +87,6 @@
     return {'name': name, 'apiKeys': list(keys), 'priority': 1} | fields
 
 
-@dataclass(slots=True)
-class Reply:
-    """An answer: its rows, its final line and the transaction state."""
-
-    rows: list[str] = field(default_factory=list)
-    end: str = ''
-    text: str = ''
-    state: str = ''
-
-    @property
-    def is_done(self) -> bool:
-        """Whether the statement succeeded."""
-        return self.end == 'COMPLETE'
-
-
-class LineClient:
-    """A client of the platform's line protocol."""
-
-    def __init__(self, stream: Stream) -> None:
-        self.stream = stream
-        self._buffer = bytearray()
-        self._statement_count = 0
-        #: The answer to the first message.
-        self.greeting = Reply()
-
-    @classmethod
-    async def connect(
-        cls,
-        address: Address,
-        database: str,
-        key: str = 'test',
-    ) -> 'LineClient':
-        """Open a session with an API key."""
-        client = cls(await dial(address, 1))
-        await client.send(f'STARTUP {database} {key}')
-        client.greeting = await client.read_reply()
-        return client
-
-    async def send(self, line: str) -> None:
-        """Send one message."""
-        await self.stream.send(f'{line}\r\n'.encode())
-
-    async def ask(self, text: str) -> Reply:
-        """Send a statement and return its answer."""
-        self._statement_count += 1
-        await self.send(f'QUERY {id(self):x}{self._statement_count:x} {text}')
-        return await self.read_reply()
-
-    async def read_reply(self) -> Reply:
-        """Return the next answer; its state is empty if the session ends."""
-        reply = Reply()
-        async with curio.timeout_after(_REPLY_TIMEOUT_S):
-            while True:
-                line = await read_line(self.stream, self._buffer)
-                if line is None:
-                    return reply
-                word, _, rest = line.partition(' ')
-                if word == 'READY':
-                    reply.state = rest.partition(' ')[0]
-                    return reply
-                if word == 'ROW':
-                    reply.rows.append(rest)
-                else:
-                    reply.end = word
-                    reply.text = rest
-
-    async def write_until_done(self, timeout: float = WRITE_TIMEOUT_S) -> float:
-        """Retry a write until it succeeds; return the elapsed seconds."""
-        start: float = await curio.clock()
-        async with curio.timeout_after(timeout):
-            while not (await self.ask('WRITE a 1')).is_done:
-                await curio.sleep(_WRITE_RETRY_DELAY_S)
-        end: float = await curio.clock()
-        return end - start
-
-    async def close(self) -> None:
-        """Close the connection."""
-        await self.stream.close()
-
-
 @dataclass(slots=True)
 class RunningNode:
     """A node with its frontend and its connection to the store."""
--- a/deckdrum/testing/replaced_primaries.py
+++ b/deckdrum/testing/replaced_primaries.py
@@ -8,7 +8,8 @@
 
 from deckdrum.standins.users import DatabaseGroup
 from deckdrum.standins.users.records import Commit, Takeover
-from deckdrum.testing.nodes import CURRENT, Deployment, LineClient, Reply
+from deckdrum.testing.line_client import LineClient, Reply
+from deckdrum.testing.nodes import CURRENT, Deployment
 
 _RECONNECT_DELAY_S: Final = 0.05
 #: Every such operation is a transaction of two writes.
--- a/deckdrum/workspaces/tests/test_keys.py
+++ b/deckdrum/workspaces/tests/test_keys.py
@@ -9,12 +9,12 @@
 from deckdrum.fleet.node_messages import FetchUpdates
 from deckdrum.platform.configuration import decode_configuration
 from deckdrum.standins.users.store import StoreFault
+from deckdrum.testing.line_client import LineClient
 from deckdrum.testing.nodes import (
     BOUNDED,
     CURRENT,
     OWN_WRITES,
     Deployment,
-    LineClient,
     build_config,
     build_route,
     build_workspace,
