Count an entry of a former process after a planned change's order to step down, too

Cause: a planned change orders the primary to step down between the consent of the nodes and the fencing. If that order has no answer, the replicas are fenced up to 1.9 s after the consent, not 1.5 s. Found by reading; the bound is the sum of the three time limits now, which the tests state by name.

--- a/deckdrum/node/registration.py
+++ b/deckdrum/node/registration.py
@@ -11,13 +11,17 @@
 from deckdrum.leadership.fencing import FENCE_TIMEOUT_S
 from deckdrum.leadership.term_end import END_TERM_TIMEOUT_S
 from deckdrum.outcomes.errors import StoreError
+from deckdrum.serving.servers import COMMAND_TIMEOUT_S
 from deckdrum.utils import Journal
 
 REGISTRATION_CHECK_INTERVAL_S: Final = 1.0
 DEREGISTER_TIMEOUT_S: Final = 0.3
 #: Time after the start of a process by which a change of a primary to which its
-#: former process has agreed has fenced the replicas.
-FORMER_CONSENT_S: Final = END_TERM_TIMEOUT_S + FENCE_TIMEOUT_S
+#: former process has agreed has fenced the replicas.  A planned change orders
+#: the primary to step down before; one that does is used no more.
+FORMER_CONSENT_S: Final = (
+    END_TERM_TIMEOUT_S + COMMAND_TIMEOUT_S + FENCE_TIMEOUT_S
+)
 
 
 class NodeRegistration:
