--- a/deckdrum/soak/tests/test_soak.py
+++ b/deckdrum/soak/tests/test_soak.py
@@ -17,6 +17,8 @@
     # acknowledged.
     SoakPlan(seed=222, seconds=8, synchronous_replicas=0),
     SoakPlan(seed=7001, seconds=8, has_membership_faults=True),
+    # A former primary that no node had seen could not be fenced.
+    SoakPlan(seed=7104, seconds=15, has_membership_faults=True),
 )
 
 
